--- /dev/null
+++ b/bench/soak.ts
@@ -0,0 +1,62 @@
+/** Long randomised runs: `npm run soak -- --seed N --minutes M`. Prints the seed and the shrunk commands of a failure. */
+import { cac } from 'cac';
+import * as fc from 'fast-check';
+
+import { FakeWorld } from '../test/fakes/FakeWorld.js';
+import { RUN_AGENTS, RUN_ENTRIES, worldCommands } from '../test/fakes/worldCommands.js';
+
+/** Runs between two lines of progress. */
+const BATCH = 200;
+
+/** Link faults that the batches go through in turn. */
+const FAULTS = [
+  { drop: 0, repeat: 0, late: 0 },
+  { drop: 0.02, repeat: 0.02, late: 0.05 },
+  { drop: 0.1, repeat: 0.05, late: 0.2 },
+];
+
+const totals = { runs: 0, commands: 0, tasks: 0, answers: 0, complete: 0, refused: 0, failed: 0 };
+
+function runBatch(seed: number): void {
+  const faults = FAULTS[seed % FAULTS.length] as (typeof FAULTS)[number];
+  const property = fc.property(worldCommands, fc.integer(), (commands, worldSeed) => {
+    const world = new FakeWorld({ seed: worldSeed, entries: RUN_ENTRIES, agents: RUN_AGENTS, faults });
+    const model = { commands: 0 };
+    fc.modelRun(() => ({ model, real: world }), commands);
+    world.settle();
+    countRun(world, model.commands);
+  });
+  fc.assert(property, { numRuns: BATCH, seed });
+}
+
+function countRun(world: FakeWorld, commands: number): void {
+  totals.runs += 1;
+  totals.commands += commands;
+  totals.tasks += world.starts.size;
+  for (const { answer } of world.submissions) {
+    if (!answer) continue;
+    totals.answers += 1;
+    if (answer.outcome === 'complete') totals.complete += 1;
+    if (answer.outcome === 'refused') totals.refused += 1;
+    if (answer.outcome === 'failed') totals.failed += 1;
+  }
+}
+
+const cli = cac('soak');
+cli.option('--seed <number>', 'first seed', { default: 1 });
+cli.option('--minutes <number>', 'how long to run', { default: 5 });
+cli.help();
+const { options } = cli.parse();
+const until = Date.now() + Number(options['minutes']) * 60_000;
+let seed = Number(options['seed']);
+while (Date.now() < until) {
+  try {
+    runBatch(seed);
+  } catch (error) {
+    console.error(`seed ${seed}: ${String(error instanceof Error ? error.message : error)}`);
+    if (error instanceof Error && error.cause instanceof Error) console.error(error.cause.stack);
+    process.exit(1);
+  }
+  console.log(JSON.stringify({ seed, ...totals }));
+  seed += 1;
+}
--- /dev/null
+++ b/src/connection/codec.ts
@@ -0,0 +1,41 @@
+/** Turns batches of messages into bytes and back, by the generated protobuf code. */
+import { marblehall as wire } from './wire.generated.js';
+import type { Message } from './messages.js';
+
+/** Fails when bytes are not a batch of known messages. */
+export class UnknownMessageError extends Error {
+  override readonly name = 'UnknownMessageError';
+}
+
+/**
+ * Encodes the messages of one loop turn.
+ *
+ * @param messages - in the order they were produced
+ * @returns the bytes of one `Batch`
+ * @example
+ * decodeBatch(encodeBatch([{ type: 'leaving', done: true }]))[0].type; // 'leaving'
+ */
+export function encodeBatch(messages: readonly Message[]): Buffer {
+  const envelopes = messages.map((message) => ({ [message.type]: message }));
+  return wire.Batch.encode({ messages: envelopes } as wire.IBatch).finish() as Buffer;
+}
+
+/**
+ * Decodes one batch.
+ *
+ * @param bytes - of one `Batch`
+ * @returns its messages
+ * @throws UnknownMessageError when an envelope is empty; RangeError or Error when the bytes are malformed
+ * @example
+ * decodeBatch(encodeBatch([])).length; // 0
+ */
+export function decodeBatch(bytes: Uint8Array): Message[] {
+  const batch = wire.Batch.decode(bytes);
+  return batch.messages.map((envelope) => {
+    const type = (envelope as wire.Envelope).body;
+    if (!type) throw new UnknownMessageError('envelope without a message');
+    const message = envelope[type] as unknown as { type: string };
+    message.type = type;
+    return message as Message;
+  });
+}
--- /dev/null
+++ b/src/process/agent/AgentNode.ts
@@ -0,0 +1,208 @@
+/** One agent process without its input and output: messages, log records and time in, effects out. */
+import type { Heartbeat, Hello, Message } from '../../connection/messages.js';
+import type { ConfigState } from '../../version/configState.js';
+import { createConfigState } from '../../version/configState.js';
+import { followLog } from '../../version/followLog.js';
+import type { LogEntry, LogRecord } from '../../version/logRecord.js';
+import { createLeave, pickDueRecords, proposeJoin } from '../membership.js';
+import type { ProposalState } from '../membership.js';
+import { applyRegistrarConfig } from '../registrar/applyRegistrarConfig.js';
+import { handleAgentSet, handleAnnounce, expireClaims, renewLease } from '../registrar/handleAnnounce.js';
+import { handleClaim } from '../registrar/handleClaim.js';
+import { createRegistrarState } from '../registrar/registrarState.js';
+import type { RegistrarLimits, RegistrarState } from '../registrar/registrarState.js';
+import { createAgentState } from './agentState.js';
+import type { AgentEffect, AgentLimits, AgentState, AgentTask } from './agentState.js';
+import { endTask } from './endTask.js';
+import type { UpstreamOutcome } from './endTask.js';
+import { expireAgentJobs } from './expireAgentJobs.js';
+import { tellCredits } from './grantCredits.js';
+import { handleAck } from './handleAck.js';
+import { handleStart } from './handleStart.js';
+import { handleCancel, handleSweep } from './handleSweep.js';
+import { isAgentDrained, leaveAgent } from './leaveAgent.js';
+import { closeEntryLink, handleDemand, openEntryLink } from './openEntryLink.js';
+
+/** Between two cleanings of the tables, ms. */
+const EXPIRE_EVERY_MS = 1_000;
+
+/** Settings of an agent's membership. */
+export interface AgentMembership {
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Whether the process offers to hold seats. */
+  readonly registrar: boolean;
+  /** Before a proposal without effect is repeated, ms. */
+  readonly proposeRepeatMs: number;
+}
+
+/** An effect of an agent, or a record that it wants on the log. */
+export type AgentNodeEffect = AgentEffect | { readonly type: 'append'; readonly record: LogRecord };
+
+/** An agent process, with its registrar, as a pure state machine over messages and time. */
+export class AgentNode {
+  readonly state: AgentState;
+  readonly registrar: RegistrarState;
+  private readonly proposals: ProposalState;
+  private appends: LogRecord[] = [];
+  private expiredAt = 0;
+
+  constructor(
+    peer: string,
+    limits: AgentLimits,
+    registrarLimits: RegistrarLimits,
+    private readonly membership: AgentMembership,
+  ) {
+    this.state = createAgentState(peer, limits);
+    this.registrar = createRegistrarState(peer, registrarLimits, createConfigState());
+    this.proposals = { proposedAt: new Map(), repeatMs: membership.proposeRepeatMs };
+  }
+
+  /** Returns the first message of a link. */
+  buildHello(): Hello {
+    const { peer, limits, leaving, waiting } = this.state;
+    const { address, failureDomain } = this.membership;
+    const load = { slots: limits.slots, queued: waiting.length, leaving };
+    return {
+      type: 'hello',
+      peer,
+      role: 'agent',
+      offset: this.registrar.config.offset,
+      address,
+      failureDomain,
+      ...load,
+    };
+  }
+
+  /** Takes an entry's link into use. */
+  openLink(hello: Hello): void {
+    openEntryLink(this.state, hello.peer);
+    this.compareOffset(hello.peer, hello.offset);
+  }
+
+  /** Notes that an entry's link is down. */
+  closeLink(peer: string): void {
+    closeEntryLink(this.state, peer);
+  }
+
+  /** Handles one message of a linked entry. */
+  receive(from: string, message: Message, now: number): void {
+    const { state, registrar } = this;
+    switch (message.type) {
+      case 'start':
+        return handleStart(state, from, message, now);
+      case 'demand':
+        return handleDemand(state, from, message);
+      case 'ack':
+        return handleAck(state, message);
+      case 'cancel':
+        return handleCancel(state, from, message);
+      case 'sweep':
+        return handleSweep(state, from, message);
+      case 'claim':
+        return handleClaim(registrar, from, message, now);
+      case 'agentSet':
+        return handleAgentSet(registrar, from, message);
+      case 'announce':
+        return void handleAnnounce(registrar, from, message);
+      case 'heartbeat':
+        return this.handleHeartbeat(from, message, now);
+      case 'stateRequest':
+        return this.sendState(from, message.offset);
+      case 'stateReply':
+        return this.adoptState(message.state);
+      default:
+        return;
+    }
+  }
+
+  /** Records how the upstream's handling of a task ended. */
+  endTask(task: AgentTask, outcome: UpstreamOutcome, now: number): void {
+    endTask(this.state, task, outcome, now);
+  }
+
+  /** Applies records read from the log; an empty read still proves that the log was reached. */
+  followLog(entries: readonly LogEntry[], now: number): void {
+    renewLease(this.registrar, now);
+    const config = followLog(this.registrar.config, entries);
+    if (config !== this.registrar.config) applyRegistrarConfig(this.registrar, config);
+  }
+
+  /** Does what time brings. */
+  tick(now: number): void {
+    if (now - this.expiredAt >= EXPIRE_EVERY_MS) {
+      this.expiredAt = now;
+      expireAgentJobs(this.state, now);
+      expireClaims(this.registrar, now);
+    }
+    this.proposeMembers(now);
+  }
+
+  /** Begins a planned stop. */
+  leave(): void {
+    leaveAgent(this.state);
+    this.registrar.leaving = true;
+  }
+
+  /** True when a leaving agent has nothing left to run or to deliver and holds no seat. */
+  get isDrained(): boolean {
+    const { config, peer } = this.registrar;
+    return isAgentDrained(this.state) && !config.seats.some((seat) => seat.peer === peer);
+  }
+
+  /** Ends a turn and returns everything to carry out. */
+  takeEffects(): readonly AgentNodeEffect[] {
+    tellCredits(this.state);
+    const effects: AgentNodeEffect[] = this.state.outbox;
+    this.state.outbox = [];
+    for (const { to, message } of this.registrar.outbox) effects.push({ type: 'send', to, message });
+    this.registrar.outbox = [];
+    for (const record of this.appends) effects.push({ type: 'append', record });
+    this.appends = [];
+    return effects;
+  }
+
+  private proposeMembers(now: number): void {
+    if (!this.membership.registrar) return;
+    const { config, peer, leaving } = this.registrar;
+    const member = [...config.registrars, ...config.standbys].find((one) => one.peer === peer);
+    const records: LogRecord[] = [];
+    if (leaving && member) records.push(createLeave(peer, member.joinedOffset));
+    if (!leaving)
+      records.push(...proposeJoin(config, { role: 'registrar', peer, address: this.membership.address }));
+    this.appends.push(...pickDueRecords(this.proposals, records, now));
+  }
+
+  /** An entry that heard a majority of the registrars at this offset proves that no seat was given away. */
+  private handleHeartbeat(from: string, heartbeat: Heartbeat, now: number): void {
+    const { config } = this.registrar;
+    const majority = heartbeat.registrarsHeard > config.registrars.length / 2;
+    if (heartbeat.offset >= config.offset && majority) renewLease(this.registrar, now);
+    this.compareOffset(from, heartbeat.offset);
+    if (!heartbeat.reply) return;
+    const granted = this.state.credits.get(from)?.granted ?? 0;
+    const { offset } = config;
+    const state = { registrarsHeard: 0, heardLog: false, reply: false, granted };
+    this.send(from, { type: 'heartbeat', offset, ...state });
+  }
+
+  private compareOffset(peer: string, offset: number): void {
+    const { config } = this.registrar;
+    if (offset > config.offset) this.send(peer, { type: 'stateRequest', offset: config.offset });
+  }
+
+  private sendState(to: string, offset: number): void {
+    const { config } = this.registrar;
+    if (config.offset <= offset) return;
+    this.send(to, { type: 'stateReply', offset: config.offset, state: JSON.stringify(config) });
+  }
+
+  private adoptState(text: string): void {
+    const config = JSON.parse(text) as ConfigState;
+    if (config.offset > this.registrar.config.offset) applyRegistrarConfig(this.registrar, config);
+  }
+
+  private send(to: string, message: Message): void {
+    this.state.outbox.push({ type: 'send', to, message });
+  }
+}
--- /dev/null
+++ b/src/process/agent/runWaiting.ts
@@ -0,0 +1,32 @@
+import { assertInvariant } from '../../_lib/assertInvariant.js';
+import { changeTask, refuseWaiting } from './_lib/changeTask.js';
+import { replyResult } from './_lib/replyResult.js';
+import type { AgentState } from './agentState.js';
+
+/**
+ * Starts waiting tasks, lowest rank first, while slots are free. A task whose deadline has passed is refused
+ * instead.
+ *
+ * @param state - the agent's state; its outbox receives a `run` effect for each start
+ * @param now - ms since the epoch
+ * @example
+ * runWaiting(state, Date.now());
+ */
+export function runWaiting(state: AgentState, now: number): void {
+  while (state.running < state.limits.slots) {
+    const task = state.waiting[0];
+    if (!task) return;
+    if (task.deadline < now) {
+      refuseWaiting(state, task, 'late');
+      replyResult(state, task.job.owner, task);
+      continue;
+    }
+    state.waiting.shift();
+    changeTask(task, 'run');
+    task.startedAt = now;
+    state.running += 1;
+    assertInvariant(state.running <= state.limits.slots, 'more tasks running than slots');
+    state.outbox.push({ type: 'decision', decision: 'start', task, reason: 'slot-free' });
+    state.outbox.push({ type: 'run', task });
+  }
+}
--- /dev/null
+++ b/src/process/entry/applyEntryConfig.ts
@@ -0,0 +1,88 @@
+import { assertInvariant } from '../../_lib/assertInvariant.js';
+import type { OwnedClaim } from '../../connection/messages.js';
+import type { ConfigState } from '../../version/configState.js';
+import { findSeat } from '../../version/findSeat.js';
+import { isOwned } from './_lib/jobChanges.js';
+import type { EntryState } from './entryState.js';
+
+/** Claims in one part of an announcement. */
+const CLAIMS_PER_PART = 500;
+
+/**
+ * Takes a newer configuration into use. Answers of registrars that lost a seat no longer count, and the new
+ * holders are told the claims that this entry owns.
+ *
+ * @param state - the entry's state
+ * @param config - a configuration at the same offset or a later one
+ * @param now - ms since the epoch
+ * @throws InvariantError when the configuration is older than the one in use
+ */
+export function applyEntryConfig(state: EntryState, config: ConfigState, now: number): void {
+  assertInvariant(config.offset >= state.config.offset, 'the entry was given an older configuration');
+  const before = state.config;
+  state.config = config;
+  for (const [id, job] of state.claims) {
+    const seat = findSeat(job.key);
+    if (before.seats[seat]?.sinceOffset === config.seats[seat]?.sinceOffset) continue;
+    state.claims.delete(id);
+    job.claimId = 0;
+    job.claimAt = now;
+  }
+  announceClaims(state, now);
+}
+
+/**
+ * Announces this entry's claims to every registrar that took a seat since it last recorded them.
+ *
+ * @param state - the entry's state
+ * @param now - ms since the epoch
+ */
+export function announceClaims(state: EntryState, now: number): void {
+  for (const [registrar, sinceOffset] of listTenures(state.config)) {
+    if ((state.announced.get(registrar) ?? -1) >= sinceOffset) continue;
+    if (!state.peers.get(registrar)?.connected) continue;
+    const last = state.announcedAt.get(registrar) ?? Number.NEGATIVE_INFINITY;
+    if (last + state.limits.announceRepeatMs > now) continue;
+    state.announcedAt.set(registrar, now);
+    sendAnnounce(state, registrar);
+  }
+}
+
+/**
+ * Notes that a registrar recorded an announcement.
+ *
+ * @param state - the entry's state
+ * @param registrar - the registrar
+ * @param offset - as of which it was made
+ */
+export function noteAnnounced(state: EntryState, registrar: string, offset: number): void {
+  state.announced.set(registrar, Math.max(offset, state.announced.get(registrar) ?? -1));
+}
+
+/** The newest tenure of each registrar. */
+function listTenures(config: ConfigState): Map<string, number> {
+  const tenures = new Map<string, number>();
+  for (const { peer, sinceOffset } of config.seats) {
+    if (peer !== '') tenures.set(peer, Math.max(sinceOffset, tenures.get(peer) ?? -1));
+  }
+  return tenures;
+}
+
+function sendAnnounce(state: EntryState, registrar: string): void {
+  const claims: OwnedClaim[] = [];
+  for (const job of state.jobs.values()) {
+    if (!isOwned(job) || state.config.seats[findSeat(job.key)]?.peer !== registrar) continue;
+    const { key, createdAt, epoch, digest, setId, members } = job;
+    claims.push({ job: key, createdAt, epoch, digest, setId, members });
+  }
+  const { offset } = state.config;
+  for (let from = 0; from === 0 || from < claims.length; from += CLAIMS_PER_PART) {
+    const complete = from + CLAIMS_PER_PART >= claims.length;
+    const part = claims.slice(from, from + CLAIMS_PER_PART);
+    state.outbox.push({
+      type: 'send',
+      to: registrar,
+      message: { type: 'announce', offset, claims: part, complete },
+    });
+  }
+}
--- /dev/null
+++ b/src/process/entry/attachJob.ts
@@ -0,0 +1,96 @@
+import type { Attach, Attached, Claimed } from '../../connection/messages.js';
+import type { Job, JobAnswer } from '../../request/job.js';
+import { adoptAnswer } from './_lib/endJob.js';
+import { changeJob, dropRequests, logDecision } from './_lib/jobChanges.js';
+import { startClaim } from './_lib/sendClaim.js';
+import type { EntryState } from './entryState.js';
+
+/**
+ * Waits for the answer of the entry that owns a job, or takes the job over when that entry is gone.
+ *
+ * @param state - the entry's state
+ * @param job - a job that another entry owns
+ * @param claimed - the registrar's answer
+ * @param now - ms since the epoch
+ */
+export function startAttach(state: EntryState, job: Job, claimed: Claimed, now: number): void {
+  changeJob(job, 'attach');
+  job.owner = claimed.owner;
+  job.expected = claimed.epoch;
+  job.members = claimed.members;
+  job.ownerLostAt = 0;
+  pursueOwner(state, job, now);
+}
+
+/**
+ * Sends an attach request, or begins a takeover once the owner has been out of reach for too long.
+ *
+ * @param state - the entry's state
+ * @param job - an attached job
+ * @param now - ms since the epoch
+ */
+export function pursueOwner(state: EntryState, job: Job, now: number): void {
+  const member = state.config.entries.some((entry) => entry.peer === job.owner);
+  if (!member) return takeOver(state, job, now, 'owner-removed');
+  if (state.peers.get(job.owner)?.connected) {
+    job.ownerLostAt = 0;
+    return sendAttach(state, job, now);
+  }
+  if (job.ownerLostAt === 0) job.ownerLostAt = now;
+  if (now - job.ownerLostAt >= state.limits.takeoverAfterMs) takeOver(state, job, now, 'owner-lost');
+}
+
+/**
+ * Answers another entry that asks for a job: now, when it ends, or never because it is not here.
+ *
+ * @param state - the entry's state
+ * @param from - the asking entry
+ * @param attach - the message
+ */
+export function handleAttach(state: EntryState, from: string, attach: Attach): void {
+  const { id, job: key } = attach;
+  const job = state.jobs.get(key);
+  const reply = (reached: string, answer = ''): void => {
+    const message = { type: 'attached', id, job: key, state: reached, answer } as const;
+    state.outbox.push({ type: 'send', to: from, message });
+  };
+  if (!job || job.digest !== attach.digest) return reply('absent');
+  if (job.state === 'refused' || job.unclaimed) return reply('absent');
+  if (job.answer) return reply('answered', JSON.stringify(job.answer));
+  if (!job.attached.some((one) => one.peer === from && one.id === id)) job.attached.push({ peer: from, id });
+  reply('waiting');
+}
+
+/**
+ * Handles the owner's word on an attached job.
+ *
+ * @param state - the entry's state
+ * @param from - the owner
+ * @param attached - the message
+ * @param now - ms since the epoch
+ */
+export function handleAttached(state: EntryState, from: string, attached: Attached, now: number): void {
+  const job = state.attaches.get(attached.id);
+  if (!job || job.attachId !== attached.id || job.state !== 'attached' || job.owner !== from) return;
+  if (attached.state === 'waiting') return;
+  dropRequests(state, job);
+  if (attached.state === 'absent') return takeOver(state, job, now, 'owner-refused');
+  adoptAnswer(state, job, JSON.parse(attached.answer) as JobAnswer, now);
+}
+
+function sendAttach(state: EntryState, job: Job, now: number): void {
+  if (job.attachId === 0) {
+    job.attachId = state.nextId;
+    state.nextId += 1;
+    state.attaches.set(job.attachId, job);
+  }
+  job.claimAt = now + state.limits.repeatMs;
+  const message = { type: 'attach', id: job.attachId, job: job.key, digest: job.digest } as const;
+  state.outbox.push({ type: 'send', to: job.owner, message });
+}
+
+function takeOver(state: EntryState, job: Job, now: number, reason: string): void {
+  logDecision(state, 'takeover', job.key, { owner: job.owner, reason });
+  changeJob(job, 'reclaim');
+  startClaim(state, job, 'takeover', now, job.expected);
+}
--- /dev/null
+++ b/src/process/entry/tickEntry.ts
@@ -0,0 +1,107 @@
+import type { Job, Task } from '../../request/job.js';
+import { flushAcks } from './_lib/acks.js';
+import { expireJob, failJob } from './_lib/endJob.js';
+import { runJob } from './_lib/jobChanges.js';
+import { sendClaim } from './_lib/sendClaim.js';
+import { announceClaims } from './applyEntryConfig.js';
+import { pursueOwner } from './attachJob.js';
+import { loseAgent } from './entryLinks.js';
+import type { AgentView, EntryState } from './entryState.js';
+import { buildStart } from './placeTasks.js';
+import { repeatSweep } from './sweepJob.js';
+
+/** How long past the horizon an ended job is kept, in ms. */
+const KEEP_MARGIN_MS = 5_000;
+
+/**
+ * Does what time brings: repeats requests that were not answered, takes jobs of lost owners over, gives lost
+ * agents up, lets held jobs go, ends jobs at their deadlines and forgets old ones.
+ *
+ * @param state - the entry's state
+ * @param now - ms since the epoch
+ * @example
+ * tickEntry(state, Date.now());
+ */
+export function tickEntry(state: EntryState, now: number): void {
+  for (const agent of [...state.agents.values()]) tickAgent(state, agent, now);
+  for (const job of [...state.active]) tickJob(state, job, now);
+  announceClaims(state, now);
+  flushAcks(state);
+  expireAnswers(state, now);
+}
+
+/**
+ * Lets held jobs go whose event has started.
+ *
+ * @param state - the entry's state
+ * @param now - ms since the epoch
+ */
+export function releaseHeld(state: EntryState, now: number): void {
+  const started = new Set(
+    state.config.events.filter((event) => event.startAt <= now).map((event) => event.name),
+  );
+  for (const job of state.active) {
+    if (job.state === 'held' && started.has(job.event)) runJob(state, job);
+  }
+}
+
+function tickAgent(state: EntryState, agent: AgentView, now: number): void {
+  if (!agent.connected) {
+    if (now - agent.downSince >= state.limits.agentLostMs) loseAgent(state, agent.peer, 'agent-lost', now);
+    return;
+  }
+  for (const task of agent.outstanding) {
+    if (task.askAt <= now) askForTask(state, agent, task, now);
+  }
+}
+
+function askForTask(state: EntryState, agent: AgentView, task: Task, now: number): void {
+  const job = state.jobs.get(task.job);
+  if (!job) return;
+  task.askAt = now + state.limits.askAgainMs;
+  state.outbox.push({ type: 'send', to: agent.peer, message: buildStart(job, task, agent.used, true) });
+}
+
+function tickJob(state: EntryState, job: Job, now: number): void {
+  if (job.deadline <= now) return expireJob(state, job, 'deadline', now);
+  if (job.state === 'claiming') return tickClaim(state, job, now);
+  if (job.state === 'attached' && job.claimAt <= now) return pursueOwner(state, job, now);
+  if (job.state === 'sweeping' && job.sweepAt <= now) return repeatSweep(state, job, now);
+  if (job.state === 'held') return tickHeld(state, job, now);
+  if (job.claimId !== 0 && job.claimAt <= now) sendClaim(state, job, now);
+}
+
+function tickClaim(state: EntryState, job: Job, now: number): void {
+  if (now - job.claimSince >= state.limits.claimTimeoutMs) return expireJob(state, job, 'claim-timeout', now);
+  if (job.claimAt <= now) sendClaim(state, job, now);
+}
+
+function tickHeld(state: EntryState, job: Job, now: number): void {
+  const event = state.config.events.find((one) => one.name === job.event);
+  if (!event) return failJob(state, job, 'event-gone', now);
+  if (event.endAt > 0 && event.endAt <= now) return expireJob(state, job, 'event-ended', now);
+  if (event.startAt <= now) runJob(state, job);
+}
+
+/** Forgets ended jobs past the horizon, and drops the oldest answers while too many bytes are held. */
+function expireAnswers(state: EntryState, now: number): void {
+  const keepMs = state.limits.horizonMs + 2 * state.limits.skewMs + KEEP_MARGIN_MS;
+  while (state.answered[0] && state.answered[0].createdAt + keepMs <= now) {
+    const job = state.answered.shift() as Job;
+    state.bytes -= job.bytes;
+    if (state.jobs.get(job.key) === job) state.jobs.delete(job.key);
+  }
+  let place = 0;
+  while (state.bytes > state.limits.maxBytes / 2 && place < state.answered.length) {
+    dropAnswer(state, state.answered[place] as Job);
+    place += 1;
+  }
+}
+
+function dropAnswer(state: EntryState, job: Job): void {
+  if (job.answer?.outcome !== 'complete') return;
+  state.bytes -= job.bytes;
+  job.bytes = 0;
+  for (const task of job.tasks) task.answer = '';
+  job.answer = { outcome: 'failed', ran: 'some', reason: 'answer-dropped', retryAfterMs: 0 };
+}
--- /dev/null
+++ b/src/process/registrar/handleAnnounce.ts
@@ -0,0 +1,79 @@
+import { compareEpochs } from '../../connection/compareEpochs.js';
+import type { AgentSet, Announce } from '../../connection/messages.js';
+import { findSeat } from '../../version/findSeat.js';
+import type { RegistrarState } from './registrarState.js';
+
+/**
+ * Records the claims that an entry owns on this registrar's seats.
+ *
+ * @param state - the registrar's state
+ * @param from - the entry
+ * @param announce - one part of its announcement
+ * @returns false when the registrar does not know the entry's configuration yet; the entry repeats it
+ * @example
+ * handleAnnounce(state, 'entry-1@a', { type: 'announce', offset: 3, claims: [], complete: true });
+ */
+export function handleAnnounce(state: RegistrarState, from: string, announce: Announce): boolean {
+  if (announce.offset > state.config.offset) return false;
+  if (!state.config.entries.some((entry) => entry.peer === from)) return false;
+  for (const { job, createdAt, epoch, digest, members } of announce.claims) {
+    const tenure = state.config.seats[findSeat(job)];
+    if (tenure?.peer !== state.peer || tenure.sinceOffset > announce.offset) continue;
+    const known = state.claims.get(job);
+    if (known && compareEpochs(known.epoch, epoch) >= 0) continue;
+    state.claims.set(job, { job, createdAt, digest, owner: from, epoch, members, announced: true });
+  }
+  const before = state.announced.get(from) ?? -1;
+  if (!announce.complete) return true;
+  state.announced.set(from, Math.max(before, announce.offset));
+  state.outbox.push({ to: from, message: { type: 'announced', offset: announce.offset } });
+  return true;
+}
+
+/**
+ * Learns the members of an agent set, to which claims refer by number.
+ *
+ * @param state - the registrar's state
+ * @param from - the entry
+ * @param set - the message
+ * @example
+ * handleAgentSet(state, 'entry-1@a', { type: 'agentSet', setId: 1, members: ['agent-1@a'] });
+ */
+export function handleAgentSet(state: RegistrarState, from: string, set: AgentSet): void {
+  state.sets.set(`${from}/${set.setId}`, set.members);
+}
+
+/**
+ * Notes that the log, or a majority of the registrars, was heard.
+ *
+ * @param state - the registrar's state
+ * @param now - ms since the epoch
+ * @example
+ * renewLease(state, Date.now());
+ */
+export function renewLease(state: RegistrarState, now: number): void {
+  state.heardAt = Math.max(state.heardAt, now);
+}
+
+/**
+ * Forgets claims past the horizon, and the agent sets that no claim uses any more.
+ *
+ * @param state - the registrar's state
+ * @param now - ms since the epoch
+ * @returns how many claims were forgotten
+ * @example
+ * expireClaims(state, Date.now());
+ */
+export function expireClaims(state: RegistrarState, now: number): number {
+  let expired = 0;
+  for (const claim of state.claims.values()) {
+    if (claim.createdAt + state.limits.horizonMs + 2 * state.limits.skewMs > now) continue;
+    state.claims.delete(claim.job);
+    expired += 1;
+  }
+  const live = new Set(state.config.entries.map((entry) => entry.peer));
+  for (const key of state.sets.keys()) {
+    if (!live.has(key.slice(0, key.lastIndexOf('/')))) state.sets.delete(key);
+  }
+  return expired;
+}
--- /dev/null
+++ b/src/request/digestJob.ts
@@ -0,0 +1,36 @@
+import { hashTextToHex } from '../_lib/hash.js';
+import type { JobRequest } from './job.js';
+
+/** The parts of a job's contents that a digest tells apart, in its order. */
+const DIGEST_PARTS = ['event', 'number of tasks', 'kinds of tasks', 'bodies of tasks'] as const;
+
+/**
+ * Hashes the contents of a job, part by part. The deadline is not part of them.
+ *
+ * @param request - the submission
+ * @returns the hashes joined by dots
+ * @example
+ * findDifferences(digestJob(request), digestJob(request)); // []
+ */
+export function digestJob(request: Pick<JobRequest, 'event' | 'tasks'>): string {
+  const kinds = request.tasks.map((task) => task.kind).join('\n');
+  const bodies = request.tasks.map((task) => `${task.body.length}:${task.body}`).join('\n');
+  const hashes = [request.event, String(request.tasks.length), kinds, bodies].map(hashTextToHex);
+  return hashes.join('.');
+}
+
+/**
+ * Names the parts in which two digests differ.
+ *
+ * @param left - one digest
+ * @param right - the other
+ * @returns the names of the parts; empty when the contents are the same
+ * @example
+ * findDifferences('a.b.c.d', 'a.b.c.e'); // ['bodies of tasks']
+ */
+export function findDifferences(left: string, right: string): string[] {
+  const rights = right.split('.');
+  return left
+    .split('.')
+    .flatMap((hash, part) => (hash === rights[part] ? [] : [DIGEST_PARTS[part] as string]));
+}
--- /dev/null
+++ b/test/fakes/worldCommands.ts
@@ -0,0 +1,117 @@
+/** The commands of the randomised runs. */
+import * as fc from 'fast-check';
+
+import type { FakeWorld } from './FakeWorld.js';
+
+/** Counts what a run did; fast-check needs a model beside the real thing. */
+export interface RunModel {
+  commands: number;
+}
+
+type WorldCommand = fc.Command<RunModel, FakeWorld>;
+
+/** Number of entries, agents and failure domains of the runs. */
+export const RUN_ENTRIES = 3;
+export const RUN_AGENTS = 6;
+const DOMAINS = 3;
+const JOBS = 40;
+
+function createCommand(name: string, run: (world: FakeWorld) => void): WorldCommand {
+  return {
+    check: () => true,
+    run: (model, world) => {
+      model.commands += 1;
+      run(world);
+    },
+    toString: () => name,
+  };
+}
+
+const job = fc.nat(JOBS - 1);
+const entry = fc.nat(RUN_ENTRIES - 1);
+const agent = fc.nat(RUN_AGENTS - 1);
+
+const processId = fc.oneof(
+  entry.map((number) => `entry-${number}`),
+  agent.map((number) => `agent-${number}`),
+);
+
+const submit = fc
+  .tuple(job, entry)
+  .map(([number, at]) => createCommand(`submit(${number},${at})`, (world) => world.submit(number, at)));
+
+const burst = fc.tuple(job, entry).map(([number, at]) =>
+  createCommand(`burst(${number},${at})`, (world) => {
+    for (let i = 0; i < 8; i += 1) world.submit((number + i) % JOBS, (at + i) % RUN_ENTRIES);
+  }),
+);
+
+const change = fc
+  .tuple(job, entry)
+  .map(([number, at]) => createCommand(`change(${number},${at})`, (world) => world.submit(number, at, true)));
+
+const advance = fc
+  .integer({ min: 1, max: 4_000 })
+  .map((ms) => createCommand(`advance(${ms})`, (world) => world.advance(ms)));
+
+const shortly = fc
+  .integer({ min: 1, max: 60 })
+  .map((ms) => createCommand(`advance(${ms})`, (world) => world.advance(ms)));
+
+const kill = processId.map((id) => createCommand(`kill(${id})`, (world) => world.kill(id)));
+
+const restart = processId.map((id) => createCommand(`restart(${id})`, (world) => world.restart(id)));
+
+const replace = processId.map((id) =>
+  createCommand(`replace(${id})`, (world) => {
+    world.kill(id);
+    world.restart(id);
+  }),
+);
+
+const pause = fc
+  .tuple(processId, fc.integer({ min: 100, max: 15_000 }))
+  .map(([id, ms]) => createCommand(`pause(${id},${ms})`, (world) => world.pause(id, ms)));
+
+const leave = agent.map((number) =>
+  createCommand(`leave(agent-${number})`, (world) => world.leave(`agent-${number}`)),
+);
+
+const cut = fc
+  .nat(DOMAINS - 1)
+  .map((domain) => createCommand(`cut(${domain})`, (world) => world.cutDomain(domain)));
+
+const heal = fc.constant(createCommand('heal', (world) => world.heal()));
+
+const stopLog = fc.boolean().map((down) =>
+  createCommand(`log(${down ? 'down' : 'up'})`, (world) => {
+    world.log.down = down;
+  }),
+);
+
+const expireLog = fc.constant(createCommand('expireLog', (world) => world.log.expire(20)));
+
+/** Any sequence of commands. Submissions and short waits are the most frequent. */
+export const worldCommands = fc.commands(
+  [
+    submit,
+    submit,
+    burst,
+    burst,
+    burst,
+    shortly,
+    shortly,
+    advance,
+    change,
+    kill,
+    restart,
+    replace,
+    pause,
+    leave,
+    cut,
+    heal,
+    stopLog,
+    expireLog,
+  ],
+  { maxCommands: 60, size: 'max' },
+);
