Serve jobs end to end: daemons, stand-ins, operators' language, command line, load tool

Cause: the core had no input or output. Change: entry and agent daemons over gRPC links (one batch a turn), undici to upstreams and platform, HTTP for callers and operators, settings by schema, JSON logs, metrics, one binary with local, entry, agent, standin, submit, query, check and load; stand-ins for platform and upstream. Conclusion: the thin path stands; separate processes and measurements next.

--- a/src/_lib/assertInvariant.ts
+++ b/src/_lib/assertInvariant.ts
@@ -1,7 +1,4 @@
-/** Thrown when the program finds itself in a state that must never occur. The process stops on it. */
-export class InvariantError extends Error {
-  override readonly name = 'InvariantError';
-}
+import { InvariantError } from './errors.js';
 
 /**
  * Stops the program when something that must always hold does not. A dead process is a failure that the
--- /dev/null
+++ b/src/bin/commands/daemons.ts
@@ -0,0 +1,37 @@
+import type { CAC } from 'cac';
+
+import { AgentDaemon } from '../../process/agent/AgentDaemon.js';
+import { EntryDaemon } from '../../process/entry/EntryDaemon.js';
+import { describeSettings } from '../../process/settings/describeSettings.js';
+import { readSettings } from '../../process/settings/readSettings.js';
+import { runUntilSignal } from './runUntilSignal.js';
+
+interface DaemonFlags {
+  readonly settings?: string;
+}
+
+/**
+ * Adds `entry` and `agent`.
+ *
+ * @param cli - the command line
+ */
+export function addDaemonCommands(cli: CAC): void {
+  cli
+    .command('entry', 'Run an entry: takes jobs over HTTP and coordinates them')
+    .option('--settings <file>', 'settings file (JSON)')
+    .example(() => describeSettings('entry'))
+    .action(async ({ settings }: DaemonFlags) => {
+      const entry = new EntryDaemon(await readSettings('entry', settings));
+      await entry.start();
+      await runUntilSignal([entry]);
+    });
+  cli
+    .command('agent', 'Run an agent: the one way to the upstream beside it')
+    .option('--settings <file>', 'settings file (JSON)')
+    .example(() => describeSettings('agent'))
+    .action(async ({ settings }: DaemonFlags) => {
+      const agent = new AgentDaemon(await readSettings('agent', settings));
+      await agent.start();
+      await runUntilSignal([agent]);
+    });
+}
--- a/src/connection/codec.ts
+++ b/src/connection/codec.ts
@@ -1,12 +1,8 @@
 /** Turns batches of messages into bytes and back, by the generated protobuf code. */
+import { UnknownMessageError } from '../_lib/errors.js';
 import { marblehall as wire } from './wire.generated.js';
 import type { Message } from './messages.js';
 
-/** Fails when bytes are not a batch of known messages. */
-export class UnknownMessageError extends Error {
-  override readonly name = 'UnknownMessageError';
-}
-
 /**
  * Encodes the messages of one loop turn.
  *
--- /dev/null
+++ b/src/connection/linkMachine.ts
@@ -0,0 +1,22 @@
+import { setup } from 'xstate';
+
+/** First wait before a link is dialed again, ms. */
+const RETRY_MS = 200;
+
+/**
+ * Life of a dialed link. The actor's owner dials when it enters `dialing` and reports what happens.
+ */
+export const linkMachine = setup({
+  types: { events: {} as { type: 'open' } | { type: 'break' } | { type: 'stop' } },
+  delays: { retry: RETRY_MS },
+}).createMachine({
+  id: 'link',
+  initial: 'dialing',
+  on: { stop: '.stopped' },
+  states: {
+    dialing: { on: { open: 'open', break: 'waiting' } },
+    open: { on: { break: 'waiting' } },
+    waiting: { after: { retry: 'dialing' } },
+    stopped: { type: 'final' },
+  },
+});
--- /dev/null
+++ b/src/connection/linkProtocol.ts
@@ -0,0 +1,61 @@
+/** The one gRPC method between processes: a stream of batches in each direction. */
+import { Metadata } from '@grpc/grpc-js';
+import type { ChannelOptions, MethodDefinition } from '@grpc/grpc-js';
+
+import { decodeBatch, encodeBatch } from './codec.js';
+import type { Message } from './messages.js';
+
+/** Path of the method. */
+export const LINK_PATH = '/marblehall.Peer/Link';
+
+/** Metadata key of the shared secret. */
+const SECRET_KEY = 'marblehall-secret';
+
+/** Largest batch on a link, bytes. */
+const MAX_BATCH_BYTES = 32 * 1024 * 1024;
+
+/** Definition of the method for server and client. */
+export const LINK_METHOD: MethodDefinition<readonly Message[], Message[]> = {
+  path: LINK_PATH,
+  requestStream: true,
+  responseStream: true,
+  requestSerialize: encodeBatch,
+  requestDeserialize: decodeBatch as never,
+  responseSerialize: encodeBatch as never,
+  responseDeserialize: decodeBatch,
+};
+
+/** Channel options of both ends: a dead peer is noticed by pings, and nothing is retried below us. */
+export const LINK_OPTIONS: ChannelOptions = {
+  'grpc.max_receive_message_length': MAX_BATCH_BYTES,
+  'grpc.max_send_message_length': MAX_BATCH_BYTES,
+  'grpc.keepalive_time_ms': 5_000,
+  'grpc.keepalive_timeout_ms': 2_000,
+  'grpc.keepalive_permit_without_calls': 1,
+  'grpc.enable_retries': 0,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+  'grpc.use_local_subchannel_pool': 1,
+};
+
+/**
+ * Puts the shared secret into a link's metadata.
+ *
+ * @param secret - from the settings
+ * @returns the metadata
+ */
+export function buildLinkMetadata(secret: string): Metadata {
+  const metadata = new Metadata();
+  metadata.set(SECRET_KEY, secret);
+  return metadata;
+}
+
+/**
+ * Reads the shared secret of a link's metadata.
+ *
+ * @param metadata - of the call
+ * @returns the secret, or an empty string
+ */
+export function readLinkSecret(metadata: Metadata): string {
+  return String(metadata.get(SECRET_KEY)[0] ?? '');
+}
--- /dev/null
+++ b/src/load/runEmbedded.ts
@@ -0,0 +1,78 @@
+/** One run against a cluster in this process. */
+import { LocalCluster } from '../process/LocalCluster.js';
+import { createPlan } from './createPlan.js';
+import type { PlanOptions } from './createPlan.js';
+import { buildReport } from './buildReport.js';
+import type { LoadReport, ProcessCounts } from './buildReport.js';
+import { POLICIES } from './policies.js';
+import { buildDeclaration } from './profile.js';
+import { runPlan } from './runPlan.js';
+import { rankByWork, scheduleIdeal } from './scheduleIdeal.js';
+
+/** Wait from the declaration to the event's start, ms: time for every process to learn it. */
+const LEAD_MS = 1_500;
+/** Name of the event that runs use. */
+const EVENT = 'load';
+
+/** Size of the cluster and policy of a run. */
+export interface EmbeddedOptions extends Omit<PlanOptions, 'slots'> {
+  readonly policy: string;
+  readonly entries: number;
+  readonly agents: number;
+  readonly slotsPerAgent: number;
+}
+
+/**
+ * Starts a cluster, sends one plan and reports.
+ *
+ * @param options - plan, policy and sizes
+ * @returns the report
+ */
+export async function runEmbedded(options: EmbeddedOptions): Promise<LoadReport> {
+  const { policy, entries, agents, slotsPerAgent, profile } = options;
+  const settings = POLICIES[policy] ?? { entry: {}, agent: {} };
+  const sink = (): void => undefined;
+  const sizes = { entries, agents, slots: slotsPerAgent, connections: Math.max(64, slotsPerAgent), port: 0 };
+  const daemons = { entrySettings: settings.entry, agentSettings: settings.agent };
+  const cluster = new LocalCluster({ ...sizes, logLevel: 'info', sink, ...daemons });
+  await cluster.start();
+  try {
+    const slots = agents * slotsPerAgent;
+    const jobs = createPlan({ ...options, slots });
+    const startAt = Date.now() + LEAD_MS;
+    const { deadlineMs } = options;
+    await cluster.runCommand(
+      buildDeclaration(profile, EVENT, deadlineMs === undefined ? { startAt } : { startAt, deadlineMs }),
+    );
+    const before = readCounts(cluster);
+    const urls = cluster.entries.map((_, index) => cluster.entryUrl(index));
+    const runId = `run-${options.seed}-${policy}`;
+    const outcomes = await runPlan(jobs, { entries: urls, event: EVENT, startAt, runId });
+    const after = readCounts(cluster);
+    const ideal = scheduleIdeal(jobs, slots);
+    const leastWork = scheduleIdeal(jobs, slots, rankByWork);
+    const counts = subtractCounts(after, before);
+    const busyMs = cluster.upstreams.reduce((sum, upstream) => sum + upstream.totalBusyMs, 0);
+    const starts = await cluster.readStarts();
+    return buildReport({ policy, jobs, outcomes, ideal, leastWork, counts, slots, starts, busyMs });
+  } finally {
+    await cluster.end();
+  }
+}
+
+function readCounts(cluster: LocalCluster): ProcessCounts {
+  const messages: Record<string, number> = {};
+  for (const { hub } of [...cluster.entries, ...cluster.agents]) {
+    for (const [type, count] of hub.counts.messages) messages[type] = (messages[type] ?? 0) + count;
+  }
+  const { user, system } = process.cpuUsage();
+  const maxRssBytes = process.memoryUsage.rss();
+  return { messages, entryCpuMs: (user + system) / 1_000, agentCpuMs: 0, maxRssBytes };
+}
+
+function subtractCounts(after: ProcessCounts, before: ProcessCounts): ProcessCounts {
+  const messages = Object.fromEntries(
+    Object.entries(after.messages).map(([type, count]) => [type, count - (before.messages[type] ?? 0)]),
+  );
+  return { ...after, messages, entryCpuMs: after.entryCpuMs - before.entryCpuMs };
+}
--- /dev/null
+++ b/src/load/runPlan.ts
@@ -0,0 +1,115 @@
+/** Sends a plan to the entries, open loop, and checks every answer. */
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { Pool } from 'undici';
+
+import type { PlannedJob } from './createPlan.js';
+
+/** What became of one job. */
+export interface JobOutcome {
+  readonly outcome: 'complete' | 'refused' | 'failed' | 'broken';
+  readonly reason: string;
+  /** From the planned moment of sending to the answer, ms: no omission when the sender is late. */
+  readonly responseMs: number;
+  readonly status: number;
+}
+
+/** Where and how to send. */
+export interface RunOptions {
+  readonly entries: readonly string[];
+  readonly event: string;
+  /** Start of the event, ms since the epoch. */
+  readonly startAt: number;
+  /** Makes the keys of this run differ from those of others. */
+  readonly runId: string;
+}
+
+interface AnswerBody {
+  readonly outcome?: string;
+  readonly reason?: string;
+  readonly answers?: readonly { readonly status: number; readonly body: { readonly echo?: unknown } }[];
+}
+
+/**
+ * Sends every job at its moment, whether or not earlier ones were answered.
+ *
+ * @param jobs - the plan
+ * @param options - entries, event and start
+ * @returns the outcomes, in the order of the jobs
+ */
+export async function runPlan(jobs: readonly PlannedJob[], options: RunOptions): Promise<JobOutcome[]> {
+  const pools = options.entries.map(
+    (url) => new Pool(url, { connections: null, headersTimeout: 0, bodyTimeout: 0 }),
+  );
+  const bodies = jobs.map((job) => buildBody(job, options));
+  const clock = performance.now() - Date.now();
+  const startAt = options.startAt + clock;
+  const running: Promise<JobOutcome>[] = [];
+  for (const [index, job] of jobs.entries()) {
+    const wait = startAt + job.atMs - performance.now();
+    if (wait > 1) await sleep(wait);
+    const pool = pools[index % pools.length] as Pool;
+    running.push(sendJob(pool, job, bodies[index] as string, startAt + job.atMs, options));
+  }
+  const outcomes = await Promise.all(running);
+  await Promise.all(pools.map((pool) => pool.destroy()));
+  return outcomes;
+}
+
+/**
+ * Names a job of a run.
+ *
+ * @param runId - of the run
+ * @param number - of the job
+ * @returns the job key
+ */
+export function nameJob(runId: string, number: number): string {
+  return `${runId}-${number}`;
+}
+
+function buildBody(job: PlannedJob, options: RunOptions): string {
+  const { event, runId, startAt } = options;
+  const key = nameJob(runId, job.number);
+  const tasks = job.workMs.map((workMs, index) => ({
+    kind: job.kind,
+    body: { workMs, echo: `${key}/${index}` },
+  }));
+  const createdAt = Math.round(Math.min(Date.now(), startAt + job.atMs));
+  return JSON.stringify({ job: key, createdAt, event, deadlineMs: job.deadlineMs, tasks });
+}
+
+async function sendJob(
+  pool: Pool,
+  job: PlannedJob,
+  body: string,
+  dueAt: number,
+  options: RunOptions,
+): Promise<JobOutcome> {
+  try {
+    const response = await pool.request({ method: 'POST', path: '/v1/jobs', body });
+    const answer = (await response.body.json()) as AnswerBody;
+    const responseMs = performance.now() - dueAt;
+    return { ...judgeAnswer(answer, job, options), responseMs, status: response.statusCode };
+  } catch (error) {
+    const responseMs = performance.now() - dueAt;
+    return { outcome: 'broken', reason: String(error), responseMs, status: 0 };
+  }
+}
+
+function judgeAnswer(
+  answer: AnswerBody,
+  job: PlannedJob,
+  options: RunOptions,
+): Pick<JobOutcome, 'outcome' | 'reason'> {
+  const { outcome, reason = '' } = answer;
+  if (outcome === 'refused' || outcome === 'failed') return { outcome, reason };
+  if (outcome !== 'complete') return { outcome: 'broken', reason: JSON.stringify(answer).slice(0, 200) };
+  const key = nameJob(options.runId, job.number);
+  const whole = answer.answers?.length === job.workMs.length;
+  const right = answer.answers?.every(
+    (one, index) => one.status === 200 && one.body.echo === `${key}/${index}`,
+  );
+  if (!whole || !right) return { outcome: 'broken', reason: 'the echoes do not match the tasks' };
+  return { outcome: 'complete', reason: '' };
+}
--- /dev/null
+++ b/src/process/LocalCluster.ts
@@ -0,0 +1,166 @@
+/** Entries, agents and stand-ins in one process, for a newcomer and for small tests. */
+import { PlatformStandin } from '../../standins/platform/PlatformStandin.js';
+import { UpstreamStandin } from '../../standins/upstream/UpstreamStandin.js';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { request } from 'undici';
+
+import { PlatformError } from '../_lib/errors.js';
+import { AgentDaemon } from './agent/AgentDaemon.js';
+import type { LineSink } from './logger.js';
+import { EntryDaemon } from './entry/EntryDaemon.js';
+import { readSettings } from './settings/readSettings.js';
+
+/** Sizes and places of a local cluster. */
+export interface LocalOptions {
+  readonly entries: number;
+  readonly agents: number;
+  readonly slots: number;
+  readonly connections: number;
+  /** HTTP port of the first entry; 0 for any free one. */
+  readonly port: number;
+  readonly logLevel: string;
+  readonly sink?: LineSink;
+  /** Settings of the entries that go before the defaults. */
+  readonly entrySettings?: Readonly<Record<string, unknown>>;
+  readonly agentSettings?: Readonly<Record<string, unknown>>;
+}
+
+/** Sizes of one hall of today's sites. */
+export const DEFAULT_LOCAL: LocalOptions = {
+  entries: 1,
+  agents: 11,
+  slots: 8,
+  connections: 64,
+  port: 7420,
+  logLevel: 'warn',
+};
+
+/** Failure domains that the processes are spread over. */
+const DOMAINS = ['bern', 'olten', 'aarau'];
+/** Secret of a cluster that only listens on loopback. */
+export const LOCAL_SECRET = 'local-secret';
+/** The event that is open from the start. */
+export const OPENING_COMMAND =
+  'declare event opening start now services exchange kinds ' +
+  'quote(service = exchange, priority = 0, deadline = 5s, repeatable = yes, expected = 100ms), ' +
+  'certificate(service = exchange, priority = 1, deadline = 10s, repeatable = yes, expected = 300ms), ' +
+  'reservation(service = exchange, priority = 2, deadline = 20s, repeatable = no, expected = 500ms)';
+/** Longest wait for the cluster to be ready, ms. */
+const READY_MS = 20_000;
+
+/** A cluster in this process. */
+export class LocalCluster {
+  readonly entries: EntryDaemon[] = [];
+  readonly agents: AgentDaemon[] = [];
+  readonly upstreams: UpstreamStandin[] = [];
+  platform!: PlatformStandin;
+  private readonly servers: { stop(): Promise<void> }[] = [];
+
+  constructor(private readonly options: LocalOptions) {}
+
+  /** Address of an entry. */
+  entryUrl(index = 0): string {
+    return `http://127.0.0.1:${this.entries[index]?.httpPort ?? 0}`;
+  }
+
+  /** Starts everything, waits until every entry is ready, and opens the event. */
+  async start(): Promise<void> {
+    const platformSettings = await readSettings('platform', undefined, { port: 0, liveLagMs: 50 });
+    this.platform = new PlatformStandin(platformSettings);
+    const platformUrl = await this.platform.start('127.0.0.1', 0);
+    this.servers.push(this.platform);
+    for (let index = 0; index < this.options.agents; index += 1) await this.startAgent(index, platformUrl);
+    for (let index = 0; index < this.options.entries; index += 1) await this.startEntry(index, platformUrl);
+    await this.waitUntilReady();
+    await this.runCommand(OPENING_COMMAND);
+  }
+
+  /** Stops everything as planned. */
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.stop()));
+    await this.end();
+  }
+
+  /** Ends everything at once. */
+  async end(): Promise<void> {
+    await Promise.all([...this.entries, ...this.agents].map((daemon) => daemon.end()));
+    await Promise.all(this.servers.map((server) => server.stop()));
+  }
+
+  /** Runs an operator's statement at the first entry. */
+  async runCommand(text: string): Promise<unknown> {
+    const headers = { authorization: `Bearer ${LOCAL_SECRET}` };
+    const body = JSON.stringify({ text });
+    const response = await request(`${this.entryUrl()}/v1/commands`, { method: 'POST', body, headers });
+    const answer = await response.body.json();
+    if (response.statusCode !== 200) throw new PlatformError(`${text}: ${JSON.stringify(answer)}`);
+    return answer;
+  }
+
+  /** Starts every task count of the upstreams, by task id. */
+  async readStarts(): Promise<Map<string, number>> {
+    const starts = new Map<string, number>();
+    for (const upstream of this.upstreams) {
+      for (const [id, count] of upstream.startCounts) starts.set(id, (starts.get(id) ?? 0) + count);
+    }
+    return starts;
+  }
+
+  private async startAgent(index: number, platformUrl: string): Promise<void> {
+    const { slots, connections, logLevel, sink, agentSettings } = this.options;
+    const upstream = new UpstreamStandin(await readSettings('upstream', undefined, { port: 0, slots }));
+    const upstreamUrl = await upstream.start('127.0.0.1', 0);
+    this.upstreams.push(upstream);
+    this.servers.push(upstream);
+    const settings = await readSettings('agent', undefined, {
+      id: `agent-${index + 1}`,
+      secret: LOCAL_SECRET,
+      failureDomain: DOMAINS[index % DOMAINS.length],
+      platformUrl,
+      upstreamUrl,
+      slots,
+      connections,
+      logLevel,
+      listen: { httpPort: 0, linkPort: 0 },
+      ...agentSettings,
+    });
+    const agent = new AgentDaemon(settings, sink ? { sink } : {});
+    this.agents.push(agent);
+    await agent.start();
+  }
+
+  private async startEntry(index: number, platformUrl: string): Promise<void> {
+    const { logLevel, port, sink, entrySettings } = this.options;
+    const settings = await readSettings('entry', undefined, {
+      id: `entry-${index + 1}`,
+      secret: LOCAL_SECRET,
+      failureDomain: DOMAINS[index % DOMAINS.length],
+      platformUrl,
+      logLevel,
+      listen: { httpPort: port === 0 ? 0 : port + index, linkPort: 0 },
+      ...entrySettings,
+    });
+    const entry = new EntryDaemon(settings, sink ? { sink } : {});
+    this.entries.push(entry);
+    await entry.start();
+  }
+
+  private async waitUntilReady(): Promise<void> {
+    const until = Date.now() + READY_MS;
+    while (Date.now() < until) {
+      const ready = this.entries.every(
+        (entry) => Number(entry.buildStats()['agents']) >= this.options.agents,
+      );
+      const healthy = await Promise.all(this.entries.map((_, index) => this.isReady(index)));
+      if (ready && healthy.every(Boolean)) return;
+      await sleep(50);
+    }
+    throw new PlatformError('the local cluster did not become ready');
+  }
+
+  private async isReady(index: number): Promise<boolean> {
+    const response = await request(`${this.entryUrl(index)}/readyz`);
+    await response.body.dump();
+    return response.statusCode === 200;
+  }
+}
--- a/src/process/agent/AgentNode.ts
+++ b/src/process/agent/AgentNode.ts
@@ -16,7 +16,7 @@
 import { endTask } from './endTask.js';
 import type { UpstreamOutcome } from './endTask.js';
 import { expireAgentJobs } from './expireAgentJobs.js';
-import { tellCredits } from './grantCredits.js';
+import { grantCredits, tellCredits } from './grantCredits.js';
 import { handleAck } from './handleAck.js';
 import { handleStart } from './handleStart.js';
 import { handleCancel, handleSweep } from './handleSweep.js';
@@ -138,6 +138,17 @@
     this.proposeMembers(now);
   }
 
+  /** Notes whether the upstream accepts connections; while it does not, no credit is granted. */
+  setUpstreamDown(down: boolean): void {
+    this.state.upstreamDown = down;
+    grantCredits(this.state);
+  }
+
+  /** After a pause nothing that was heard before counts. */
+  revalidate(): void {
+    this.registrar.heardAt = Number.NEGATIVE_INFINITY;
+  }
+
   /** Begins a planned stop. */
   leave(): void {
     leaveAgent(this.state);
--- a/src/process/entry/EntryNode.ts
+++ b/src/process/entry/EntryNode.ts
@@ -1,4 +1,5 @@
 /** One entry process without its input and output: messages, log records and time in, effects out. */
+import { findProcessId } from '../../connection/findProcessId.js';
 import type { Heartbeat, Hello, Message } from '../../connection/messages.js';
 import type { JobRequest } from '../../request/job.js';
 import type { ConfigState } from '../../version/configState.js';
@@ -9,6 +10,7 @@
 import { createLeave, listMembers, pickDueRecords, proposeJoin } from '../membership.js';
 import type { ProposalState } from '../membership.js';
 import { proposeSnapshot } from '../proposeSnapshot.js';
+import { hasLease } from './_lib/sendClaim.js';
 import { applyEntryConfig, noteAnnounced } from './applyEntryConfig.js';
 import { handleAttach, handleAttached } from './attachJob.js';
 import { closePeerLink, loseAgent, notePeerLeaving, openPeerLink } from './entryLinks.js';
@@ -20,7 +22,7 @@
 import { placeTasks } from './placeTasks.js';
 import { submitJob } from './submitJob.js';
 import { handleSwept } from './sweepJob.js';
-import { tickEntry } from './tickEntry.js';
+import { releaseHeld, tickEntry } from './tickEntry.js';
 
 /** Times of an entry's membership, ms. */
 export interface EntryMembership {
@@ -155,6 +157,36 @@
     loseAgent(this.state, peer, 'agent-gone', now);
   }
 
+  /** After a pause nothing that was heard before counts. */
+  revalidate(): void {
+    this.state.heardLogAt = Number.NEGATIVE_INFINITY;
+    this.state.heardMajorityAt = Number.NEGATIVE_INFINITY;
+    for (const peer of this.state.peers.values()) peer.heardAt = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Marks the agents of a process that the platform says is leaving. */
+  noteProcessLeaving(id: string): void {
+    for (const peer of this.state.agents.keys()) {
+      if (findProcessId(peer) === id) notePeerLeaving(this.state, peer);
+    }
+  }
+
+  /** Lets the jobs of started events go. */
+  releaseHeld(now: number): void {
+    releaseHeld(this.state, now);
+  }
+
+  /** True when the entry may claim: it is a member and hears the log or a majority. */
+  isReady(now: number): boolean {
+    return this.isMember && hasLease(this.state, now) && this.state.agents.size > 0;
+  }
+
+  /** Proposes the end of this incarnation's own membership. */
+  resign(): void {
+    const member = this.state.config.entries.find((entry) => entry.peer === this.state.peer);
+    if (member) this.appends.push(createLeave(member.peer, member.joinedOffset));
+  }
+
   /** Refuses new jobs; those that are here are finished. */
   leave(): void {
     this.state.leaving = true;
--- /dev/null
+++ b/src/process/settings/settings.ts
@@ -0,0 +1,95 @@
+/** Settings of each role after their check, with the defaults filled in. */
+
+/** Where a daemon listens. */
+export interface ListenSettings {
+  readonly host: string;
+  readonly httpPort: number;
+  readonly linkPort: number;
+}
+
+/** Where metrics go; port 0 for nowhere. */
+export interface MetricsSettings {
+  readonly host: string;
+  readonly port: number;
+  readonly prefix: string;
+}
+
+/** Settings that entries and agents share. */
+export interface CommonSettings {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly platformUrl: string;
+  readonly secret: string;
+  readonly logLevel: 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent';
+  readonly decisionLog: boolean;
+  readonly metrics: MetricsSettings;
+  readonly drainTimeoutMs: number;
+  readonly pauseBoundMs: number;
+  readonly skewMs: number;
+  readonly leaseMs: number;
+  readonly listen: ListenSettings;
+  readonly horizonMs: number;
+}
+
+/** Settings of an entry. */
+export interface EntrySettings extends CommonSettings {
+  readonly maxAgents: number;
+  readonly maxBodyBytes: number;
+  readonly maxCallers: number;
+  readonly maxActiveJobs: number;
+  readonly maxHeldBytes: number;
+  readonly heartbeatMs: number;
+  readonly removeAfterMs: number;
+  readonly takeoverAfterMs: number;
+  readonly agentLostMs: number;
+  readonly snapshotEvery: number;
+  readonly ordering: 'remaining-work' | 'arrival';
+  readonly placement: 'credits' | 'random';
+  readonly admission: 'lateness' | 'full-table';
+  readonly priorityStepMs: number;
+  readonly ageWeight: number;
+}
+
+/** Settings of an agent. */
+export interface AgentSettings extends CommonSettings {
+  readonly upstreamUrl: string;
+  readonly slots: number;
+  readonly connections: number;
+  readonly overcommit: number;
+  readonly registrar: boolean;
+  readonly maxJobs: number;
+  readonly maxClaims: number;
+  readonly maxAnswerBytes: number;
+  readonly requestTimeoutMs: number;
+  readonly proposeRepeatMs: number;
+}
+
+/** Settings of the stand-in platform. */
+export interface PlatformSettings {
+  readonly host: string;
+  readonly port: number;
+  readonly retainRecords: number;
+  readonly liveLagMs: number;
+  readonly liveExpireMs: number;
+  readonly appendMs: number;
+}
+
+/** Settings of the stand-in upstream. */
+export interface UpstreamSettings {
+  readonly host: string;
+  readonly port: number;
+  readonly slots: number;
+  /** Multiplies the work of every task; 2 takes twice as long. */
+  readonly speed: number;
+}
+
+/** Settings by role. */
+export interface SettingsByRole {
+  readonly entry: EntrySettings;
+  readonly agent: AgentSettings;
+  readonly platform: PlatformSettings;
+  readonly upstream: UpstreamSettings;
+}
+
+/** A role with a settings file. */
+export type Role = keyof SettingsByRole;
--- /dev/null
+++ b/standins/platform/PlatformStandin.ts
@@ -0,0 +1,109 @@
+/** Stand-in for the platform: an append-only log with offsets and retention, and a lagging live list. */
+import type { ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { writeJson } from '../../src/connection/http/writeJson.js';
+import type { LiveVm } from '../../src/connection/PlatformClient.js';
+import type { PlatformSettings } from '../../src/process/settings/settings.js';
+import type { LogEntry, LogRecord } from '../../src/version/logRecord.js';
+import { StandinServer } from '../StandinServer.js';
+import type { StandinRequest } from '../StandinServer.js';
+
+/** Faults that tests switch by `PUT /faults`. */
+export interface PlatformFaults {
+  /** Every request fails. */
+  down: boolean;
+  /** Added to every answer, ms. */
+  slowMs: number;
+  /** So many of the next appends take effect while their answer is lost. */
+  loseAnswers: number;
+}
+
+/** How often a waiting read looks for new records, ms. */
+const POLL_MS = 2;
+
+interface LiveRecord {
+  readonly vm: LiveVm;
+  readonly at: number;
+}
+
+/** The stand-in. */
+export class PlatformStandin extends StandinServer {
+  readonly faults: PlatformFaults = { down: false, slowMs: 0, loseAnswers: 0 };
+  private readonly records: LogEntry[] = [];
+  private readonly live = new Map<string, LiveRecord[]>();
+  private nextOffset = 0;
+  private appends = 0;
+
+  constructor(private readonly settings: PlatformSettings) {
+    super();
+  }
+
+  protected override async handle(request: StandinRequest, response: ServerResponse): Promise<void> {
+    const { method, url } = request;
+    if (url.pathname === '/faults') return this.switchFaults(request, response);
+    if (url.pathname === '/healthz') return writeJson(response, 200, '{}');
+    if (url.pathname === '/statsz') {
+      return writeJson(
+        response,
+        200,
+        JSON.stringify({ appends: this.appends, records: this.records.length }),
+      );
+    }
+    if (this.faults.down) return void response.destroy();
+    if (this.faults.slowMs > 0) await sleep(this.faults.slowMs);
+    if (url.pathname === '/log' && method === 'GET') return this.read(url, response);
+    if (url.pathname === '/log' && method === 'POST') return this.append(request, response);
+    if (url.pathname === '/live' && method === 'GET') return this.list(response);
+    if (url.pathname.startsWith('/live/') && method === 'PUT') return this.noteLive(request, response);
+    writeJson(response, 404, '{}');
+  }
+
+  private switchFaults(request: StandinRequest, response: ServerResponse): void {
+    if (request.method === 'PUT') Object.assign(this.faults, JSON.parse(request.text));
+    writeJson(response, 200, JSON.stringify(this.faults));
+  }
+
+  private async append(request: StandinRequest, response: ServerResponse): Promise<void> {
+    await sleep(this.settings.appendMs);
+    const record = JSON.parse(request.text) as LogRecord;
+    const offset = this.nextOffset;
+    this.nextOffset += 1;
+    this.appends += 1;
+    this.records.push({ offset, at: Date.now(), record });
+    this.records.splice(0, Math.max(0, this.records.length - this.settings.retainRecords));
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1;
+      return void response.destroy();
+    }
+    writeJson(response, 200, JSON.stringify({ offset }));
+  }
+
+  private async read(url: URL, response: ServerResponse): Promise<void> {
+    const from = Number(url.searchParams.get('from') ?? 0);
+    const until = Date.now() + Number(url.searchParams.get('waitMs') ?? 0);
+    while (this.nextOffset <= from && Date.now() < until && !this.faults.down) await sleep(POLL_MS);
+    if (this.faults.down) return void response.destroy();
+    const found = this.records.filter((entry) => entry.offset >= from);
+    const gap = found[0] !== undefined && found[0].offset > from;
+    writeJson(response, 200, JSON.stringify(gap ? this.records : found));
+  }
+
+  private noteLive(request: StandinRequest, response: ServerResponse): void {
+    const vm = JSON.parse(request.text) as LiveVm;
+    const known = this.live.get(vm.id) ?? [];
+    this.live.set(vm.id, [...known.slice(-20), { vm, at: Date.now() }]);
+    writeJson(response, 200, '{}');
+  }
+
+  /** The list as it was `liveLagMs` ago; a VM that was not heard for `liveExpireMs` is not on it. */
+  private list(response: ServerResponse): void {
+    const seenAt = Date.now() - this.settings.liveLagMs;
+    const vms: LiveVm[] = [];
+    for (const records of this.live.values()) {
+      const last = records.findLast((record) => record.at <= seenAt);
+      if (last && last.at + this.settings.liveExpireMs > seenAt) vms.push(last.vm);
+    }
+    writeJson(response, 200, JSON.stringify(vms));
+  }
+}
--- /dev/null
+++ b/standins/upstream/UpstreamStandin.ts
@@ -0,0 +1,106 @@
+/** Stand-in for an upstream: holds a slot for the time that a task asks for, and counts every start. */
+import type { ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { writeJson } from '../../src/connection/http/writeJson.js';
+import type { UpstreamSettings } from '../../src/process/settings/settings.js';
+import { StandinServer } from '../StandinServer.js';
+import type { StandinRequest } from '../StandinServer.js';
+
+/** What a task body may ask of the stand-in. */
+interface WorkBody {
+  readonly workMs?: number;
+  readonly echo?: unknown;
+}
+
+/** Faults that tests switch by `PUT /faults`. */
+export interface UpstreamFaults {
+  /** Tasks are taken and never answered. */
+  stall: boolean;
+  /** Added to every answer, ms. */
+  lateMs: number;
+  /** So many of the next answers are not JSON. */
+  garbage: number;
+  /** So many of the next connections are cut in the middle of a task. */
+  cut: number;
+}
+
+/** The stand-in. */
+export class UpstreamStandin extends StandinServer {
+  readonly faults: UpstreamFaults = { stall: false, lateMs: 0, garbage: 0, cut: 0 };
+  private readonly starts = new Map<string, number>();
+  private readonly queue: (() => void)[] = [];
+  private busy = 0;
+  private busyMs = 0;
+  private startedTotal = 0;
+  private highestBusy = 0;
+
+  constructor(private readonly settings: UpstreamSettings) {
+    super();
+  }
+
+  /** Starts by task id. */
+  get startCounts(): ReadonlyMap<string, number> {
+    return this.starts;
+  }
+
+  /** Time that slots were held so far, ms. */
+  get totalBusyMs(): number {
+    return this.busyMs;
+  }
+
+  protected override async handle(request: StandinRequest, response: ServerResponse): Promise<void> {
+    const { method, url } = request;
+    if (method === 'POST' && url.pathname.startsWith('/tasks/')) return this.runTask(request, response);
+    if (url.pathname === '/starts') return this.showStarts(response);
+    if (url.pathname === '/statsz') {
+      const { busy, busyMs, startedTotal, highestBusy } = this;
+      return writeJson(response, 200, JSON.stringify({ busy, busyMs, startedTotal, highestBusy }));
+    }
+    if (url.pathname === '/faults') {
+      if (method === 'PUT') Object.assign(this.faults, JSON.parse(request.text));
+      return writeJson(response, 200, JSON.stringify(this.faults));
+    }
+    if (url.pathname === '/healthz') return writeJson(response, 200, '{}');
+    writeJson(response, 404, '{}');
+  }
+
+  private async runTask(request: StandinRequest, response: ServerResponse): Promise<void> {
+    const id = String(request.headers['marblehall-task'] ?? 'unnamed');
+    this.starts.set(id, (this.starts.get(id) ?? 0) + 1);
+    this.startedTotal += 1;
+    const { workMs = 0, echo = null } = JSON.parse(request.text) as WorkBody;
+    await this.takeSlot();
+    const begin = Date.now();
+    await sleep(workMs * this.settings.speed);
+    this.busyMs += Date.now() - begin;
+    this.freeSlot();
+    if (this.faults.stall) return;
+    if (this.faults.lateMs > 0) await sleep(this.faults.lateMs);
+    if (this.faults.cut > 0) {
+      this.faults.cut -= 1;
+      return void response.destroy();
+    }
+    if (this.faults.garbage > 0) {
+      this.faults.garbage -= 1;
+      return writeJson(response, 200, '<html>');
+    }
+    writeJson(response, 200, JSON.stringify({ echo }));
+  }
+
+  private async takeSlot(): Promise<void> {
+    if (this.busy >= this.settings.slots) await new Promise<void>((resolve) => this.queue.push(resolve));
+    else this.busy += 1;
+    this.highestBusy = Math.max(this.highestBusy, this.busy);
+  }
+
+  private freeSlot(): void {
+    const next = this.queue.shift();
+    if (next) next();
+    else this.busy -= 1;
+  }
+
+  private showStarts(response: ServerResponse): void {
+    writeJson(response, 200, JSON.stringify(Object.fromEntries(this.starts)));
+  }
+}
