--- a/src/bin/commands/daemons.ts
+++ b/src/bin/commands/daemons.ts
@@ -1,7 +1,5 @@
 import type { CAC } from 'cac';
 
-import { AgentDaemon } from '../../process/agent/AgentDaemon.js';
-import { EntryDaemon } from '../../process/entry/EntryDaemon.js';
 import { describeSettings } from '../../process/settings/describeSettings.js';
 import { readSettings } from '../../process/settings/readSettings.js';
 import { runUntilSignal } from './runUntilSignal.js';
@@ -21,6 +19,7 @@
     .option('--settings <file>', 'settings file (JSON)')
     .example(() => describeSettings('entry'))
     .action(async ({ settings }: DaemonFlags) => {
+      const { EntryDaemon } = await import('../../process/entry/EntryDaemon.js');
       const entry = new EntryDaemon(await readSettings('entry', settings));
       await entry.start();
       await runUntilSignal([entry]);
@@ -30,6 +29,7 @@
     .option('--settings <file>', 'settings file (JSON)')
     .example(() => describeSettings('agent'))
     .action(async ({ settings }: DaemonFlags) => {
+      const { AgentDaemon } = await import('../../process/agent/AgentDaemon.js');
       const agent = new AgentDaemon(await readSettings('agent', settings));
       await agent.start();
       await runUntilSignal([agent]);
--- a/src/bin/commands/load.ts
+++ b/src/bin/commands/load.ts
@@ -7,8 +7,6 @@
 import type { ArrivalShape, ProfileName } from '../../load/profile.js';
 import { PROFILES } from '../../load/profile.js';
 import { POLICIES } from '../../load/policies.js';
-import { renderReport } from '../../load/renderReport.js';
-import { runEmbedded } from '../../load/runEmbedded.js';
 import { EXIT_FAILED } from '../exitCodes.js';
 
 interface LoadFlags {
@@ -53,6 +51,8 @@
     .action(async (flags: LoadFlags) => {
       const profile = PROFILES[flags.profile as ProfileName];
       if (!profile) throw new SettingsError(`no profile "${flags.profile}"`);
+      const { runEmbedded } = await import('../../load/runEmbedded.js');
+      const { renderReport } = await import('../../load/renderReport.js');
       const reports: LoadReport[] = [];
       for (let round = 0; round < flags.rounds; round += 1) {
         for (const policy of flags.policies.split(',')) {
--- a/src/bin/commands/local.ts
+++ b/src/bin/commands/local.ts
@@ -1,6 +1,6 @@
 import type { CAC } from 'cac';
 
-import { DEFAULT_LOCAL, LOCAL_SECRET, LocalCluster } from '../../process/LocalCluster.js';
+import { DEFAULT_LOCAL, LOCAL_SECRET } from '../../process/localDefaults.js';
 import { runUntilSignal } from './runUntilSignal.js';
 
 interface LocalFlags {
@@ -25,6 +25,7 @@
       default: DEFAULT_LOCAL.logLevel,
     })
     .action(async ({ port, entries, agents, logLevel }: LocalFlags) => {
+      const { LocalCluster } = await import('../../process/LocalCluster.js');
       const cluster = new LocalCluster({ ...DEFAULT_LOCAL, port, entries, agents, logLevel });
       await cluster.start();
       printHelp(cluster.entryUrl());
--- a/src/bin/commands/standin.ts
+++ b/src/bin/commands/standin.ts
@@ -1,7 +1,7 @@
 import type { CAC } from 'cac';
 
-import { PlatformStandin } from '../../../standins/platform/PlatformStandin.js';
-import { UpstreamStandin } from '../../../standins/upstream/UpstreamStandin.js';
+import type { PlatformStandin } from '../../../standins/platform/PlatformStandin.js';
+import type { UpstreamStandin } from '../../../standins/upstream/UpstreamStandin.js';
 import { SettingsError } from '../../_lib/errors.js';
 import { describeSettings } from '../../process/settings/describeSettings.js';
 import { readSettings } from '../../process/settings/readSettings.js';
@@ -28,10 +28,12 @@
       const overrides = port === undefined ? {} : { port };
       if (system === 'platform') {
         const checked = await readSettings('platform', settings, overrides);
-        await serve(new PlatformStandin(checked), checked.host, checked.port, system);
+        const standin = await import('../../../standins/platform/PlatformStandin.js');
+        await serve(new standin.PlatformStandin(checked), checked.host, checked.port, system);
       } else if (system === 'upstream') {
         const checked = await readSettings('upstream', settings, overrides);
-        await serve(new UpstreamStandin(checked), checked.host, checked.port, system);
+        const standin = await import('../../../standins/upstream/UpstreamStandin.js');
+        await serve(new standin.UpstreamStandin(checked), checked.host, checked.port, system);
       } else {
         throw new SettingsError(`no stand-in "${system}": platform or upstream`);
       }
--- a/src/load/buildReport.ts
+++ b/src/load/buildReport.ts
@@ -44,7 +44,7 @@
     >
   >;
   readonly refusalMs: Distribution;
-  /** Busy time of the slots over the time from the start to the last task's expected end. */
+  /** Share of slot time in use from the start until the last task was started, so while work waited. */
   readonly slotUse: number;
   readonly doneWorkMs: number;
   readonly messagesPerTask: number;
@@ -68,8 +68,10 @@
   readonly counts: ProcessCounts;
   readonly slots: number;
   readonly starts: ReadonlyMap<string, number>;
-  /** Busy time that the upstreams counted, ms. */
-  readonly busyMs: number;
+  /** Begin and end of every use of a slot, ms since the epoch. */
+  readonly intervals: readonly (readonly [number, number])[];
+  /** Start of the event, ms since the epoch. */
+  readonly startAt: number;
 }
 
 /**
@@ -87,7 +89,6 @@
   const useful = [...USEFUL_TYPES].reduce((sum, type) => sum + (counts.messages[type] ?? 0), 0);
   const refused = outcomes.filter(({ outcome }) => outcome === 'refused');
   const doneWorkMs = complete.reduce((sum, index) => sum + sumWork(jobs[index] as PlannedJob), 0);
-  const lastEnd = Math.max(0, ...complete.map((index) => (jobs[index] as PlannedJob).atMs + response(index)));
   const inTime = complete.filter((index) => response(index) <= (jobs[index] as PlannedJob).deadlineMs).length;
   return {
     policy: input.policy,
@@ -104,27 +105,34 @@
     ),
     byPriority: describePriorities(jobs, complete, response, ideal),
     refusalMs: describe(refused.map(({ responseMs }) => responseMs)),
-    slotUse: input.busyMs / (input.slots * Math.max(1, lastEnd)),
+    slotUse: findSlotUse(input),
     doneWorkMs,
     messagesPerTask: sent / Math.max(1, answeredTasks),
-    wastedPerAnsweredTask: countWasted(input, sent, useful, answeredTasks),
+    wastedPerAnsweredTask: countWasted(input, useful, answeredTasks) / Math.max(1, answeredTasks),
     messages: counts.messages,
     doubleStarts: [...input.starts.values()].filter((count) => count > 1).length,
   };
 }
 
 /**
- * Counts traffic without an answer: starts and results beyond one of each for an answered task, lookups and
- * claims of jobs that were not answered, and repeats.
+ * Counts traffic that led to no answer: starts and results beyond one of each for an answered task, claims
+ * and lookups of jobs that were not answered, cancellations, sweeps and attachments. Credits, demands,
+ * acknowledgements and heartbeats are counted in the messages of a task, not here.
  */
-function countWasted(input: ReportInput, _sent: number, useful: number, answeredTasks: number): number {
+function countWasted(input: ReportInput, useful: number, answeredTasks: number): number {
   const { messages } = input.counts;
   const answeredJobs = input.outcomes.filter(({ outcome }) => outcome === 'complete').length;
   const claims = (messages['claim'] ?? 0) + (messages['claimed'] ?? 0) - 2 * answeredJobs;
-  const others = ['cancel', 'sweep', 'swept', 'demand', 'credit', 'attach', 'attached'];
+  const others = ['cancel', 'sweep', 'swept', 'attach', 'attached'];
   const extra = others.reduce((sum, type) => sum + (messages[type] ?? 0), 0);
-  const wasted = Math.max(0, useful - 2 * answeredTasks) + Math.max(0, claims) + extra;
-  return wasted / Math.max(1, answeredTasks);
+  return Math.max(0, useful - 2 * answeredTasks) + Math.max(0, claims) + extra;
+}
+
+function findSlotUse({ intervals, startAt, slots }: ReportInput): number {
+  const own = intervals.filter(([begin]) => begin >= startAt);
+  const lastStart = own.reduce((latest, [begin]) => Math.max(latest, begin), startAt);
+  const busy = own.reduce((sum, [begin, end]) => sum + Math.max(0, Math.min(end, lastStart) - begin), 0);
+  return busy / (slots * Math.max(1, lastStart - startAt));
 }
 
 function describePriorities(
--- a/src/load/runEmbedded.ts
+++ b/src/load/runEmbedded.ts
@@ -52,9 +52,20 @@
     const ideal = scheduleIdeal(jobs, slots);
     const leastWork = scheduleIdeal(jobs, slots, rankByWork);
     const counts = subtractCounts(after, before);
-    const busyMs = cluster.upstreams.reduce((sum, upstream) => sum + upstream.totalBusyMs, 0);
+    const intervals = cluster.upstreams.flatMap((upstream) => upstream.busyIntervals);
     const starts = await cluster.readStarts();
-    return buildReport({ policy, jobs, outcomes, ideal, leastWork, counts, slots, starts, busyMs });
+    return buildReport({
+      policy,
+      jobs,
+      outcomes,
+      ideal,
+      leastWork,
+      counts,
+      slots,
+      starts,
+      intervals,
+      startAt,
+    });
   } finally {
     await cluster.end();
   }
--- a/src/process/LocalCluster.ts
+++ b/src/process/LocalCluster.ts
@@ -6,45 +6,13 @@
 
 import { PlatformError } from '../_lib/errors.js';
 import { AgentDaemon } from './agent/AgentDaemon.js';
-import type { LineSink } from './logger.js';
+import { LOCAL_SECRET, OPENING_COMMAND } from './localDefaults.js';
+import type { LocalOptions } from './localDefaults.js';
 import { EntryDaemon } from './entry/EntryDaemon.js';
 import { readSettings } from './settings/readSettings.js';
 
-/** Sizes and places of a local cluster. */
-export interface LocalOptions {
-  readonly entries: number;
-  readonly agents: number;
-  readonly slots: number;
-  readonly connections: number;
-  /** HTTP port of the first entry; 0 for any free one. */
-  readonly port: number;
-  readonly logLevel: string;
-  readonly sink?: LineSink;
-  /** Settings of the entries that go before the defaults. */
-  readonly entrySettings?: Readonly<Record<string, unknown>>;
-  readonly agentSettings?: Readonly<Record<string, unknown>>;
-}
-
-/** Sizes of one hall of today's sites. */
-export const DEFAULT_LOCAL: LocalOptions = {
-  entries: 1,
-  agents: 11,
-  slots: 8,
-  connections: 64,
-  port: 7420,
-  logLevel: 'warn',
-};
-
 /** Failure domains that the processes are spread over. */
 const DOMAINS = ['bern', 'olten', 'aarau'];
-/** Secret of a cluster that only listens on loopback. */
-export const LOCAL_SECRET = 'local-secret';
-/** The event that is open from the start. */
-export const OPENING_COMMAND =
-  'declare event opening start now services exchange kinds ' +
-  'quote(service = exchange, priority = 0, deadline = 5s, repeatable = yes, expected = 100ms), ' +
-  'certificate(service = exchange, priority = 1, deadline = 10s, repeatable = yes, expected = 300ms), ' +
-  'reservation(service = exchange, priority = 2, deadline = 20s, repeatable = no, expected = 500ms)';
 /** Longest wait for the cluster to be ready, ms. */
 const READY_MS = 20_000;
 
--- a/src/process/agent/AgentDaemon.ts
+++ b/src/process/agent/AgentDaemon.ts
@@ -51,9 +51,9 @@
   protected override prepare(): void {
     const { slots, overcommit, horizonMs, maxJobs, maxAnswerBytes, skewMs, leaseMs, maxClaims } =
       this.settings;
-    const limits = { slots, overcommit, horizonMs, maxJobs, maxAnswerBytes };
+    const { failureDomain, registrar, proposeRepeatMs, stickinessMs } = this.settings;
+    const limits = { slots, overcommit, horizonMs, maxJobs, maxAnswerBytes, stickinessMs };
     const registrarLimits = { horizonMs, skewMs, leaseMs, maxClaims };
-    const { failureDomain, registrar, proposeRepeatMs } = this.settings;
     const membership = { address: this.address, failureDomain, registrar, proposeRepeatMs };
     this.node = new AgentNode(this.peer, limits, registrarLimits, membership);
     this.every(PROBE_MS, () => void this.probeUpstream());
--- a/src/process/agent/_lib/findCredit.ts
+++ b/src/process/agent/_lib/findCredit.ts
@@ -7,7 +7,8 @@
  * @returns the credit, without a link
  */
 export function createCredit(peer: string): EntryCredit {
-  return { peer, granted: 0, told: 0, used: 0, outstanding: 0, waiting: 0, headRank: 0, connected: false };
+  const counters = { granted: 0, told: 0, used: 0, outstanding: 0, waiting: 0, headRank: 0 };
+  return { peer, ...counters, answering: false, connected: false };
 }
 
 /**
--- a/src/process/agent/agentState.ts
+++ b/src/process/agent/agentState.ts
@@ -13,6 +13,8 @@
   readonly maxJobs: number;
   /** Most bytes of held answers; past it acknowledged ones are dropped, then no credit is granted. */
   readonly maxAnswerBytes: number;
+  /** How much lower another entry's task must rank, in ms, to get a credit that costs a message. */
+  readonly stickinessMs: number;
 }
 
 /** Limits of an agent beside an upstream of 8 slots. */
@@ -22,6 +24,7 @@
   horizonMs: 120_000,
   maxJobs: 100_000,
   maxAnswerBytes: 64 * 1024 * 1024,
+  stickinessMs: 500,
 };
 
 /** One task as the agent knows it. */
@@ -69,6 +72,8 @@
   /** Tasks that wait in the entry, as it last said. */
   waiting: number;
   headRank: number;
+  /** True while a result for the entry is being made, which can carry a credit. */
+  answering: boolean;
   /** False while the entry's link is down. */
   connected: boolean;
 }
--- a/src/process/agent/endTask.ts
+++ b/src/process/agent/endTask.ts
@@ -31,7 +31,10 @@
   recordOutcome(state, task, outcome);
   releaseCredit(state, task);
   runWaiting(state, now);
+  const owner = state.credits.get(task.job.owner);
+  if (owner) owner.answering = true;
   grantCredits(state);
+  if (owner) owner.answering = false;
   replyResult(state, task.job.owner, task);
 }
 
--- a/src/process/agent/grantCredits.ts
+++ b/src/process/agent/grantCredits.ts
@@ -17,7 +17,7 @@
   grantShares(links, limit);
   let free = limit - countCommitted(state);
   while (free > 0) {
-    const neediest = findNeediest(links);
+    const neediest = findNeediest(links, state.limits.stickinessMs);
     if (!neediest) return;
     neediest.granted += 1;
     free -= 1;
@@ -66,12 +66,19 @@
   return committed;
 }
 
-function findNeediest(links: readonly EntryCredit[]): EntryCredit | undefined {
+/**
+ * Finds the entry whose first waiting task ranks lowest. The entry that is told its credits anyway, because it
+ * has a result coming, is preferred within the stickiness: a credit for another costs a message.
+ */
+function findNeediest(links: readonly EntryCredit[], stickinessMs: number): EntryCredit | undefined {
   let best: EntryCredit | undefined;
+  let bestRank = Number.POSITIVE_INFINITY;
   for (const credit of links) {
     if (credit.waiting <= credit.granted - credit.used) continue;
-    if (best && credit.headRank >= best.headRank) continue;
+    const rank = credit.headRank - (credit.answering ? stickinessMs : 0);
+    if (rank >= bestRank) continue;
     best = credit;
+    bestRank = rank;
   }
   return best;
 }
--- a/src/process/entry/EntryNode.ts
+++ b/src/process/entry/EntryNode.ts
@@ -24,6 +24,9 @@
 import { handleSwept } from './sweepJob.js';
 import { releaseHeld, tickEntry } from './tickEntry.js';
 
+/** Every so many heartbeats go out even on busy links; three stay within the lease. */
+const FULL_BEAT = 3;
+
 /** Times of an entry's membership, ms. */
 export interface EntryMembership {
   readonly address: string;
@@ -55,6 +58,7 @@
   private readonly proposals: ProposalState;
   private readonly missingSince = new Map<string, number>();
   private heartbeatAt = 0;
+  private beats = 0;
   private appends: LogRecord[] = [];
   private wasMember = false;
 
@@ -245,10 +249,15 @@
     this.state.heardMajorityAt = at;
   }
 
+  /** Traffic stands for heartbeats, but for every few, which renew the registrars' leases without the log. */
   private sendHeartbeats(now: number): void {
+    this.beats += 1;
     const message = this.buildHeartbeat(true, now);
+    const toAll = !message.heardLog || this.beats % FULL_BEAT === 0;
     for (const { peer } of listMembers(this.state.config)) {
-      if (this.state.peers.get(peer)?.connected) this.send(peer, message);
+      const view = this.state.peers.get(peer);
+      if (!view?.connected) continue;
+      if (toAll || now - view.heardAt >= this.membership.heartbeatMs) this.send(peer, message);
     }
   }
 
--- a/src/process/entry/_lib/acks.ts
+++ b/src/process/entry/_lib/acks.ts
@@ -1,6 +1,9 @@
-/** Acknowledgements wait for the next tick, so that many jobs share one message. */
+/** Acknowledgements wait a while, so that many jobs share one message. */
 import type { EntryState } from '../entryState.js';
 
+/** Between two messages of acknowledgements to an agent, ms. */
+const ACK_EVERY_MS = 1_000;
+
 /**
  * Notes that the entry holds an answer.
  *
@@ -19,14 +22,18 @@
 }
 
 /**
- * Sends the acknowledgements of every agent that is linked.
+ * Sends the acknowledgements that are due to agents that are linked: once a second, or at once when the
+ * agent or this entry waits for them in order to leave.
  *
  * @param state - the entry's state
+ * @param now - ms since the epoch
  */
-export function flushAcks(state: EntryState): void {
+export function flushAcks(state: EntryState, now: number): void {
+  const due = state.leaving || now - state.ackedAt >= ACK_EVERY_MS;
+  if (due) state.ackedAt = now;
   for (const [agent, byJob] of state.acks) {
     const view = state.agents.get(agent);
-    if (view && !view.connected) continue;
+    if (view && (!view.connected || !(due || view.leaving))) continue;
     state.acks.delete(agent);
     if (!view) continue;
     const jobs = [...byJob].map(([job, indexes]) => ({ job, indexes }));
--- a/src/process/entry/entryLinks.ts
+++ b/src/process/entry/entryLinks.ts
@@ -79,7 +79,15 @@
 function openAgentLink(state: EntryState, hello: Hello, now: number): void {
   const { peer, failureDomain, slots, leaving } = hello;
   const known = state.agents.get(peer);
-  const fresh = { connected: true, downSince: 0, leaving, granted: 0, used: 0, toldWaiting: 0 };
+  const fresh = {
+    connected: true,
+    downSince: 0,
+    leaving,
+    granted: 0,
+    used: 0,
+    toldWaiting: 0,
+    toldHeadRank: 0,
+  };
   if (known) {
     Object.assign(known, fresh, { leaving: known.leaving || leaving });
     askAgain(state, known, now);
--- a/src/process/entry/entryState.ts
+++ b/src/process/entry/entryState.ts
@@ -55,7 +55,7 @@
   repeatMs: 500,
   sweepTimeoutMs: 1_500,
   agentLostMs: 2_500,
-  askAgainMs: 2_000,
+  askAgainMs: 10_000,
   maxActiveJobs: 20_000,
   maxBytes: 192 * 1024 * 1024,
   retryShare: 3,
@@ -76,6 +76,8 @@
   used: number;
   /** What the agent was last told of the waiting tasks. */
   toldWaiting: number;
+  /** Rank of the first of them that it was told. */
+  toldHeadRank: number;
   /** Tasks sent to it that have not ended. */
   readonly outstanding: Set<Task>;
   /** Moving mean of measured over expected duration. */
@@ -164,6 +166,8 @@
   bytes: number;
   /** Answers held here that the agents have not been told of: indexes by agent and job. */
   readonly acks: Map<string, Map<string, number[]>>;
+  /** When acknowledgements were last sent to all, ms since the epoch. */
+  ackedAt: number;
   leaving: boolean;
   /** Starts and demands of this turn, completed with the entry's demand when the turn ends. */
   outbox: EntryEffect[];
@@ -209,6 +213,7 @@
     backlog: new Map(),
     bytes: 0,
     acks: new Map(),
+    ackedAt: 0,
     leaving: false,
     outbox: [],
   };
--- a/src/process/entry/tickEntry.ts
+++ b/src/process/entry/tickEntry.ts
@@ -26,7 +26,7 @@
   for (const agent of [...state.agents.values()]) tickAgent(state, agent, now);
   for (const job of [...state.active]) tickJob(state, job, now);
   announceClaims(state, now);
-  flushAcks(state);
+  flushAcks(state, now);
   expireAnswers(state, now);
 }
 
--- a/src/process/settings/schema.ts
+++ b/src/process/settings/schema.ts
@@ -84,6 +84,7 @@
     maxJobs: { ...COUNT, default: 100_000 },
     maxClaims: { ...COUNT, default: 200_000 },
     maxAnswerBytes: { ...COUNT, default: 64 * 1024 * 1024 },
+    stickinessMs: { ...MS, default: 500 },
     requestTimeoutMs: { ...MS, default: 60_000 },
     proposeRepeatMs: { ...MS, default: 1_000 },
   },
--- a/src/process/settings/settings.ts
+++ b/src/process/settings/settings.ts
@@ -60,6 +60,8 @@
   readonly maxJobs: number;
   readonly maxClaims: number;
   readonly maxAnswerBytes: number;
+  /** Rank difference, ms, for which a credit moves to another entry: higher spares messages, lower response. */
+  readonly stickinessMs: number;
   readonly requestTimeoutMs: number;
   readonly proposeRepeatMs: number;
 }
--- a/standins/platform/PlatformStandin.ts
+++ b/standins/platform/PlatformStandin.ts
@@ -19,9 +19,6 @@
   loseAnswers: number;
 }
 
-/** How often a waiting read looks for new records, ms. */
-const POLL_MS = 2;
-
 interface LiveRecord {
   readonly vm: LiveVm;
   readonly at: number;
@@ -32,6 +29,8 @@
   readonly faults: PlatformFaults = { down: false, slowMs: 0, loseAnswers: 0 };
   private readonly records: LogEntry[] = [];
   private readonly live = new Map<string, LiveRecord[]>();
+  /** Wakes the reads that wait for a record. */
+  private readonly readers = new Set<() => void>();
   private nextOffset = 0;
   private appends = 0;
 
@@ -61,6 +60,7 @@
 
   private switchFaults(request: StandinRequest, response: ServerResponse): void {
     if (request.method === 'PUT') Object.assign(this.faults, JSON.parse(request.text));
+    this.wakeReaders();
     writeJson(response, 200, JSON.stringify(this.faults));
   }
 
@@ -71,6 +71,7 @@
     this.nextOffset += 1;
     this.appends += 1;
     this.records.push({ offset, at: Date.now(), record });
+    this.wakeReaders();
     this.records.splice(0, Math.max(0, this.records.length - this.settings.retainRecords));
     if (this.faults.loseAnswers > 0) {
       this.faults.loseAnswers -= 1;
@@ -82,13 +83,31 @@
   private async read(url: URL, response: ServerResponse): Promise<void> {
     const from = Number(url.searchParams.get('from') ?? 0);
     const until = Date.now() + Number(url.searchParams.get('waitMs') ?? 0);
-    while (this.nextOffset <= from && Date.now() < until && !this.faults.down) await sleep(POLL_MS);
+    while (this.nextOffset <= from && Date.now() < until && !this.faults.down)
+      await this.waitForChange(until);
     if (this.faults.down) return void response.destroy();
     const found = this.records.filter((entry) => entry.offset >= from);
     const gap = found[0] !== undefined && found[0].offset > from;
     writeJson(response, 200, JSON.stringify(gap ? this.records : found));
   }
 
+  /** Waits for an append, a switched fault or the end of the wait. */
+  private async waitForChange(until: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        this.readers.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, Math.max(0, until - Date.now()));
+      this.readers.add(wake);
+    });
+  }
+
+  private wakeReaders(): void {
+    for (const wake of [...this.readers]) wake();
+  }
+
   private noteLive(request: StandinRequest, response: ServerResponse): void {
     const vm = JSON.parse(request.text) as LiveVm;
     const known = this.live.get(vm.id) ?? [];
--- a/standins/upstream/UpstreamStandin.ts
+++ b/standins/upstream/UpstreamStandin.ts
@@ -30,6 +30,8 @@
   readonly faults: UpstreamFaults = { stall: false, lateMs: 0, garbage: 0, cut: 0 };
   private readonly starts = new Map<string, number>();
   private readonly queue: (() => void)[] = [];
+  /** Begin and end of every slot's use, ms since the epoch. */
+  private readonly intervals: [number, number][] = [];
   private busy = 0;
   private busyMs = 0;
   private startedTotal = 0;
@@ -44,9 +46,9 @@
     return this.starts;
   }
 
-  /** Time that slots were held so far, ms. */
-  get totalBusyMs(): number {
-    return this.busyMs;
+  /** When slots were held: begin and end, ms since the epoch. */
+  get busyIntervals(): readonly (readonly [number, number])[] {
+    return this.intervals;
   }
 
   protected override async handle(request: StandinRequest, response: ServerResponse): Promise<void> {
@@ -57,6 +59,7 @@
       const { busy, busyMs, startedTotal, highestBusy } = this;
       return writeJson(response, 200, JSON.stringify({ busy, busyMs, startedTotal, highestBusy }));
     }
+    if (url.pathname === '/intervals') return writeJson(response, 200, JSON.stringify(this.intervals));
     if (url.pathname === '/faults') {
       if (method === 'PUT') Object.assign(this.faults, JSON.parse(request.text));
       return writeJson(response, 200, JSON.stringify(this.faults));
@@ -73,7 +76,9 @@
     await this.takeSlot();
     const begin = Date.now();
     await sleep(workMs * this.settings.speed);
-    this.busyMs += Date.now() - begin;
+    const end = Date.now();
+    this.busyMs += end - begin;
+    this.intervals.push([begin, end]);
     this.freeSlot();
     if (this.faults.stall) return;
     if (this.faults.lateMs > 0) await sleep(this.faults.lateMs);
--- a/test/fakes/FakeWorld.ts
+++ b/test/fakes/FakeWorld.ts
@@ -239,7 +239,9 @@
       failureDomain: `d${domain}`,
       snapshotEvery: 10,
     };
-    return new EntryNode(peer, DEFAULT_ENTRY_LIMITS, membership, {
+    // Links of the fake lose single messages, which real ones do not: ask again sooner.
+    const limits = { ...DEFAULT_ENTRY_LIMITS, askAgainMs: 2_000 };
+    return new EntryNode(peer, limits, membership, {
       policy,
       nextRandom: () => this.nextRandom(),
     });
