Plant defects, specify the core, count starts under kills

Found and mended: an entry that had not read the log yet answered 400 for an unknown event (1 of 1,500 jobs under kills); it now says 503 not-ready. A paused entry whose link stayed open was never taken over; a silent owner now counts as out of reach after 2.5 s, and the fake breaks links of long pauses.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -3,6 +3,7 @@
 
 import type { ProfileName } from '../src/load/profile.js';
 import { benchBurst } from './burst.js';
+import { benchKills } from './kills.js';
 
 const cli = cac('bench');
 
@@ -24,6 +25,23 @@
     await benchBurst({ seconds, policies: policies.split(','), profiles: names, rounds });
   });
 
+interface KillFlags {
+  readonly tasks: number;
+  readonly seed: number;
+  readonly every: number;
+  readonly victims: 'entries' | 'agents' | 'both';
+}
+
+cli
+  .command('kills', 'Starts counted under kills and resubmission')
+  .option('--tasks <number>', 'tasks', { default: 200_000 })
+  .option('--seed <number>', 'seed', { default: 1 })
+  .option('--every <ms>', 'between two kills', { default: 3_000 })
+  .option('--victims <names>', 'entries | agents | both', { default: 'both' })
+  .action(async ({ tasks, seed, every, victims }: KillFlags) => {
+    await benchKills({ tasks, seed, killEveryMs: every, victims });
+  });
+
 cli.help();
 cli.parse(process.argv, { run: false });
 await cli.runMatchedCommand();
--- /dev/null
+++ b/bench/defects.ts
@@ -0,0 +1,145 @@
+/**
+ * Plants one defect at a time in a copy of the build and lets the randomised runs look for it:
+ * `npm run defects`. A defect that is not found is a hole in the runs, and the command fails.
+ */
+import { spawn } from 'node:child_process';
+import { cp, readFile, rm, symlink, writeFile } from 'node:fs/promises';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+/** One defect: a text of the built code and what stands there instead. */
+interface Defect {
+  readonly name: string;
+  readonly file: string;
+  readonly find: string;
+  readonly replace: string;
+}
+
+const DIST = fileURLToPath(new URL('..', import.meta.url));
+const COPIES = path.join(DIST, '..', 'dist-defect');
+/** Longest search for one defect, minutes. */
+const MINUTES = 2;
+/** Searches at once. */
+const CONCURRENT = 4;
+
+const DEFECTS: readonly Defect[] = [
+  {
+    name: 'no fence: an agent takes starts of an earlier epoch',
+    file: 'src/process/agent/handleStart.js',
+    find: 'if (order < 0)',
+    replace: 'if (order < -Infinity)',
+  },
+  {
+    name: 'no tombstone: a refused attempt may start after all',
+    file: 'src/process/agent/handleStart.js',
+    find: 'return start.attempt > known.attempt',
+    replace: 'return true || start.attempt > known.attempt',
+  },
+  {
+    name: 'a repeated start runs again',
+    file: 'src/process/agent/handleStart.js',
+    find: "if (known.state !== 'refused')\n        return false;",
+    replace: "if (known.state === 'finished') { known.state = 'refused'; return true; }",
+  },
+  {
+    name: 'takeover without asking everyone',
+    file: 'src/process/entry/sweepJob.js',
+    find: 'job.sweeping = new Set(members);',
+    replace: 'job.sweeping = new Set(members.slice(0, 1));',
+  },
+  {
+    name: 'a member that cannot answer counts as one that started nothing',
+    file: 'src/process/entry/sweepJob.js',
+    find: 'if (queued > 0 && job.lostMembers.length > 0)',
+    replace: 'if (false)',
+  },
+  {
+    name: 'a lower offset is accepted from a peer',
+    file: 'src/process/entry/EntryNode.js',
+    find: 'if (config.offset > this.state.config.offset)',
+    replace: 'if (config.offset !== this.state.config.offset)',
+  },
+  {
+    name: 'an answer is matched by index alone',
+    file: 'src/process/entry/handleResult.js',
+    find: 'const job = state.jobs.get(result.job);',
+    replace:
+      'const job = [...state.active].find((one) => one.tasks[result.index]?.state === "sent") ?? state.jobs.get(result.job);',
+  },
+  {
+    name: 'a start after leaving',
+    file: 'src/process/agent/handleStart.js',
+    find: 'if (state.leaving)',
+    replace: 'if (false)',
+  },
+  {
+    name: 'a registrar grants a claimed key to the next who asks',
+    file: 'src/process/registrar/handleClaim.js',
+    find: 'const record = state.claims.get(claim.job);',
+    replace: "const record = claim.mode === 'claim' ? undefined : state.claims.get(claim.job);",
+  },
+  {
+    name: 'a new registrar grants before the entries have announced',
+    file: 'src/process/registrar/handleClaim.js',
+    find: 'if (!isTenureComplete(state, tenure))',
+    replace: 'if (false)',
+  },
+  {
+    name: 'a new registrar forgets the claims of entries that are gone',
+    file: 'src/process/registrar/handleClaim.js',
+    find: 'if (claim.createdAt < findKnownFrom(state, tenure))',
+    replace: 'if (false)',
+  },
+  {
+    name: 'a refusal without a lookup',
+    file: 'src/process/entry/submitJob.js',
+    find: "startClaim(state, job, job.refusal ? 'lookup' : 'claim', now);\n}\n/** Twice",
+    replace:
+      "if (job.refusal) refuseJob(state, job, job.refusal, now); else startClaim(state, job, 'claim', now);\n}\n/** Twice",
+  },
+];
+
+let missed = 0;
+const waiting = DEFECTS.filter(({ name }) => name.includes(process.argv[2] ?? ''));
+await Promise.all(Array.from({ length: CONCURRENT }, seekNext));
+await rm(COPIES, { recursive: true, force: true });
+process.exit(missed > 0 ? 1 : 0);
+
+async function seekNext(): Promise<void> {
+  for (let defect = waiting.shift(); defect; defect = waiting.shift()) {
+    const found = await seekDefect(defect, path.join(COPIES, String(DEFECTS.indexOf(defect))));
+    if (!found) missed += 1;
+    console.log(JSON.stringify({ defect: defect.name, ...(found ?? { caught: false }) }));
+  }
+}
+
+async function seekDefect(defect: Defect, copy: string): Promise<Record<string, unknown> | undefined> {
+  await rm(copy, { recursive: true, force: true });
+  await cp(DIST, copy, { recursive: true });
+  const file = path.join(copy, defect.file);
+  const code = await readFile(file, 'utf8');
+  if (!code.includes(defect.find))
+    throw new Error(`${defect.name}: the text to change is not in ${defect.file}`);
+  await writeFile(file, code.replace(defect.find, defect.replace));
+  await symlink(path.join(DIST, '..', 'node_modules'), path.join(copy, 'node_modules')).catch(
+    () => undefined,
+  );
+  const output = await runSoak(copy);
+  const cases = /failed after (\d+) test/.exec(output);
+  if (!cases) return undefined;
+  const batches = output.split('\n').filter((line) => line.startsWith('{"seed"')).length;
+  const broken = /(PromiseBroken|InvariantError|Error): (.*)/.exec(
+    output.slice(output.indexOf('failed after')),
+  );
+  return { caught: true, cases: batches * 200 + Number(cases[1]), by: broken?.[0] ?? '' };
+}
+
+async function runSoak(copy: string): Promise<string> {
+  const args = [path.join(copy, 'bench', 'soak.js'), '--seed', '1', '--minutes', String(MINUTES)];
+  const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+  let output = '';
+  child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  child.stderr.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  await new Promise((resolve) => child.once('close', resolve));
+  return output;
+}
--- a/src/process/agent/runWaiting.ts
+++ b/src/process/agent/runWaiting.ts
@@ -21,6 +21,7 @@
       replyResult(state, task.job.owner, task);
       continue;
     }
+    assertInvariant(!state.leaving, `task ${task.job.key}/${task.index} would start while the agent leaves`);
     state.waiting.shift();
     changeTask(task, 'run');
     task.startedAt = now;
--- a/src/process/entry/EntryDaemon.ts
+++ b/src/process/entry/EntryDaemon.ts
@@ -200,6 +200,8 @@
 
   private async takeJob(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (this.callers.size >= this.settings.maxCallers) return this.refuseUnread(response, 'too-many-callers');
+    // Without the log's configuration the events are not known, and a good job would look wrong.
+    if (!this.node.isMember) return this.refuseUnread(response, 'not-ready');
     const body = await readBody(request, this.settings.maxBodyBytes);
     if (!body.ok) return this.refuseBody(body.reason, response);
     const input = parseJson(body.text);
--- a/src/process/entry/attachJob.ts
+++ b/src/process/entry/attachJob.ts
@@ -32,7 +32,8 @@
 export function pursueOwner(state: EntryState, job: Job, now: number): void {
   const member = state.config.entries.some((entry) => entry.peer === job.owner);
   if (!member) return takeOver(state, job, now, 'owner-removed');
-  if (state.peers.get(job.owner)?.connected) {
+  const owner = state.peers.get(job.owner);
+  if (owner?.connected && now - owner.heardAt < state.limits.silentAfterMs) {
     job.ownerLostAt = 0;
     return sendAttach(state, job, now);
   }
--- a/src/process/entry/entryState.ts
+++ b/src/process/entry/entryState.ts
@@ -21,6 +21,8 @@
   /** First wait before a claim is sent again; doubled up to `claimRetryMaxMs`. */
   readonly claimRetryMs: number;
   readonly claimRetryMaxMs: number;
+  /** How long a linked entry may be silent before it counts as out of reach; heartbeats come far more often. */
+  readonly silentAfterMs: number;
   /** How long an owner is out of reach before its job is taken over. */
   readonly takeoverAfterMs: number;
   /** Wait before an unrecorded announcement is sent again. */
@@ -50,6 +52,7 @@
   claimTimeoutMs: 6_000,
   claimRetryMs: 20,
   claimRetryMaxMs: 500,
+  silentAfterMs: 2_500,
   takeoverAfterMs: 1_500,
   announceRepeatMs: 100,
   repeatMs: 500,
--- a/test/fakes/FakeWorld.ts
+++ b/test/fakes/FakeWorld.ts
@@ -64,6 +64,8 @@
 const LINK_MS = 150;
 const LOG_MS = 100;
 const SLOTS = 2;
+/** A link to a process that is paused for longer is given up, as keepalive pings would. */
+const KEEPALIVE_MS = 3_000;
 /** Promise of the brief: an upstream that is leaving receives no new work after a few seconds. */
 const LEAVING_BOUND_MS = 3_000;
 
@@ -301,7 +303,8 @@
       if (other === process) continue;
       const key = `${process.id}|${other.id}`;
       const link = this.sessions.get(key);
-      const reachable = other.alive && !this.isCut(process, other);
+      const silent = other.pausedUntil - this.now > KEEPALIVE_MS;
+      const reachable = other.alive && !silent && !this.isCut(process, other);
       if (link) {
         const current = link.left === this.peerOf(process) && link.right === this.peerOf(other);
         if (!reachable || !current) this.breakLink(key);
