Prove a refusal at the deadline; provoke overtaken entries; measure slopes

Cause: a run with a paused entry whose job was taken over meanwhile showed a refusal that was not true (job-19 ran and was refused): the woken entry still thought the job its own and untouched at its deadline. Change: a refusal at the deadline asks the registrar first, as admission's refusals do; a superseded entry attaches to the new owner instead.

--- a/src/connection/LinkHub.ts
+++ b/src/connection/LinkHub.ts
@@ -6,7 +6,7 @@
 
 import { equalSecrets } from '../_lib/equalSecrets.js';
 import { linkMachine } from './linkMachine.js';
-import { buildLinkMetadata, LINK_METHOD, LINK_OPTIONS, LINK_PATH, readLinkSecret } from './linkProtocol.js';
+import { buildLinkMetadata, buildLinkMethod, LINK_OPTIONS, LINK_PATH, readLinkSecret } from './linkProtocol.js';
 import type { Hello, Message } from './messages.js';
 
 /** What a hub tells the process that owns it. */
@@ -38,6 +38,8 @@
 export interface LinkCounts {
   readonly messages: Map<string, number>;
   batches: number;
+  /** Bytes of encoded batches, both those of dialed and of accepted links. */
+  bytes: number;
 }
 
 /** Most accepted links; strangers with the secret cannot exhaust the process by more. */
@@ -47,7 +49,8 @@
 
 /** Keeps the links of one process. */
 export class LinkHub {
-  readonly counts: LinkCounts = { messages: new Map(), batches: 0 };
+  readonly counts: LinkCounts = { messages: new Map(), batches: 0, bytes: 0 };
+  private readonly method = buildLinkMethod((bytes) => (this.counts.bytes += bytes));
   private readonly server = new Server(LINK_OPTIONS);
   private readonly streams = new Map<string, Stream>();
   private readonly dialed = new Map<string, DialedLink>();
@@ -62,7 +65,7 @@
 
   /** Starts accepting links and returns the port. */
   async listen(host: string, port: number): Promise<number> {
-    const definition = { link: { ...LINK_METHOD, originalName: 'link' } };
+    const definition = { link: { ...this.method, originalName: 'link' } };
     this.server.addService(definition as never, {
       link: (stream: ServerDuplexStream<Message[], readonly Message[]>) => this.accept(stream),
     });
@@ -135,7 +138,7 @@
   }
 
   private connect(link: DialedLink): void {
-    const { requestSerialize, responseDeserialize } = LINK_METHOD;
+    const { requestSerialize, responseDeserialize } = this.method;
     const metadata = buildLinkMetadata(this.secret);
     const stream = link.client.makeBidiStreamRequest(
       LINK_PATH,
--- a/src/connection/linkProtocol.ts
+++ b/src/connection/linkProtocol.ts
@@ -14,16 +14,30 @@
 /** Largest batch on a link, bytes. */
 const MAX_BATCH_BYTES = 32 * 1024 * 1024;
 
-/** Definition of the method for server and client. */
-export const LINK_METHOD: MethodDefinition<readonly Message[], Message[]> = {
-  path: LINK_PATH,
-  requestStream: true,
-  responseStream: true,
-  requestSerialize: encodeBatch,
-  requestDeserialize: decodeBatch as never,
-  responseSerialize: encodeBatch as never,
-  responseDeserialize: decodeBatch,
-};
+/**
+ * Builds the definition of the method for server and client.
+ *
+ * @param countBytes - told the size of each batch that is sent
+ * @returns the definition
+ */
+export function buildLinkMethod(
+  countBytes: (bytes: number) => void,
+): MethodDefinition<readonly Message[], Message[]> {
+  const encode = (messages: readonly Message[]): Buffer => {
+    const bytes = encodeBatch(messages);
+    countBytes(bytes.length);
+    return bytes;
+  };
+  return {
+    path: LINK_PATH,
+    requestStream: true,
+    responseStream: true,
+    requestSerialize: encode,
+    requestDeserialize: decodeBatch as never,
+    responseSerialize: encode as never,
+    responseDeserialize: decodeBatch,
+  };
+}
 
 /** Channel options of both ends: a dead peer is noticed by pings, and nothing is retried below us. */
 export const LINK_OPTIONS: ChannelOptions = {
--- a/src/process/DaemonBase.ts
+++ b/src/process/DaemonBase.ts
@@ -103,6 +103,8 @@
       configOffset: this.configOffset,
       cpuMs: (user + system) / 1_000,
       rssBytes: process.memoryUsage.rss(),
+      heapBytes: process.memoryUsage().heapUsed,
+      sentBytes: this.hub.counts.bytes,
       sentBatches: this.hub.counts.batches,
       sentMessages: Object.fromEntries(this.hub.counts.messages),
     };
--- a/src/process/entry/_lib/endJob.ts
+++ b/src/process/entry/_lib/endJob.ts
@@ -3,6 +3,7 @@
 import type { Job, JobAnswer, Ran } from '../../../request/job.js';
 import type { EntryState } from '../entryState.js';
 import { addAck } from './acks.js';
+import { startClaim } from './sendClaim.js';
 import {
   changeJob,
   changeTask,
@@ -76,7 +77,8 @@
 }
 
 /**
- * Ends an active job at its deadline: refused when nothing can have started, else failed.
+ * Ends an active job at its deadline: refused when nothing can have started, else failed. Before the refusal
+ * the registrar is asked whether the job is still this entry's, because another may have run it meanwhile.
  *
  * @param state - the entry's state
  * @param job - the job
@@ -87,7 +89,10 @@
   const untouched = job.tasks.every((task) => task.state === 'queued');
   const mayRefuse = job.state === 'running' || job.state === 'held';
   if (untouched && mayRefuse && isOwned(job)) {
-    return refuseJob(state, job, { reason, retryAfterMs: DEFAULT_RETRY_MS }, now);
+    withdrawJob(state, job);
+    changeJob(job, 'reclaim');
+    job.refusal = { reason, retryAfterMs: DEFAULT_RETRY_MS };
+    return startClaim(state, job, 'lookup', now);
   }
   job.unclaimed = job.state === 'claiming' && job.epoch.version < 0;
   failJob(state, job, reason, now);
--- a/src/process/entry/tickEntry.ts
+++ b/src/process/entry/tickEntry.ts
@@ -63,6 +63,8 @@
 }
 
 function tickJob(state: EntryState, job: Job, now: number): void {
+  // A refusal that waits for its proof is bounded by the claim's own time.
+  if (job.state === 'claiming' && job.refusal) return tickClaim(state, job, now);
   if (job.deadline <= now) return expireJob(state, job, 'deadline', now);
   if (job.state === 'claiming') return tickClaim(state, job, now);
   if (job.state === 'attached' && job.claimAt <= now) return pursueOwner(state, job, now);
--- a/test/fakes/FakeWorld.ts
+++ b/test/fakes/FakeWorld.ts
@@ -64,6 +64,7 @@
 const LINK_MS = 150;
 const LOG_MS = 100;
 const SLOTS = 2;
+const TIGHT_DEADLINE_MS = 600;
 /** A link to a process that is paused for longer is given up, as keepalive pings would. */
 const KEEPALIVE_MS = 3_000;
 /** Promise of the brief: an upstream that is leaving receives no new work after a few seconds. */
@@ -154,7 +155,9 @@
     const submission: Submission = { job, entry: process.id, at: this.now, answer: undefined };
     const caller = String(this.submissions.push(submission) - 1);
     const createdAt = this.created.get(job) as number;
-    const request = { job, createdAt, event: 'opening', deadlineMs: undefined, tasks, caller: '', team: '' };
+    // Some jobs have so little time that a loaded entry refuses what an idle one took.
+    const deadlineMs = number % 4 === 1 ? TIGHT_DEADLINE_MS : undefined;
+    const request = { job, createdAt, event: 'opening', deadlineMs, tasks, caller: '', team: '' };
     node.submit(request, caller, this.now);
     this.carryOut(process);
   }
@@ -192,6 +195,19 @@
     this.carryOut(process);
   }
 
+  /** Makes an agent's upstream refuse connections for a while. */
+  breakUpstream(id: string, ms: number): void {
+    const process = this.processes.get(id);
+    if (!process?.alive || !(process.node instanceof AgentNode)) return;
+    const { node } = process;
+    node.setUpstreamDown(true);
+    this.carryOut(process);
+    this.schedule(ms, () => {
+      node.setUpstreamDown(false);
+      if (process.node === node && process.alive) this.carryOut(process);
+    });
+  }
+
   /** Cuts a failure domain off from the others and the log. */
   cutDomain(domain: number): void {
     this.cut.add(domain);
