--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -4,6 +4,10 @@
 import type { ProfileName } from '../src/load/profile.js';
 import { benchBurst } from './burst.js';
 import { benchKills } from './kills.js';
+import { benchLow } from './low.js';
+import { benchMachines } from './machines.js';
+import { benchOverload } from './overload.js';
+import { benchThroughput } from './throughput.js';
 
 const cli = cac('bench');
 
@@ -42,6 +46,33 @@
     await benchKills({ tasks, seed, killEveryMs: every, victims });
   });
 
+cli
+  .command('low', 'Added response at low load, beside direct calls')
+  .option('--pairs <number>', 'pairs of calls', { default: 400 })
+  .action(async ({ pairs }: { pairs: number }) => benchLow(pairs));
+
+cli
+  .command('throughput', 'Most task starts a second of one entry, with and without decision logs')
+  .option('--agents <number>', 'agents', { default: 11 })
+  .action(async ({ agents }: { agents: number }) => benchThroughput(agents));
+
+cli
+  .command('overload', 'Three times the capacity')
+  .option('--seconds <number>', 'how long', { default: 15 })
+  .option('--profiles <names>', 'workloads', { default: 'timber-exchange,tender-desk' })
+  .option('--policies <names>', 'compared in turn', { default: 'product,baseline' })
+  .action(
+    async ({ seconds, profiles, policies }: { seconds: number; profiles: string; policies: string }) => {
+      await benchOverload({
+        seconds,
+        profiles: profiles.split(',') as ProfileName[],
+        policies: policies.split(','),
+      });
+    },
+  );
+
+cli.command('machines', 'What state machines cost a task').action(() => benchMachines());
+
 cli.help();
 cli.parse(process.argv, { run: false });
 await cli.runMatchedCommand();
--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -66,8 +66,15 @@
   );
 }
 
-async function withCluster<T>(options: ClusterOptions, run: (cluster: ProcessCluster) => Promise<T>): Promise<T> {
-  const cluster = new ProcessCluster({ ...options, entrySettings: { ...QUIET, ...options.entrySettings }, agentSettings: { ...QUIET, ...options.agentSettings } });
+async function withCluster<T>(
+  options: ClusterOptions,
+  run: (cluster: ProcessCluster) => Promise<T>,
+): Promise<T> {
+  const cluster = new ProcessCluster({
+    ...options,
+    entrySettings: { ...QUIET, ...options.entrySettings },
+    agentSettings: { ...QUIET, ...options.agentSettings },
+  });
   try {
     await cluster.start();
     await sleep(3_000);
@@ -87,17 +94,28 @@
   }
   const bytes = Number(after['sentBytes'] ?? 0) - Number(before['sentBytes'] ?? 0);
   const cpuMs = (after.cpuMs - before.cpuMs) / seconds;
-  return { cpuMs, rssMiB: after.rssBytes / 2 ** 20, messages, sentPerSecond: sent, bytesPerSecond: bytes / seconds };
+  return {
+    cpuMs,
+    rssMiB: after.rssBytes / 2 ** 20,
+    messages,
+    sentPerSecond: sent,
+    bytesPerSecond: bytes / seconds,
+  };
 }
 
-async function measure(cluster: ProcessCluster, ids: readonly string[], run: () => Promise<void>): Promise<Map<string, Rates>> {
+async function measure(
+  cluster: ProcessCluster,
+  ids: readonly string[],
+  run: () => Promise<void>,
+): Promise<Map<string, Rates>> {
   const before = new Map<string, MemberStats>();
   for (const id of ids) before.set(id, await cluster.readStats(id));
   const begin = Date.now();
   await run();
   const seconds = (Date.now() - begin) / 1_000;
   const rates = new Map<string, Rates>();
-  for (const id of ids) rates.set(id, subtractRates(before.get(id) as MemberStats, await cluster.readStats(id), seconds));
+  for (const id of ids)
+    rates.set(id, subtractRates(before.get(id) as MemberStats, await cluster.readStats(id), seconds));
   return rates;
 }
 
@@ -137,7 +155,10 @@
 const DECLARE = 'declare event capacity services s kinds k(service = s, deadline = 60s, expected = 10ms)';
 
 /** Sends jobs at a rate, open loop, and waits for all answers. */
-async function sendSteadily(cluster: ProcessCluster, options: { tasksPerSecond: number; tasksPerJob: number; run: string; workMs: number }): Promise<void> {
+async function sendSteadily(
+  cluster: ProcessCluster,
+  options: { tasksPerSecond: number; tasksPerJob: number; run: string; workMs: number },
+): Promise<void> {
   const { tasksPerSecond, tasksPerJob, run, workMs } = options;
   const every = (1_000 * tasksPerJob) / tasksPerSecond;
   const jobs = Math.floor((LOAD_SECONDS * 1_000) / every);
@@ -174,7 +195,7 @@
       });
       const entry = rates.get('entry-1') as Rates;
       const agent = rates.get('agent-1') as Rates;
-      const perSecond = (entry.messages['start'] ?? 0);
+      const perSecond = entry.messages['start'] ?? 0;
       console.log(JSON.stringify({ load: { tasksPerSecond, achieved: perSecond, entry, agent } }));
       entryCpu.push({ x: perSecond, y: entry.cpuMs });
       agentCpu.push({ x: agent.messages['result'] ?? 0, y: agent.cpuMs });
@@ -208,11 +229,26 @@
     const entry: Point[] = [];
     const agent: Point[] = [];
     for (let round = 0; round < 5; round += 1) {
-      await sendSteadily(cluster, { tasksPerSecond: 1_500, tasksPerJob: 5, run: `state-${round}`, workMs: 5 });
+      await sendSteadily(cluster, {
+        tasksPerSecond: 1_500,
+        tasksPerJob: 5,
+        run: `state-${round}`,
+        workMs: 5,
+      });
       await sleep(1_500);
       const entryStats = await cluster.readStats('entry-1');
       const agentStats = await cluster.readStats('agent-1');
-      console.log(JSON.stringify({ state: { jobs: entryStats['jobs'], heapMiB: Number(entryStats['heapBytes']) / 2 ** 20, agentJobs: agentStats['jobs'], claims: agentStats['claims'], agentHeapMiB: Number(agentStats['heapBytes']) / 2 ** 20 } }));
+      console.log(
+        JSON.stringify({
+          state: {
+            jobs: entryStats['jobs'],
+            heapMiB: Number(entryStats['heapBytes']) / 2 ** 20,
+            agentJobs: agentStats['jobs'],
+            claims: agentStats['claims'],
+            agentHeapMiB: Number(agentStats['heapBytes']) / 2 ** 20,
+          },
+        }),
+      );
       if (round === 0) continue;
       entry.push({ x: Number(entryStats['jobs']), y: Number(entryStats['heapBytes']) / 1_024 });
       agent.push({ x: Number(agentStats['jobs']), y: Number(agentStats['heapBytes']) / 1_024 });
--- /dev/null
+++ b/bench/low.ts
@@ -0,0 +1,65 @@
+/** Added response at low load: the same task through an entry and straight to an upstream, in turn. */
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { Pool } from 'undici';
+
+import { describe } from '../src/load/buildReport.js';
+import { ProcessCluster } from './ProcessCluster.js';
+
+/** Work of each task, ms. */
+const WORK_MS = 50;
+/** Wait between two pairs, ms. */
+const GAP_MS = 5;
+
+/** Sends pairs of a job and a direct call and prints the differences. */
+export async function benchLow(pairs: number): Promise<void> {
+  const cluster = new ProcessCluster({ entries: 2, agents: 11 });
+  try {
+    await cluster.start();
+    await cluster.runCommand('declare event low services s kinds k(service = s, expected = 50ms)');
+    await sleep(1_000);
+    const entry = new Pool(cluster.url('entry-1'), { connections: 1 });
+    const upstream = new Pool(cluster.url('upstream-1'), { connections: 1 });
+    const through: number[] = [];
+    const direct: number[] = [];
+    for (let number = -50; number < pairs; number += 1) {
+      const task = { workMs: WORK_MS, echo: number };
+      const job = {
+        job: `low-${number}`,
+        createdAt: Date.now(),
+        event: 'low',
+        tasks: [{ kind: 'k', body: task }],
+      };
+      const throughMs = await time(entry, '/v1/jobs', job);
+      const directMs = await time(upstream, '/tasks/k', task);
+      await sleep(GAP_MS);
+      // The first pairs warm the processes up.
+      if (number < 0) continue;
+      through.push(throughMs);
+      direct.push(directMs);
+    }
+    const added = describe(through).p50 - describe(direct).p50;
+    const addedP99 = describe(through).p99 - describe(direct).p99;
+    const round = (value: number): number => Number(value.toFixed(2));
+    console.log(
+      JSON.stringify({
+        pairs,
+        through: describe(through),
+        direct: describe(direct),
+        addedP50Ms: round(added),
+        addedP99Ms: round(addedP99),
+      }),
+    );
+  } finally {
+    await cluster.stop();
+  }
+}
+
+async function time(pool: Pool, path: string, body: unknown): Promise<number> {
+  const begin = performance.now();
+  const response = await pool.request({ method: 'POST', path, body: JSON.stringify(body) });
+  await response.body.text();
+  if (response.statusCode !== 200) throw new Error(`${path}: ${response.statusCode}`);
+  return performance.now() - begin;
+}
--- a/src/connection/LinkHub.ts
+++ b/src/connection/LinkHub.ts
@@ -6,7 +6,13 @@
 
 import { equalSecrets } from '../_lib/equalSecrets.js';
 import { linkMachine } from './linkMachine.js';
-import { buildLinkMetadata, buildLinkMethod, LINK_OPTIONS, LINK_PATH, readLinkSecret } from './linkProtocol.js';
+import {
+  buildLinkMetadata,
+  buildLinkMethod,
+  LINK_OPTIONS,
+  LINK_PATH,
+  readLinkSecret,
+} from './linkProtocol.js';
 import type { Hello, Message } from './messages.js';
 
 /** What a hub tells the process that owns it. */
--- a/src/load/buildReport.ts
+++ b/src/load/buildReport.ts
@@ -46,7 +46,8 @@
   readonly refusalMs: Distribution;
   /** Share of slot time in use from the start until the last task was started, so while work waited. */
   readonly slotUse: number;
-  readonly doneWorkMs: number;
+  /** True work of jobs answered in their deadline over what the slots can do from the start to the last task's end. */
+  readonly goodput: number;
   readonly messagesPerTask: number;
   readonly wastedPerAnsweredTask: number;
   readonly messages: Readonly<Record<string, number>>;
@@ -88,15 +89,14 @@
   const sent = Object.values(counts.messages).reduce((sum, count) => sum + count, 0);
   const useful = [...USEFUL_TYPES].reduce((sum, type) => sum + (counts.messages[type] ?? 0), 0);
   const refused = outcomes.filter(({ outcome }) => outcome === 'refused');
-  const doneWorkMs = complete.reduce((sum, index) => sum + sumWork(jobs[index] as PlannedJob), 0);
-  const inTime = complete.filter((index) => response(index) <= (jobs[index] as PlannedJob).deadlineMs).length;
+  const inTime = complete.filter((index) => response(index) <= (jobs[index] as PlannedJob).deadlineMs);
   return {
     policy: input.policy,
     jobs: jobs.length,
     tasks: jobs.reduce((sum, job) => sum + job.workMs.length, 0),
     outcomes: countBy(outcomes.map(({ outcome }) => outcome)),
     reasons: countBy(outcomes.filter(({ reason }) => reason !== '').map(({ reason }) => reason)),
-    inDeadline: inTime / jobs.length,
+    inDeadline: inTime.length / jobs.length,
     responseMs: describe(complete.map(response)),
     overClairvoyant: divideMeans(complete, response, ideal.clairvoyant),
     overLeastWork: divideMeans(complete, response, leastWork.clairvoyant),
@@ -106,7 +106,7 @@
     byPriority: describePriorities(jobs, complete, response, ideal),
     refusalMs: describe(refused.map(({ responseMs }) => responseMs)),
     slotUse: findSlotUse(input),
-    doneWorkMs,
+    goodput: findGoodput(input, inTime),
     messagesPerTask: sent / Math.max(1, answeredTasks),
     wastedPerAnsweredTask: countWasted(input, useful, answeredTasks) / Math.max(1, answeredTasks),
     messages: counts.messages,
@@ -128,6 +128,12 @@
   return Math.max(0, useful - 2 * answeredTasks) + Math.max(0, claims) + extra;
 }
 
+function findGoodput({ intervals, startAt, slots, jobs }: ReportInput, inTime: readonly number[]): number {
+  const lastEnd = intervals.reduce((latest, [, end]) => Math.max(latest, end), startAt + 1);
+  const done = inTime.reduce((sum, index) => sum + sumWork(jobs[index] as PlannedJob), 0);
+  return done / (slots * (lastEnd - startAt));
+}
+
 function findSlotUse({ intervals, startAt, slots }: ReportInput): number {
   const own = intervals.filter(([begin]) => begin >= startAt);
   const lastStart = own.reduce((latest, [begin]) => Math.max(latest, begin), startAt);
--- a/src/process/DaemonBase.ts
+++ b/src/process/DaemonBase.ts
@@ -24,8 +24,10 @@
 import type { CommonSettings } from './settings/settings.js';
 import { Turns } from './Turns.js';
 
-/** Between two reports of metrics, of the live list and of the process's state, ms. */
+/** Between two reports of metrics, ms. */
 const REPORT_MS = 1_000;
+/** Every so many of them the platform is told that the VM is live. */
+const LIVE_REPORTS = 2;
 /** How often a drain looks whether it is done, ms. */
 const DRAIN_POLL_MS = 20;
 
@@ -54,6 +56,7 @@
   private readonly server: Server;
   private readonly timers: NodeJS.Timeout[] = [];
   private following: Promise<void> | undefined;
+  private reports = 0;
 
   protected constructor(
     protected readonly settings: CommonSettings,
@@ -191,7 +194,8 @@
   }
 
   private report(): void {
-    void this.reportLive(this.life.getSnapshot().value === 'leaving');
+    this.reports += 1;
+    if (this.reports % LIVE_REPORTS === 1) void this.reportLive(this.life.getSnapshot().value === 'leaving');
     const skewMs = adjustClock();
     this.metrics.gauge('clock_ahead_ms', skewMs);
     this.metrics.gauge('rss_bytes', process.memoryUsage.rss());
--- a/src/process/Turns.ts
+++ b/src/process/Turns.ts
@@ -2,7 +2,7 @@
 import { readClock } from '../_lib/readClock.js';
 
 /** Between two ticks, ms. */
-const TICK_MS = 25;
+const TICK_MS = 50;
 
 /** What a loop needs of its process. */
 export interface TurnHandlers {
--- a/src/process/commands/runQuery.ts
+++ b/src/process/commands/runQuery.ts
@@ -61,7 +61,7 @@
         caller: job.caller,
         team: job.team,
         priority: job.priority,
-        tasks: job.tasks.length,
+        tasks: job.taskCount,
         finished: job.finished,
         queued: job.queued.length,
         ageMs: Math.round(now - job.arrivedAt),
--- a/src/process/entry/EntryNode.ts
+++ b/src/process/entry/EntryNode.ts
@@ -44,7 +44,7 @@
 /** Times that the daemons start with. */
 export const DEFAULT_ENTRY_MEMBERSHIP: Omit<EntryMembership, 'address' | 'failureDomain'> = {
   heartbeatMs: 1_000,
-  removeAfterMs: 4_000,
+  removeAfterMs: 2_000,
   proposeRepeatMs: 1_000,
   snapshotEvery: 200,
 };
--- a/src/process/entry/_lib/backlog.ts
+++ b/src/process/entry/_lib/backlog.ts
@@ -25,11 +25,55 @@
  * @param workMs - ms of one slot; negative to take away
  */
 export function addBacklog(state: EntryState, job: Job, workMs: number): void {
+  addShare(state, `caller/${job.caller}`, workMs);
+  addShare(state, `team/${job.team}`, workMs);
   const total = job.tasks.reduce((sum, task) => sum + task.expectedMs, 0);
   const key = findBacklogClass(job.priority, total);
   state.backlog.set(key, Math.max(0, (state.backlog.get(key) ?? 0) + workMs));
 }
 
+/** What callers and teams hold together, for fair shares. */
+export interface Shares {
+  readonly totalMs: number;
+  readonly callerMs: number;
+  readonly teamMs: number;
+  readonly callers: number;
+  readonly teams: number;
+}
+
+/**
+ * Finds how much of the entry's work a job's caller and team hold. Who is not told holds nothing.
+ *
+ * @param state - the entry's state
+ * @param job - the job that asks to be let in
+ * @returns work in ms of one slot, and the number of holders
+ */
+export function findShares(state: EntryState, job: Job): Shares {
+  const sums = { caller: 0, team: 0 };
+  const holders = { caller: new Set([`caller/${job.caller}`]), team: new Set([`team/${job.team}`]) };
+  for (const [key, workMs] of state.shares) {
+    const kind = key.startsWith('caller/') ? 'caller' : 'team';
+    sums[kind] += workMs;
+    holders[kind].add(key);
+  }
+  return {
+    totalMs: sums.caller,
+    callerMs: job.caller === '' ? 0 : (state.shares.get(`caller/${job.caller}`) ?? 0),
+    teamMs: job.team === '' ? 0 : (state.shares.get(`team/${job.team}`) ?? 0),
+    callers: holders.caller.size,
+    teams: holders.team.size,
+  };
+}
+
+/** Work below which a holder is forgotten, ms: sums of fractions do not end at zero. */
+const SHARE_FORGET_MS = 0.01;
+
+function addShare(state: EntryState, key: string, workMs: number): void {
+  const sum = (state.shares.get(key) ?? 0) + workMs;
+  if (sum < SHARE_FORGET_MS) state.shares.delete(key);
+  else state.shares.set(key, sum);
+}
+
 /**
  * Sums the work that is served before a new job.
  *
--- a/src/process/entry/_lib/endJob.ts
+++ b/src/process/entry/_lib/endJob.ts
@@ -140,7 +140,8 @@
   state.active.delete(job);
   job.answer = answer;
   job.endedAt = now;
-  if (answer.outcome !== 'refused' && !job.unclaimed) for (const task of job.tasks) task.body = '';
+  // A refused job may come again; of any other only the answer is needed.
+  if (answer.outcome !== 'refused' && !job.unclaimed) forgetTasks(job);
   const bytes =
     answer.outcome === 'complete' ? answer.answers.reduce((sum, one) => sum + one.body.length, 0) : 0;
   state.bytes += bytes - job.bytes;
@@ -151,6 +152,12 @@
   deliverAnswer(state, job);
 }
 
+function forgetTasks(job: Job): void {
+  job.tasks = [];
+  job.queued = [];
+  job.sweeping.clear();
+}
+
 function ackTasks(state: EntryState, job: Job): void {
   for (const task of job.tasks) addAck(state, task.agent, job.key, task.index);
 }
--- a/src/process/entry/entryState.ts
+++ b/src/process/entry/entryState.ts
@@ -166,6 +166,8 @@
   waitingTasks: number;
   /** Expected work not yet finished, ms, by priority and size class (see `findBacklogClass`). */
   readonly backlog: Map<number, number>;
+  /** The same by caller and team, as `caller/NAME` and `team/NAME`. */
+  readonly shares: Map<string, number>;
   bytes: number;
   /** Answers held here that the agents have not been told of: indexes by agent and job. */
   readonly acks: Map<string, Map<string, number[]>>;
@@ -214,6 +216,7 @@
     kinds: new Map(),
     waitingTasks: 0,
     backlog: new Map(),
+    shares: new Map(),
     bytes: 0,
     acks: new Map(),
     ackedAt: 0,
--- a/src/process/entry/placeTasks.ts
+++ b/src/process/entry/placeTasks.ts
@@ -1,5 +1,6 @@
 import { assertInvariant } from '../../_lib/assertInvariant.js';
 import type { Start } from '../../connection/messages.js';
+import { EJECT_SLOWNESS } from '../../request/placement.js';
 import type { AgentChoice } from '../../request/placement.js';
 import type { Job, Task } from '../../request/job.js';
 import { changeTask, logDecision } from './_lib/jobChanges.js';
@@ -66,6 +67,8 @@
   const candidates: Candidate[] = [];
   for (const view of state.agents.values()) {
     if (!view.connected || view.leaving || view.slots === 0) continue;
+    // An ejected agent is probed with one task at a time.
+    if (view.slowness > EJECT_SLOWNESS && view.outstanding.size > 0) continue;
     const credits = view.granted - view.used;
     if (needsCredit && credits <= 0) continue;
     const { peer, slots, slowness } = view;
--- a/src/process/entry/submitJob.ts
+++ b/src/process/entry/submitJob.ts
@@ -3,7 +3,7 @@
 import type { Job, JobAnswer, JobRequest } from '../../request/job.js';
 import { digestJob, findDifferences } from '../../request/digestJob.js';
 import type { EventConfig } from '../../version/configState.js';
-import { sumBacklogAhead } from './_lib/backlog.js';
+import { findShares, sumBacklogAhead } from './_lib/backlog.js';
 import { changeJob, logDecision } from './_lib/jobChanges.js';
 import { deliverAnswer } from './_lib/endJob.js';
 import { startClaim } from './_lib/sendClaim.js';
@@ -118,6 +118,7 @@
     aheadMs: sumBacklogAhead(state, job.priority, workMs),
     slots: countOwnSlots(state),
     activeJobs: state.active.size,
+    ...findShares(state, job),
     random: state.nextRandom(),
   });
 }
--- a/src/process/entry/tickEntry.ts
+++ b/src/process/entry/tickEntry.ts
@@ -104,6 +104,5 @@
   if (job.answer?.outcome !== 'complete') return;
   state.bytes -= job.bytes;
   job.bytes = 0;
-  for (const task of job.tasks) task.answer = '';
   job.answer = { outcome: 'failed', ran: 'some', reason: 'answer-dropped', retryAfterMs: 0 };
 }
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -14,6 +14,14 @@
   readonly slots: number;
   /** Jobs in the entry that have not ended. */
   readonly activeJobs: number;
+  /** Expected work of all jobs in the entry, ms of one slot. */
+  readonly totalMs: number;
+  /** The part of it that the job's caller, and its team, already hold; 0 when they are not told. */
+  readonly callerMs: number;
+  readonly teamMs: number;
+  /** Callers and teams that hold work, the job's own included. */
+  readonly callers: number;
+  readonly teams: number;
   /** A random number from 0 to 1, for spreading the retries. */
   readonly random: number;
 }
@@ -49,6 +57,11 @@
 /** Share of the deadline that a predicted finish may use; the rest covers errors of the prediction. */
 const DEADLINE_SHARE = 0.9;
 
+/** Wait from which shares count, ms: below it there is enough for everyone. */
+const SHARE_AFTER_MS = 1_000;
+/** How many even shares one caller or team may hold. */
+const SHARES_ALLOWED = 2;
+
 /** Refuses a job whose predicted finish is past its deadline, with hints spread over the predicted backlog. */
 export class LatenessAdmission extends Admission {
   constructor(private readonly maxActiveJobs: number) {
@@ -60,8 +73,19 @@
     const waitMs = input.aheadMs / slots;
     const retryAfterMs = Math.round(MIN_RETRY_MS + waitMs * (0.5 + input.random));
     if (input.activeJobs >= this.maxActiveJobs) return { reason: 'too-many-jobs', retryAfterMs };
+    const share = findExceededShare(input, slots);
+    if (share) return { reason: share, retryAfterMs };
     const finishMs = waitMs + Math.max(input.longestMs, input.workMs / slots);
     if (finishMs <= input.deadlineMs * DEADLINE_SHARE) return undefined;
     return { reason: 'predicted-late', retryAfterMs };
   }
 }
+
+/** While work waits, a caller or team with more than its shares gets no more in. */
+function findExceededShare(input: AdmissionInput, slots: number): string {
+  const { totalMs, callerMs, teamMs, callers, teams } = input;
+  if (totalMs / slots < SHARE_AFTER_MS) return '';
+  if (callers > 1 && callerMs > (SHARES_ALLOWED * totalMs) / callers) return 'caller-share';
+  if (teams > 1 && teamMs > (SHARES_ALLOWED * totalMs) / teams) return 'team-share';
+  return '';
+}
--- a/src/request/job.ts
+++ b/src/request/job.ts
@@ -69,7 +69,9 @@
   readonly event: string;
   readonly caller: string;
   readonly team: string;
-  readonly tasks: Task[];
+  /** Empty once the job has ended for good. */
+  tasks: Task[];
+  readonly taskCount: number;
   /** Operator priority: the lowest of its kinds. */
   readonly priority: number;
   state: JobState;
@@ -150,6 +152,7 @@
     caller: request.caller,
     team: request.team,
     tasks,
+    taskCount: tasks.length,
     priority: options.priority,
     state: 'claiming',
     arrivedAt: options.now,
--- a/test/fakes/worldCommands.ts
+++ b/test/fakes/worldCommands.ts
@@ -74,15 +74,17 @@
   .map(([id, ms]) => createCommand(`pause(${id},${ms})`, (world) => world.pause(id, ms)));
 
 /** An entry is stopped with work at hand; its callers go elsewhere; it wakes up and goes on. */
-const overtake = fc.tuple(job, entry, fc.integer({ min: 5, max: 300 }), fc.integer({ min: 4_000, max: 12_000 })).map(([number, at, soon, ms]) =>
-  createCommand(`overtake(${number},${at},${soon},${ms})`, (world) => {
-    for (let i = 0; i < 16; i += 1) world.submit((number + i) % JOBS, at);
-    world.advance(soon);
-    world.pause(`entry-${at}`, ms);
-    for (let i = 0; i < 16; i += 1) world.submit((number + i) % JOBS, (at + 1) % RUN_ENTRIES);
-    world.advance(ms + 100);
-  }),
-);
+const overtake = fc
+  .tuple(job, entry, fc.integer({ min: 5, max: 300 }), fc.integer({ min: 4_000, max: 12_000 }))
+  .map(([number, at, soon, ms]) =>
+    createCommand(`overtake(${number},${at},${soon},${ms})`, (world) => {
+      for (let i = 0; i < 16; i += 1) world.submit((number + i) % JOBS, at);
+      world.advance(soon);
+      world.pause(`entry-${at}`, ms);
+      for (let i = 0; i < 16; i += 1) world.submit((number + i) % JOBS, (at + 1) % RUN_ENTRIES);
+      world.advance(ms + 100);
+    }),
+  );
 
 const breakUpstream = fc
   .tuple(agent, fc.integer({ min: 5, max: 500 }))
