Shed jobs once they will be late; tell few agents of urgent work; forecast

Change: waiting jobs are judged again every 200 ms and refused as soon as they will be late, with a lookup; admission extrapolates more urgent arrivals for as long as they have lasted; as many agents are told of an urgent job as it has tasks; a repeated claim keeps its id.

--- a/bench/burst.ts
+++ b/bench/burst.ts
@@ -55,6 +55,7 @@
     topOverIdeal: round(report.byPriority['0']?.overClairvoyant ?? 0),
     inDeadline: round(report.inDeadline),
     slotUse: round(report.slotUse),
+    refusalP50Ms: round(report.refusalMs.p50),
     refusalP99Ms: round(report.refusalMs.p99),
     messagesPerTask: round(report.messagesPerTask),
     wastedPerTask: round(report.wastedPerAnsweredTask),
--- a/bench/low.ts
+++ b/bench/low.ts
@@ -63,7 +63,13 @@
 /** Serves some thousand tasks first: processes that serve an event have compiled their code. */
 async function warmUp(cluster: ProcessCluster): Promise<void> {
   const jobs = Array.from({ length: WARM_UP_JOBS }, (_, number) => {
-    return buildCallerJob(`warm-${number}`, 'low', 'k', Array.from({ length: 10 }, () => 2), 60_000);
+    return buildCallerJob(
+      `warm-${number}`,
+      'low',
+      'k',
+      Array.from({ length: 10 }, () => 2),
+      60_000,
+    );
   });
   for (const [number, job] of jobs.entries()) {
     const options = { first: number, tries: 1, patienceMs: 10_000 };
--- a/src/process/entry/EntryDaemon.ts
+++ b/src/process/entry/EntryDaemon.ts
@@ -329,8 +329,17 @@
 }
 
 function createLimits(settings: EntrySettings): EntryLimits {
-  const { horizonMs, skewMs, leaseMs, takeoverAfterMs, agentLostMs, maxActiveJobs, maxHeldBytes } = settings;
-  const times = { horizonMs, skewMs, leaseMs, takeoverAfterMs, agentLostMs };
+  const {
+    horizonMs,
+    skewMs,
+    leaseMs,
+    takeoverAfterMs,
+    agentLostMs,
+    maxActiveJobs,
+    maxHeldBytes,
+    demandStepMs,
+  } = settings;
+  const times = { horizonMs, skewMs, leaseMs, takeoverAfterMs, agentLostMs, demandStepMs };
   return { ...DEFAULT_ENTRY_LIMITS, ...times, maxActiveJobs, maxBytes: maxHeldBytes };
 }
 
--- a/src/process/entry/_lib/backlog.ts
+++ b/src/process/entry/_lib/backlog.ts
@@ -74,19 +74,57 @@
   else state.shares.set(key, sum);
 }
 
+/** Arrivals are extrapolated only once they have lasted for this long, ms: a burst at the start is over by then. */
+const FORECAST_AFTER_MS = 1_000;
+
+/**
+ * Notes work that was let in, for the forecast.
+ *
+ * @param state - the entry's state
+ * @param job - a job that begins to run
+ * @param now - ms since the epoch
+ */
+export function noteArrival(state: EntryState, job: Job, now: number): void {
+  if (state.waitingTasks === 0) {
+    state.arrivals.clear();
+    state.busySince = now;
+  }
+  const key = findBacklogClass(job.priority, job.remainingMs);
+  state.arrivals.set(key, (state.arrivals.get(key) ?? 0) + job.remainingMs);
+}
+
 /**
- * Sums the work that is served before a new job.
+ * Forecasts the work that is served before a new job: what waits now in its class and the more urgent ones, and
+ * what will come of the latter if it comes as it has since tasks began to wait, for as long again at most.
  *
  * @param state - the entry's state
- * @param priority - of the new job
- * @param workMs - its expected work, ms
+ * @param options - the new job's priority and expected work, the slots that serve, and the time
  * @returns ms of one slot
  */
-export function sumBacklogAhead(state: EntryState, priority: number, workMs: number): number {
-  const own = findBacklogClass(priority, workMs);
-  let ahead = 0;
-  for (const [key, work] of state.backlog) {
-    if (key <= own) ahead += work;
+export function forecastAhead(
+  state: EntryState,
+  options: {
+    readonly priority: number;
+    readonly workMs: number;
+    readonly slots: number;
+    readonly now: number;
+  },
+): number {
+  const own = findBacklogClass(options.priority, options.workMs);
+  const aheadMs = sumClasses(state.backlog, own + 1);
+  const lastedMs = options.now - state.busySince;
+  if (state.waitingTasks === 0 || lastedMs < FORECAST_AFTER_MS) return aheadMs;
+  const arrivedMs = sumClasses(state.arrivals, own);
+  const rate = arrivedMs / lastedMs;
+  const mostMs = aheadMs + arrivedMs;
+  if (rate >= options.slots) return mostMs;
+  return Math.min(mostMs, (aheadMs * options.slots) / (options.slots - rate));
+}
+
+function sumClasses(classes: ReadonlyMap<number, number>, below: number): number {
+  let sum = 0;
+  for (const [key, work] of classes) {
+    if (key < below) sum += work;
   }
-  return ahead;
+  return sum;
 }
--- a/src/process/entry/_lib/jobChanges.ts
+++ b/src/process/entry/_lib/jobChanges.ts
@@ -8,7 +8,7 @@
 import { TASK_TABLE } from '../../../request/taskMachine.js';
 import type { TaskEvent } from '../../../request/taskMachine.js';
 import type { Decision, EntryState } from '../entryState.js';
-import { addBacklog } from './backlog.js';
+import { addBacklog, noteArrival } from './backlog.js';
 
 /**
  * Moves a job along its machine.
@@ -74,7 +74,7 @@
     logDecision(state, 'hold', job.key, { event: job.event, startAt: event.startAt });
     return;
   }
-  runJob(state, job);
+  runJob(state, job, now);
 }
 
 /**
@@ -82,10 +82,12 @@
  *
  * @param state - the entry's state
  * @param job - a claimed, held or swept job
+ * @param now - ms since the epoch
  */
-export function runJob(state: EntryState, job: Job): void {
+export function runJob(state: EntryState, job: Job, now: number): void {
   changeJob(job, 'run');
   queueTasks(job);
+  noteArrival(state, job, now);
   state.waitingTasks += job.queued.length;
   addBacklog(state, job, job.remainingMs);
   offerJob(state, job);
--- a/src/process/entry/_lib/sendClaim.ts
+++ b/src/process/entry/_lib/sendClaim.ts
@@ -44,12 +44,10 @@
   if (!hasLease(state, now)) return;
   const registrar = state.config.seats[findSeat(job.key)]?.peer ?? '';
   if (!state.peers.get(registrar)?.connected) return;
-  state.claims.delete(job.claimId);
-  job.claimId = state.nextId;
-  state.nextId += 1;
-  state.claims.set(job.claimId, job);
-  job.claimSetId = state.setId;
-  sendAgentSet(state, registrar, job.claimTries > 1);
+  // A repeated claim is the same request: whichever answer comes first counts. Of lookups only the last one
+  // counts, because a refusal has to be true when it is said.
+  if (job.claimId === 0 || job.claimMode === 'lookup') numberClaim(state, job);
+  sendAgentSet(state, registrar, job.claimSetId, job.claimTries > 1);
   const { key, createdAt, digest, claimId: id, claimMode: mode, expected } = job;
   const { setId, config } = state;
   const message = {
@@ -77,10 +75,17 @@
   return Math.max(state.heardLogAt, state.heardMajorityAt) + state.limits.leaseMs >= now;
 }
 
-function sendAgentSet(state: EntryState, registrar: string, again: boolean): void {
-  if (!again && state.sentSets.get(registrar) === state.setId) return;
-  state.sentSets.set(registrar, state.setId);
-  const members = state.sets.get(state.setId) ?? [];
-  const message = { type: 'agentSet', setId: state.setId, members } as const;
-  state.outbox.push({ type: 'send', to: registrar, message });
+function numberClaim(state: EntryState, job: Job): void {
+  state.claims.delete(job.claimId);
+  job.claimId = state.nextId;
+  state.nextId += 1;
+  job.claimSetId = state.setId;
+  state.claims.set(job.claimId, job);
+}
+
+function sendAgentSet(state: EntryState, registrar: string, setId: number, again: boolean): void {
+  if (!again && (state.sentSets.get(registrar) ?? -1) >= setId) return;
+  state.sentSets.set(registrar, Math.max(setId, state.sentSets.get(registrar) ?? -1));
+  const members = state.sets.get(setId) ?? [];
+  state.outbox.push({ type: 'send', to: registrar, message: { type: 'agentSet', setId, members } });
 }
--- a/src/process/entry/entryState.ts
+++ b/src/process/entry/entryState.ts
@@ -39,6 +39,8 @@
   readonly maxActiveJobs: number;
   /** Most bytes of bodies and answers; past it the oldest answers are dropped, then jobs refused. */
   readonly maxBytes: number;
+  /** How much more urgent, in ms of rank, a waiting task must be for the agents to be told. */
+  readonly demandStepMs: number;
   /** Refused starts that a job may send again, as a share of its tasks, plus `retryFloor`. */
   readonly retryShare: number;
   readonly retryFloor: number;
@@ -61,6 +63,7 @@
   askAgainMs: 10_000,
   maxActiveJobs: 20_000,
   maxBytes: 192 * 1024 * 1024,
+  demandStepMs: 300,
   retryShare: 3,
   retryFloor: 20,
 };
@@ -166,13 +169,21 @@
   waitingTasks: number;
   /** Expected work not yet finished, ms, by priority and size class (see `findBacklogClass`). */
   readonly backlog: Map<number, number>;
-  /** The same by caller and team, as `caller/NAME` and `team/NAME`. */
+  /** Work let in since tasks began to wait, in the same classes. */
+  readonly arrivals: Map<number, number>;
+  /** Since when tasks have waited without a break, ms since the epoch. */
+  busySince: number;
+  /** The backlog by caller and team, as `caller/NAME` and `team/NAME`. */
   readonly shares: Map<string, number>;
   bytes: number;
   /** Answers held here that the agents have not been told of: indexes by agent and job. */
   readonly acks: Map<string, Map<string, number[]>>;
   /** When acknowledgements were last sent to all, ms since the epoch. */
   ackedAt: number;
+  /** When the waiting jobs were last judged again, ms since the epoch. */
+  shedAt: number;
+  /** Which agent is next to be told of waiting tasks. */
+  demandCursor: number;
   leaving: boolean;
   /** Starts and demands of this turn, completed with the entry's demand when the turn ends. */
   outbox: EntryEffect[];
@@ -216,10 +227,14 @@
     kinds: new Map(),
     waitingTasks: 0,
     backlog: new Map(),
+    arrivals: new Map(),
+    busySince: 0,
     shares: new Map(),
     bytes: 0,
     acks: new Map(),
     ackedAt: 0,
+    shedAt: 0,
+    demandCursor: 0,
     leaving: false,
     outbox: [],
   };
--- a/src/process/entry/finishTurn.ts
+++ b/src/process/entry/finishTurn.ts
@@ -1,5 +1,5 @@
 import type { Start } from '../../connection/messages.js';
-import type { AgentView, EntryEffect, EntryState } from './entryState.js';
+import type { AgentView, EntryEffect, EntryState, ReadyItem } from './entryState.js';
 
 /**
  * Ends a turn of the loop: tells the agents how much still waits, on the starts of the turn where there are
@@ -12,30 +12,52 @@
  */
 export function finishTurn(state: EntryState): readonly EntryEffect[] {
   const waiting = state.waitingTasks;
-  const headRank = findHeadRank(state);
+  const head = findHead(state);
+  const headRank = head?.rank ?? 0;
   fillStarts(state, waiting, headRank);
-  for (const agent of state.agents.values()) {
-    if (!agent.connected || agent.leaving || !isNews(agent, waiting, headRank)) continue;
-    noteTold(agent, waiting, headRank);
-    const message = { type: 'demand', waiting, headRank, used: agent.used } as const;
-    state.outbox.push({ type: 'send', to: agent.peer, message });
-  }
+  if (waiting === 0) tellIdle(state);
+  else tellUrgent(state, waiting, headRank, head?.job.queued.length ?? 0);
   const effects = state.outbox;
   state.outbox = [];
   return effects;
 }
 
-/** An agent must learn when tasks begin or cease to wait, and when a more urgent one does than it knows of. */
-function isNews(agent: AgentView, waiting: number, headRank: number): boolean {
-  if (waiting > 0 !== agent.toldWaiting > 0) return true;
-  return waiting > 0 && headRank < agent.toldHeadRank;
+/** Agents that believe that tasks wait learn that none does, so that others get their credits. */
+function tellIdle(state: EntryState): void {
+  for (const agent of state.agents.values()) {
+    if (agent.toldWaiting > 0) sendDemand(state, agent, 0, 0);
+  }
+}
+
+/**
+ * Agents learn of waiting tasks, or of a clearly more urgent one than they know of: as many agents as the most
+ * urgent job has tasks, in turn, since each can free a slot for one.
+ */
+function tellUrgent(state: EntryState, waiting: number, headRank: number, tasks: number): void {
+  const agents = [...state.agents.values()];
+  let left = tasks;
+  for (let step = 0; step < agents.length && left > 0; step += 1) {
+    const agent = agents[(state.demandCursor + step) % agents.length] as AgentView;
+    const known = agent.toldWaiting > 0 && headRank >= agent.toldHeadRank - state.limits.demandStepMs;
+    if (known || !agent.connected || agent.leaving) continue;
+    sendDemand(state, agent, waiting, headRank);
+    left -= 1;
+  }
+  state.demandCursor = (state.demandCursor + tasks) % Math.max(1, agents.length);
+}
+
+function sendDemand(state: EntryState, agent: AgentView, waiting: number, headRank: number): void {
+  if (!agent.connected || agent.leaving) return;
+  noteTold(agent, waiting, headRank);
+  const message = { type: 'demand', waiting, headRank, used: agent.used } as const;
+  state.outbox.push({ type: 'send', to: agent.peer, message });
 }
 
-function findHeadRank(state: EntryState): number {
+function findHead(state: EntryState): ReadyItem | undefined {
   for (;;) {
     const item = state.ready.peek();
-    if (!item) return 0;
-    if (item.rankVersion === item.job.rankVersion && item.job.queued.length > 0) return item.rank;
+    if (!item) return undefined;
+    if (item.rankVersion === item.job.rankVersion && item.job.queued.length > 0) return item;
     state.ready.pop();
   }
 }
--- a/src/process/entry/submitJob.ts
+++ b/src/process/entry/submitJob.ts
@@ -3,7 +3,8 @@
 import type { Job, JobAnswer, JobRequest } from '../../request/job.js';
 import { digestJob, findDifferences } from '../../request/digestJob.js';
 import type { EventConfig } from '../../version/configState.js';
-import { findShares, sumBacklogAhead } from './_lib/backlog.js';
+import { findShares, forecastAhead } from './_lib/backlog.js';
+import { countOwnSlots } from './_lib/countOwnSlots.js';
 import { changeJob, logDecision } from './_lib/jobChanges.js';
 import { deliverAnswer } from './_lib/endJob.js';
 import { startClaim } from './_lib/sendClaim.js';
@@ -111,30 +112,20 @@
   if (event.endAt > 0 && now >= event.endAt) return { reason: 'event-ended', retryAfterMs: 0 };
   const begin = Math.max(now, event.startAt);
   const workMs = job.remainingMs;
+  const { priority } = job;
+  const slots = countOwnSlots(state);
   return state.policy.admission.decideJob({
     workMs,
     longestMs: Math.max(...job.tasks.map((task) => task.expectedMs)),
     deadlineMs: job.deadline - begin,
-    aheadMs: sumBacklogAhead(state, job.priority, workMs),
-    slots: countOwnSlots(state),
+    aheadMs: forecastAhead(state, { priority, workMs, slots, now }),
+    slots,
     activeJobs: state.active.size,
     ...findShares(state, job),
     random: state.nextRandom(),
   });
 }
 
-/** The entry's even share of the slots, or what it uses now if that is more. */
-function countOwnSlots(state: EntryState): number {
-  let slots = 0;
-  let used = 0;
-  for (const agent of state.agents.values()) {
-    if (!agent.connected || agent.leaving) continue;
-    slots += agent.slots;
-    used += Math.min(agent.slots, agent.outstanding.size);
-  }
-  return Math.max(used, slots / Math.max(1, state.config.entries.length));
-}
-
 function answerCaller(state: EntryState, caller: string, job: string, answer: JobAnswer): void {
   logDecision(state, 'outcome', job, {
     outcome: answer.outcome,
--- a/src/process/entry/tickEntry.ts
+++ b/src/process/entry/tickEntry.ts
@@ -8,6 +8,7 @@
 import { loseAgent } from './entryLinks.js';
 import type { AgentView, EntryState } from './entryState.js';
 import { buildStart } from './placeTasks.js';
+import { shedJobs } from './shedJobs.js';
 import { repeatSweep } from './sweepJob.js';
 
 /** How long past the horizon an ended job is kept, in ms. */
@@ -25,6 +26,7 @@
 export function tickEntry(state: EntryState, now: number): void {
   for (const agent of [...state.agents.values()]) tickAgent(state, agent, now);
   for (const job of [...state.active]) tickJob(state, job, now);
+  shedJobs(state, now);
   announceClaims(state, now);
   flushAcks(state, now);
   expireAnswers(state, now);
@@ -41,7 +43,7 @@
     state.config.events.filter((event) => event.startAt <= now).map((event) => event.name),
   );
   for (const job of state.active) {
-    if (job.state === 'held' && started.has(job.event)) runJob(state, job);
+    if (job.state === 'held' && started.has(job.event)) runJob(state, job, now);
   }
 }
 
@@ -82,7 +84,7 @@
   const event = state.config.events.find((one) => one.name === job.event);
   if (!event) return failJob(state, job, 'event-gone', now);
   if (event.endAt > 0 && event.endAt <= now) return expireJob(state, job, 'event-ended', now);
-  if (event.startAt <= now) runJob(state, job);
+  if (event.startAt <= now) runJob(state, job, now);
 }
 
 /** Forgets ended jobs past the horizon, and drops the oldest answers while too many bytes are held. */
--- a/src/process/settings/schema.ts
+++ b/src/process/settings/schema.ts
@@ -64,6 +64,7 @@
     admission: { type: 'string', enum: ['lateness', 'full-table'], default: 'lateness' },
     priorityStepMs: { ...MS, default: 100_000 },
     ageWeight: { ...MS, default: 0.2 },
+    demandStepMs: { ...MS, default: 300 },
   },
 } as const;
 
--- a/src/process/settings/settings.ts
+++ b/src/process/settings/settings.ts
@@ -48,6 +48,8 @@
   readonly admission: 'lateness' | 'full-table';
   readonly priorityStepMs: number;
   readonly ageWeight: number;
+  /** How much more urgent, in ms of rank, a waiting task must be for the agents to be told. */
+  readonly demandStepMs: number;
 }
 
 /** Settings of an agent. */
