Tick by need, read the log by role, specify the entry

Ruled out: the decision core (0.5 ms/s) and JSON. Change: ticks every 250 ms while nothing waits for time, 50 ms otherwise; the live list every 1.5 s; agents that are no registrars read the log every 10 s.

--- a/src/process/DaemonBase.ts
+++ b/src/process/DaemonBase.ts
@@ -15,7 +15,7 @@
 import type { LiveVm } from '../connection/PlatformClient.js';
 import type { LogEntry, LogRecord } from '../version/logRecord.js';
 import { createIncarnation } from './createIncarnation.js';
-import { LogFollower } from './LogFollower.js';
+import { LEASED_POLL_MS, LogFollower } from './LogFollower.js';
 import { createLogger } from './logger.js';
 import type { LineSink, ProcessLogger } from './logger.js';
 import { createMetrics } from './metrics.js';
@@ -38,6 +38,8 @@
 export interface DaemonOptions {
   /** Where log lines go; standard output by default. */
   readonly sink?: LineSink;
+  /** How long the platform may hold an empty read of the log, ms. */
+  readonly pollMs?: number;
   /** Called instead of ending the process when the daemon cannot go on. */
   readonly onFailure?: (error: unknown) => void;
 }
@@ -74,15 +76,17 @@
       refuse: (reason) => this.logger.warn('link-refused', { reason }),
     });
     const tick = (now: number): void => this.tick(now);
+    const isBusy = (): boolean => this.isBusy();
     const end = (now: number): void => this.endTurn(now);
     const fail = (error: unknown): void => this.fail(error);
     const pause = (gapMs: number): void => this.notePause(gapMs);
-    this.turns = new Turns({ tick, end, pause, fail }, settings.pauseBoundMs);
+    this.turns = new Turns({ tick, isBusy, end, pause, fail }, settings.pauseBoundMs);
     this.life = createActor(processMachine);
     this.follower = new LogFollower(this.platform, {
       nextOffset: () => this.configOffset + 1,
       apply: (entries, sentAt) => this.turns.run(() => this.applyLog(entries, sentAt)),
       now: readClock,
+      pollMs: options.pollMs ?? LEASED_POLL_MS,
     });
     this.server = createServer((request, response) => this.handleHttp(request, response));
   }
@@ -171,6 +175,8 @@
   protected abstract receive(peer: string, messages: readonly Message[], now: number): void;
   protected abstract applyLog(entries: readonly LogEntry[], now: number): void;
   protected abstract tick(now: number): void;
+  /** Whether ticks have to come often. */
+  protected abstract isBusy(): boolean;
   protected abstract endTurn(now: number): void;
   protected abstract revalidate(): void;
   protected abstract beginLeaving(): Promise<void>;
--- a/src/process/LogFollower.ts
+++ b/src/process/LogFollower.ts
@@ -5,7 +5,9 @@
 import type { LogEntry } from '../version/logRecord.js';
 
 /** How long the platform may hold an empty read, ms; well under the lease, which a read renews. */
-const POLL_MS = 1_000;
+export const LEASED_POLL_MS = 1_000;
+/** The same for a process that holds no lease: it only keeps the configuration for its peers. */
+export const IDLE_POLL_MS = 10_000;
 /** Wait after a failed read, ms. */
 const RETRY_MS = 250;
 
@@ -16,6 +18,8 @@
   /** Records of one read, possibly none; `sentAt` is when the read was sent. */
   readonly apply: (entries: readonly LogEntry[], sentAt: number) => void;
   readonly now: () => number;
+  /** How long the platform may hold an empty read, ms. */
+  readonly pollMs: number;
 }
 
 /** Long-polls the log. */
@@ -32,7 +36,7 @@
     while (!this.stopped) {
       try {
         const sentAt = this.reader.now();
-        const entries = await this.platform.readLog(this.reader.nextOffset(), POLL_MS);
+        const entries = await this.platform.readLog(this.reader.nextOffset(), this.reader.pollMs);
         if (!this.stopped) this.reader.apply(entries, sentAt);
       } catch {
         await sleep(RETRY_MS);
--- a/src/process/agent/AgentDaemon.ts
+++ b/src/process/agent/AgentDaemon.ts
@@ -6,6 +6,7 @@
 import type { LogEntry } from '../../version/logRecord.js';
 import { DaemonBase } from '../DaemonBase.js';
 import type { DaemonOptions } from '../DaemonBase.js';
+import { IDLE_POLL_MS, LEASED_POLL_MS } from '../LogFollower.js';
 import type { AgentSettings } from '../settings/settings.js';
 import { AgentNode } from './AgentNode.js';
 import type { AgentNodeEffect } from './AgentNode.js';
@@ -24,7 +25,7 @@
     protected override readonly settings: AgentSettings,
     options: DaemonOptions = {},
   ) {
-    super(settings, options);
+    super(settings, { pollMs: settings.registrar ? LEASED_POLL_MS : IDLE_POLL_MS, ...options });
     this.upstream = new UpstreamClient(settings.upstreamUrl, settings);
   }
 
@@ -85,6 +86,11 @@
     this.node.tick(now);
   }
 
+  protected override isBusy(): boolean {
+    // Only expiry and membership wait for time; neither is urgent.
+    return false;
+  }
+
   protected override endTurn(): void {
     for (const effect of this.node.takeEffects()) this.carryOut(effect);
     this.hub.flush();
--- a/src/process/entry/EntryDaemon.ts
+++ b/src/process/entry/EntryDaemon.ts
@@ -27,7 +27,7 @@
 import type { EntryLimits, EntryPolicy } from './entryState.js';
 
 /** Between two readings of the live list, ms. */
-const LIVE_MS = 1_000;
+const LIVE_MS = 1_500;
 /** How long a leaving entry still takes jobs, so that the balancer can notice, ms. */
 const LEAVE_GRACE_MS = 2_000;
 /** Longest wait until the log shows that a leaving entry is no member any more, ms. */
@@ -118,6 +118,10 @@
     this.node.tick(now);
   }
 
+  protected override isBusy(): boolean {
+    return this.node.state.active.size > 0 || !this.node.isMember;
+  }
+
   protected override endTurn(now: number): void {
     for (const effect of this.node.takeEffects(now)) this.carryOut(effect);
     this.hub.flush();
--- a/src/process/entry/EntryNode.ts
+++ b/src/process/entry/EntryNode.ts
@@ -24,8 +24,8 @@
 import { handleSwept } from './sweepJob.js';
 import { releaseHeld, tickEntry } from './tickEntry.js';
 
-/** Every so many heartbeats go out even on busy links; three stay within the lease. */
-const FULL_BEAT = 3;
+/** Share of the lease after which a heartbeat goes out even on a busy link. */
+const FULL_BEAT_SHARE = 0.75;
 
 /** Times of an entry's membership, ms. */
 export interface EntryMembership {
@@ -253,7 +253,8 @@
   private sendHeartbeats(now: number): void {
     this.beats += 1;
     const message = this.buildHeartbeat(true, now);
-    const toAll = !message.heardLog || this.beats % FULL_BEAT === 0;
+    const every = Math.floor((FULL_BEAT_SHARE * this.state.limits.leaseMs) / this.membership.heartbeatMs);
+    const toAll = !message.heardLog || this.beats % Math.max(1, every) === 0;
     for (const { peer } of listMembers(this.state.config)) {
       const view = this.state.peers.get(peer);
       if (!view?.connected) continue;
