--- a/bench/defects.ts
+++ b/bench/defects.ts
@@ -84,6 +84,12 @@
     find: 'if (!isTenureComplete(state, tenure))',
     replace: 'if (false)',
   },
+  {
+    name: 'the last part of an announcement counts as the whole',
+    file: 'src/process/registrar/handleAnnounce.js',
+    find: 'return current.recorded.size === parts;',
+    replace: 'return part === parts - 1;',
+  },
   {
     name: 'a new registrar forgets the claims of entries that are gone',
     file: 'src/process/registrar/handleClaim.js',
@@ -95,7 +101,8 @@
     file: 'src/process/entry/submitJob.js',
     find: "startClaim(state, job, job.refusal ? 'lookup' : 'claim', now);\n}\n/** Twice",
     replace:
-      "if (job.refusal) refuseJob(state, job, job.refusal, now); else startClaim(state, job, 'claim', now);\n}\n/** Twice",
+      "if (!job.refusal) return startClaim(state, job, 'claim', now); changeJob(job, 'refuse'); " +
+      "state.active.delete(job); job.answer = { outcome: 'refused', ...job.refusal }; deliverAnswer(state, job);\n}\n/** Twice",
   },
 ];
 
--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -200,6 +200,7 @@
   readonly epoch: Epoch;
   readonly digest: string;
   readonly setId: number;
+  /** Agents that owners may have used; empty for just those of the set. */
   readonly members: readonly string[];
 }
 
@@ -208,8 +209,11 @@
   readonly type: 'announce';
   readonly offset: number;
   readonly claims: readonly OwnedClaim[];
-  /** True on the last part. */
-  readonly complete: boolean;
+  /** Tells this announcement from a repeat, whose parts may be cut differently. */
+  readonly id: number;
+  /** Which part this is, from 0, and of how many. */
+  readonly part: number;
+  readonly parts: number;
 }
 
 /** Registrar to entry: the announcement as of this offset is recorded. */
--- a/src/connection/wire.generated.d.ts
+++ b/src/connection/wire.generated.d.ts
@@ -1392,8 +1392,14 @@
         /** Announce claims */
         claims?: (marblehall.IOwnedClaim[]|null);
 
-        /** Announce complete */
-        complete?: (boolean|null);
+        /** Announce id */
+        id?: (number|null);
+
+        /** Announce part */
+        part?: (number|null);
+
+        /** Announce parts */
+        parts?: (number|null);
     }
 
     /** Represents an Announce. */
@@ -1411,8 +1417,14 @@
         /** Announce claims. */
         public claims: marblehall.IOwnedClaim[];
 
-        /** Announce complete. */
-        public complete: boolean;
+        /** Announce id. */
+        public id: number;
+
+        /** Announce part. */
+        public part: number;
+
+        /** Announce parts. */
+        public parts: number;
 
         /**
          * Encodes the specified Announce message. Does not implicitly {@link marblehall.Announce.verify|verify} messages.
--- a/src/connection/wire.generated.js
+++ b/src/connection/wire.generated.js
@@ -3703,7 +3703,9 @@
          * @interface IAnnounce
          * @property {number|null} [offset] Announce offset
          * @property {Array.<marblehall.IOwnedClaim>|null} [claims] Announce claims
-         * @property {boolean|null} [complete] Announce complete
+         * @property {number|null} [id] Announce id
+         * @property {number|null} [part] Announce part
+         * @property {number|null} [parts] Announce parts
          */
 
         /**
@@ -3739,12 +3741,28 @@
         Announce.prototype.claims = $util.emptyArray;
 
         /**
-         * Announce complete.
-         * @member {boolean} complete
+         * Announce id.
+         * @member {number} id
+         * @memberof marblehall.Announce
+         * @instance
+         */
+        Announce.prototype.id = 0;
+
+        /**
+         * Announce part.
+         * @member {number} part
          * @memberof marblehall.Announce
          * @instance
          */
-        Announce.prototype.complete = false;
+        Announce.prototype.part = 0;
+
+        /**
+         * Announce parts.
+         * @member {number} parts
+         * @memberof marblehall.Announce
+         * @instance
+         */
+        Announce.prototype.parts = 0;
 
         /**
          * Encodes the specified Announce message. Does not implicitly {@link marblehall.Announce.verify|verify} messages.
@@ -3767,8 +3785,12 @@
             if (message.claims != null && message.claims.length)
                 for (let i = 0; i < message.claims.length; ++i)
                     $root.marblehall.OwnedClaim.encode(message.claims[i], writer.uint32(/* id 2, wireType 2 =*/18).fork(), q + 1).ldelim();
-            if (message.complete != null && Object.hasOwnProperty.call(message, "complete"))
-                writer.uint32(/* id 3, wireType 0 =*/24).bool(message.complete);
+            if (message.id != null && Object.hasOwnProperty.call(message, "id"))
+                writer.uint32(/* id 3, wireType 1 =*/25).double(message.id);
+            if (message.part != null && Object.hasOwnProperty.call(message, "part"))
+                writer.uint32(/* id 4, wireType 0 =*/32).uint32(message.part);
+            if (message.parts != null && Object.hasOwnProperty.call(message, "parts"))
+                writer.uint32(/* id 5, wireType 0 =*/40).uint32(message.parts);
             return writer;
         };
 
@@ -3817,7 +3839,15 @@
                         break;
                     }
                 case 3: {
-                        message.complete = reader.bool();
+                        message.id = reader.double();
+                        break;
+                    }
+                case 4: {
+                        message.part = reader.uint32();
+                        break;
+                    }
+                case 5: {
+                        message.parts = reader.uint32();
                         break;
                     }
                 default:
--- a/src/process/entry/applyEntryConfig.ts
+++ b/src/process/entry/applyEntryConfig.ts
@@ -5,9 +5,6 @@
 import { isOwned } from './_lib/jobChanges.js';
 import type { EntryState } from './entryState.js';
 
-/** Claims in one part of an announcement. */
-const CLAIMS_PER_PART = 500;
-
 /**
  * Takes a newer configuration into use. Answers of registrars that lost a seat no longer count, and the new
  * holders are told the claims that this entry owns.
@@ -70,19 +67,31 @@
 
 function sendAnnounce(state: EntryState, registrar: string): void {
   const claims: OwnedClaim[] = [];
+  const setIds = new Set<number>();
   for (const job of state.jobs.values()) {
     if (!isOwned(job) || state.config.seats[findSeat(job.key)]?.peer !== registrar) continue;
-    const { key, createdAt, epoch, digest, setId, members } = job;
+    const { key, createdAt, epoch, digest, setId } = job;
+    // Most jobs may use just the agents of their set, which is named by its number.
+    const members = job.members === state.sets.get(setId) ? [] : job.members;
+    if (members.length === 0) setIds.add(setId);
     claims.push({ job: key, createdAt, epoch, digest, setId, members });
   }
+  for (const setId of setIds) {
+    const message = { type: 'agentSet', setId, members: state.sets.get(setId) ?? [] } as const;
+    state.outbox.push({ type: 'send', to: registrar, message });
+  }
+  sendParts(state, registrar, claims);
+}
+
+function sendParts(state: EntryState, registrar: string, claims: readonly OwnedClaim[]): void {
   const { offset } = state.config;
-  for (let from = 0; from === 0 || from < claims.length; from += CLAIMS_PER_PART) {
-    const complete = from + CLAIMS_PER_PART >= claims.length;
-    const part = claims.slice(from, from + CLAIMS_PER_PART);
-    state.outbox.push({
-      type: 'send',
-      to: registrar,
-      message: { type: 'announce', offset, claims: part, complete },
-    });
+  const { claimsPerPart } = state.limits;
+  const id = state.nextId;
+  state.nextId += 1;
+  const parts = Math.max(1, Math.ceil(claims.length / claimsPerPart));
+  for (let part = 0; part < parts; part += 1) {
+    const own = claims.slice(part * claimsPerPart, (part + 1) * claimsPerPart);
+    const message = { type: 'announce', offset, claims: own, id, part, parts } as const;
+    state.outbox.push({ type: 'send', to: registrar, message });
   }
 }
--- a/src/process/entry/entryState.ts
+++ b/src/process/entry/entryState.ts
@@ -27,6 +27,8 @@
   readonly takeoverAfterMs: number;
   /** Wait before an unrecorded announcement is sent again. */
   readonly announceRepeatMs: number;
+  /** Claims in one message of an announcement. */
+  readonly claimsPerPart: number;
   /** Wait before an unanswered attach or sweep is sent again. */
   readonly repeatMs: number;
   /** How long a sweep waits for an agent. */
@@ -57,6 +59,7 @@
   silentAfterMs: 2_500,
   takeoverAfterMs: 1_500,
   announceRepeatMs: 100,
+  claimsPerPart: 500,
   repeatMs: 500,
   sweepTimeoutMs: 1_500,
   agentLostMs: 2_500,
--- a/src/process/registrar/handleAnnounce.ts
+++ b/src/process/registrar/handleAnnounce.ts
@@ -1,5 +1,5 @@
 import { compareEpochs } from '../../connection/compareEpochs.js';
-import type { AgentSet, Announce } from '../../connection/messages.js';
+import type { AgentSet, Announce, OwnedClaim } from '../../connection/messages.js';
 import { findSeat } from '../../version/findSeat.js';
 import type { RegistrarState } from './registrarState.js';
 
@@ -9,27 +9,48 @@
  * @param state - the registrar's state
  * @param from - the entry
  * @param announce - one part of its announcement
- * @returns false when the registrar does not know the entry's configuration yet; the entry repeats it
+ * @returns false when the registrar does not know the entry's configuration or agent sets yet; the entry repeats it
  * @example
- * handleAnnounce(state, 'entry-1@a', { type: 'announce', offset: 3, claims: [], complete: true });
+ * handleAnnounce(state, 'entry-1@a', { type: 'announce', offset: 3, claims: [], id: 1, part: 0, parts: 1 });
  */
 export function handleAnnounce(state: RegistrarState, from: string, announce: Announce): boolean {
   if (announce.offset > state.config.offset) return false;
   if (!state.config.entries.some((entry) => entry.peer === from)) return false;
-  for (const { job, createdAt, epoch, digest, members } of announce.claims) {
-    const tenure = state.config.seats[findSeat(job)];
-    if (tenure?.peer !== state.peer || tenure.sinceOffset > announce.offset) continue;
-    const known = state.claims.get(job);
-    if (known && compareEpochs(known.epoch, epoch) >= 0) continue;
-    state.claims.set(job, { job, createdAt, digest, owner: from, epoch, members, announced: true });
-  }
+  if (announce.claims.some((claim) => findMembers(state, from, claim) === undefined)) return false;
+  for (const claim of announce.claims) recordAnnounced(state, from, claim, announce.offset);
   const before = state.announced.get(from) ?? -1;
-  if (!announce.complete) return true;
+  if (!notePart(state, from, announce)) return true;
   state.announced.set(from, Math.max(before, announce.offset));
   state.outbox.push({ to: from, message: { type: 'announced', offset: announce.offset } });
   return true;
 }
 
+/** The agents that an announced claim may have used; undefined when its set has not arrived. */
+function findMembers(state: RegistrarState, from: string, claim: OwnedClaim): readonly string[] | undefined {
+  return claim.members.length > 0 ? claim.members : state.sets.get(`${from}/${claim.setId}`);
+}
+
+/** Notes one part, and tells whether the announcement is whole. */
+function notePart(state: RegistrarState, from: string, announce: Announce): boolean {
+  const { id, part, parts } = announce;
+  const known = state.parts.get(from);
+  if (known && known.id > id) return false;
+  const current = known?.id === id ? known : { id, recorded: new Set<number>() };
+  state.parts.set(from, current);
+  current.recorded.add(part);
+  return current.recorded.size === parts;
+}
+
+function recordAnnounced(state: RegistrarState, from: string, claim: OwnedClaim, offset: number): void {
+  const { job, createdAt, epoch, digest } = claim;
+  const tenure = state.config.seats[findSeat(job)];
+  if (tenure?.peer !== state.peer || tenure.sinceOffset > offset) return;
+  const known = state.claims.get(job);
+  if (known && compareEpochs(known.epoch, epoch) >= 0) return;
+  const members = findMembers(state, from, claim) ?? [];
+  state.claims.set(job, { job, createdAt, digest, owner: from, epoch, members, announced: true });
+}
+
 /**
  * Learns the members of an agent set, to which claims refer by number.
  *
--- a/src/process/registrar/handleClaim.test.ts
+++ b/src/process/registrar/handleClaim.test.ts
@@ -102,10 +102,37 @@
       setId: 1,
       members: ['m'],
     };
-    handleAnnounce(state, FIRST, { type: 'announce', offset: 2, claims: [owned], complete: true });
+    handleAnnounce(state, FIRST, { type: 'announce', offset: 2, claims: [owned], id: 1, part: 0, parts: 1 });
     expect(claim(state, SECOND)).to.include({ outcome: 'owned', owner: FIRST });
   });
 
+  it('counts an announcement only when all its parts have arrived', () => {
+    const state = createRegistrarState(SELF, DEFAULT_REGISTRAR_LIMITS, createConfigState());
+    applyRecords(state, join('entry', FIRST), join('registrar', SELF), join('entry', SECOND));
+    renewLease(state, NOW);
+    handleAgentSet(state, SECOND, { type: 'agentSet', setId: 1, members: [] });
+    const part = (id: number, number: number): void => {
+      handleAnnounce(state, FIRST, { type: 'announce', offset: 2, claims: [], id, part: number, parts: 2 });
+    };
+    part(1, 1);
+    part(2, 0);
+    expect(claim(state, SECOND).outcome).to.equal('pending');
+    part(2, 1);
+    expect(claim(state, SECOND).outcome).to.equal('granted');
+  });
+
+  it('does not record claims of an agent set that it was not told', () => {
+    const state = createRegistrarState(SELF, DEFAULT_REGISTRAR_LIMITS, createConfigState());
+    applyRecords(state, join('entry', FIRST), join('registrar', SELF));
+    const epoch = { version: 0, counter: 4 };
+    const owned = { job: 'job-1', createdAt: NOW, epoch, digest: 'd', setId: 7, members: [] };
+    const announce = { type: 'announce', offset: 1, claims: [owned], id: 1, part: 0, parts: 1 } as const;
+    expect(handleAnnounce(state, FIRST, announce)).to.equal(false);
+    handleAgentSet(state, FIRST, { type: 'agentSet', setId: 7, members: ['m'] });
+    expect(handleAnnounce(state, FIRST, announce)).to.equal(true);
+    expect(state.claims.get('job-1')?.members).to.deep.equal(['m']);
+  });
+
   it('does not run an old key whose entry was removed before it announced', () => {
     const state = createRegistrarState(SELF, DEFAULT_REGISTRAR_LIMITS, createConfigState());
     const gone: LogRecord = { type: 'leave', id: 'gone', peer: FIRST };
--- a/src/process/registrar/registrarState.ts
+++ b/src/process/registrar/registrarState.ts
@@ -35,6 +35,12 @@
   members: readonly string[];
 }
 
+/** How much of an announcement has arrived. */
+export interface AnnouncedParts {
+  readonly id: number;
+  readonly recorded: Set<number>;
+}
+
 /** State of a registrar. The functions of this folder change the state that is passed to them. */
 export interface RegistrarState {
   readonly peer: string;
@@ -44,6 +50,8 @@
   readonly sets: Map<string, readonly string[]>;
   /** Offset of each entry's last complete announcement. */
   readonly announced: Map<string, number>;
+  /** Parts of each entry's newest announcement that have been recorded. */
+  readonly parts: Map<string, AnnouncedParts>;
   config: ConfigState;
   /** Counter of the last granted epoch. */
   counter: number;
@@ -74,6 +82,7 @@
     claims: new Map(),
     sets: new Map(),
     announced: new Map(),
+    parts: new Map(),
     config,
     counter: 0,
     heardAt: Number.NEGATIVE_INFINITY,
--- a/test/fakes/FakeWorld.ts
+++ b/test/fakes/FakeWorld.ts
@@ -257,8 +257,9 @@
       failureDomain: `d${domain}`,
       snapshotEvery: 10,
     };
-    // Links of the fake lose single messages, which real ones do not: ask again sooner.
-    const limits = { ...DEFAULT_ENTRY_LIMITS, askAgainMs: 2_000 };
+    // Links of the fake lose single messages, which real ones do not: ask again sooner. Announcements come in
+    // many parts, as they do at a fleet's size.
+    const limits = { ...DEFAULT_ENTRY_LIMITS, askAgainMs: 2_000, claimsPerPart: 2 };
     return new EntryNode(peer, limits, membership, {
       policy,
       nextRandom: () => this.nextRandom(),
