--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'dist-defect/**', 'docs/api/**', 'reports/**', '**/*.generated.*'] },
+  { ignores: ['dist/**', 'target/**', 'dist-defect/**', 'docs/api/**', 'reports/**', '**/*.generated.*'] },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- a/src/bin/commands/query.ts
+++ b/src/bin/commands/query.ts
@@ -1,5 +1,4 @@
 import type { CAC } from 'cac';
-import { request } from 'undici';
 
 import { EXIT_FAILED } from '../exitCodes.js';
 
@@ -30,6 +29,7 @@
       const secret = flags.secret ?? process.env['MARBLEHALL_SECRET'] ?? '';
       const headers = { authorization: `Bearer ${secret}`, 'content-type': 'application/json' };
       const body = JSON.stringify({ text });
+      const { request } = await import('undici');
       const response = await request(`${flags.entry}/v1/commands`, { method: 'POST', body, headers });
       const answer = (await response.body.json()) as QueryAnswer;
       if (response.statusCode !== 200) process.exitCode = EXIT_FAILED;
--- a/src/bin/commands/submit.ts
+++ b/src/bin/commands/submit.ts
@@ -1,7 +1,6 @@
 import { readFile } from 'node:fs/promises';
 
 import type { CAC } from 'cac';
-import { request } from 'undici';
 import { v7 as createUuid } from 'uuid';
 
 import { EXIT_FAILED } from '../exitCodes.js';
@@ -21,6 +20,7 @@
     .option('--entry <url>', 'address of an entry', { default: 'http://127.0.0.1:7420' })
     .action(async (file: string, { entry }: SubmitFlags) => {
       const job = { job: createUuid(), ...(JSON.parse(await readFile(file, 'utf8')) as object) };
+      const { request } = await import('undici');
       const response = await request(`${entry}/v1/jobs`, {
         method: 'POST',
         body: JSON.stringify(job),
--- /dev/null
+++ b/src/connection/peer/LineChannel.ts
@@ -0,0 +1,84 @@
+/** One TCP connection that carries a JSON message a line, written together once a turn. */
+import type { Socket } from 'node:net';
+
+import type { PeerMessage } from './peerMessages.js';
+
+/** Longest line that is read, characters. */
+const MAX_LINE = 4 * 1024 * 1024;
+/** Bytes that may wait for a peer that does not read. */
+const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+
+/** What a channel tells its owner. */
+export interface ChannelEvents {
+  readonly receive: (message: PeerMessage) => void;
+  readonly close: (reason: string) => void;
+}
+
+/** A connection to a peer. */
+export class LineChannel {
+  private rest = '';
+  private outgoing: string[] = [];
+  private closed = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly events: ChannelEvents,
+  ) {
+    socket.setNoDelay(true);
+    socket.setEncoding('utf8');
+    socket.on('data', (text: string) => this.read(text));
+    socket.on('error', (error: NodeJS.ErrnoException) => this.close(error.code ?? error.message));
+    socket.on('end', () => this.close('ended'));
+    socket.on('close', () => this.close('closed'));
+  }
+
+  /** Whether messages can still be sent. */
+  get isOpen(): boolean {
+    return !this.closed;
+  }
+
+  /** Queues a message; all of a turn are written together. */
+  send(message: PeerMessage): void {
+    if (this.closed) return;
+    if (this.outgoing.length === 0) setImmediate(() => this.flush());
+    this.outgoing.push(JSON.stringify(message));
+  }
+
+  /** Writes what is queued. */
+  flush(): void {
+    if (this.closed || this.outgoing.length === 0) return;
+    const text = `${this.outgoing.join('\n')}\n`;
+    this.outgoing = [];
+    this.socket.write(text);
+    if (this.socket.writableLength > MAX_UNSENT_BYTES) this.close('peer does not read');
+  }
+
+  /** Ends the connection at once; `close` is told once. */
+  close(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.socket.destroy();
+    this.events.close(reason);
+  }
+
+  private read(text: string): void {
+    const lines = (this.rest + text).split('\n');
+    this.rest = lines.pop() ?? '';
+    if (this.rest.length > MAX_LINE) return this.close('line too long');
+    for (const line of lines) {
+      if (this.closed) return;
+      const message = parseMessage(line);
+      if (!message) return this.close('not a message');
+      this.events.receive(message);
+    }
+  }
+}
+
+function parseMessage(line: string): PeerMessage | undefined {
+  try {
+    const value = JSON.parse(line) as PeerMessage | null;
+    return typeof value === 'object' && value !== null && typeof value.type === 'string' ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/connection/peer/PeerDialer.ts
@@ -0,0 +1,130 @@
+/** Keeps a channel to each of a changing set of addresses, dialing again when one breaks. */
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+
+import { LineChannel } from './LineChannel.js';
+import type { PeerMessage } from './peerMessages.js';
+
+/** How long one dial may take, ms: a cut link says nothing. */
+const DIAL_TIMEOUT_MS = 500;
+/** Shortest and longest pause between two dials, ms. */
+const FIRST_RETRY_MS = 50;
+const LAST_RETRY_MS = 800;
+
+/** What a dialer tells its owner. */
+export interface DialerEvents {
+  readonly open: (address: string, channel: LineChannel) => void;
+  readonly receive: (address: string, message: PeerMessage) => void;
+  readonly close: (address: string, reason: string) => void;
+}
+
+interface DialedPeer {
+  channel: LineChannel | undefined;
+  socket: Socket | undefined;
+  retryMs: number;
+  timer: NodeJS.Timeout | undefined;
+  /** When dialing began to fail, ms of the monotonic clock; undefined while linked. */
+  failingSince: number | undefined;
+}
+
+/** Dials peers. */
+export class PeerDialer {
+  private readonly peers = new Map<string, DialedPeer>();
+  private stopped = false;
+
+  constructor(
+    private readonly events: DialerEvents,
+    private readonly nextRandom: () => number,
+    private readonly now: () => number,
+  ) {}
+
+  /** Addresses that are kept, linked or not. */
+  get addresses(): string[] {
+    return [...this.peers.keys()];
+  }
+
+  /** Starts to keep a channel to an address. */
+  keep(address: string): void {
+    if (this.peers.has(address) || this.stopped) return;
+    const peer: DialedPeer = {
+      channel: undefined,
+      socket: undefined,
+      retryMs: FIRST_RETRY_MS,
+      timer: undefined,
+      failingSince: this.now(),
+    };
+    this.peers.set(address, peer);
+    this.dial(address, peer);
+  }
+
+  /** Ends the channel to an address and forgets it. */
+  forget(address: string): void {
+    const peer = this.peers.get(address);
+    if (!peer) return;
+    this.peers.delete(address);
+    clearTimeout(peer.timer);
+    peer.socket?.destroy();
+    peer.channel?.close('forgotten');
+  }
+
+  /** How long an address could not be reached, ms; 0 while it is linked. */
+  findSilence(address: string): number {
+    const since = this.peers.get(address)?.failingSince;
+    return since === undefined ? 0 : this.now() - since;
+  }
+
+  /** Ends all channels. */
+  stop(): void {
+    this.stopped = true;
+    for (const address of this.addresses) this.forget(address);
+  }
+
+  private dial(address: string, peer: DialedPeer): void {
+    const at = address.lastIndexOf(':');
+    const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
+    peer.socket = socket;
+    let settled = false;
+    const settle = (): boolean => {
+      if (settled) return false;
+      settled = true;
+      clearTimeout(timer);
+      peer.socket = undefined;
+      return true;
+    };
+    const fail = (): void => {
+      if (!settle()) return;
+      socket.destroy();
+      this.scheduleDial(address, peer);
+    };
+    const timer = setTimeout(fail, DIAL_TIMEOUT_MS);
+    socket.on('error', fail);
+    socket.once('close', fail);
+    socket.once('connect', () => {
+      if (settle()) this.open(address, peer, socket);
+    });
+  }
+
+  private open(address: string, peer: DialedPeer, socket: Socket): void {
+    if (this.peers.get(address) !== peer) return void socket.destroy();
+    const channel = new LineChannel(socket, {
+      receive: (message) => this.events.receive(address, message),
+      close: (reason) => {
+        peer.channel = undefined;
+        peer.failingSince = this.now();
+        this.events.close(address, reason);
+        if (this.peers.get(address) === peer) this.scheduleDial(address, peer);
+      },
+    });
+    peer.channel = channel;
+    peer.retryMs = FIRST_RETRY_MS;
+    peer.failingSince = undefined;
+    this.events.open(address, channel);
+  }
+
+  private scheduleDial(address: string, peer: DialedPeer): void {
+    if (this.stopped || this.peers.get(address) !== peer) return;
+    const pause = peer.retryMs * (0.75 + 0.5 * this.nextRandom());
+    peer.retryMs = Math.min(LAST_RETRY_MS, peer.retryMs * 2);
+    peer.timer = setTimeout(() => this.dial(address, peer), pause);
+  }
+}
--- /dev/null
+++ b/src/connection/peer/peerMessages.ts
@@ -0,0 +1,170 @@
+/**
+ * What agents and entries say to each other. An agent dials every entry it knows; both write one JSON message a
+ * line. Times called `at` are on the agent's monotonic clock in ms; no clock is ever compared with another's.
+ */
+import type { Resources } from '../../request/dispatch/submission.js';
+import type { Configuration } from '../../version/configuration.js';
+
+/** Names one attempt of an entry to have a task run. */
+export interface AttemptName {
+  readonly job: string;
+  readonly step: number;
+  readonly index: number;
+  /** Counts the entry's attempts at the task, from 1. */
+  readonly attempt: number;
+}
+
+/** Whether an upstream takes work. */
+export type UpstreamState = 'absent' | 'joining' | 'ready' | 'draining';
+
+/** How far an agent trusts its upstream with work, from what it did of late. */
+export type UpstreamTrust = 'healthy' | 'probation' | 'suspect';
+
+/** What an agent's upstream has left. */
+export interface RoomReport {
+  readonly upstream: string;
+  readonly service: string;
+  readonly labels: readonly string[];
+  readonly state: UpstreamState;
+  readonly trust: UpstreamTrust;
+  readonly capacity: Resources;
+  readonly free: Resources;
+  /** Starts of the addressed entry that are counted in `free`, since its link opened. */
+  readonly startsSeen: number;
+  /** Work done per ms of run time, in ms of the callers' estimates; 1 where estimates are exact. */
+  readonly speed: number;
+}
+
+/** Progress of a running attempt. */
+export interface AttemptProgress {
+  readonly name: AttemptName;
+  /** 0 to 100. */
+  readonly percent: number;
+  /** Time for which the percentage has not changed, ms. */
+  readonly stalledMs: number;
+}
+
+/** First message of an agent on a link. */
+export interface AgentHello {
+  readonly type: 'agent-hello';
+  readonly agent: string;
+  /** Differs between two lives of the process. */
+  readonly life: string;
+  readonly failureDomain: string;
+  /** Attempts of the addressed entry that the agent still holds. */
+  readonly holding: readonly AttemptName[];
+  /** Life of the entry that `holding` belongs to; empty if none. */
+  readonly entryLife: string;
+  /** Results of the last seconds; those told on a link that broke may be lost. */
+  readonly results: readonly AttemptResult[];
+  /** Longest time after an unechoed ping for which anything of the entry can still run there, ms. */
+  readonly orphanMs: number;
+}
+
+/** First message of an entry on a link that an agent dialed. */
+export interface EntryWelcome {
+  readonly type: 'entry-welcome';
+  readonly entry: string;
+  readonly life: string;
+  /** `host:port` for links. */
+  readonly address: string;
+}
+
+/** First message of an entry that dials another one to make itself known. */
+export interface EntryHello {
+  readonly type: 'entry-hello';
+  readonly entry: string;
+  readonly address: string;
+}
+
+/** Regular sign of life of an agent. */
+export interface Ping {
+  readonly type: 'ping';
+  readonly at: number;
+  readonly room: RoomReport;
+  readonly progress: readonly AttemptProgress[];
+}
+
+/** Echo of a ping: proves that the entry lived after it was sent. */
+export interface Pong {
+  readonly type: 'pong';
+  readonly at: number;
+}
+
+/** Room that changed between two pings. */
+export interface RoomChange {
+  readonly type: 'room';
+  readonly at: number;
+  readonly room: RoomReport;
+}
+
+/** Order to run an attempt. */
+export interface StartOrder {
+  readonly type: 'start';
+  readonly name: AttemptName;
+  readonly service: string;
+  readonly spec: string;
+  readonly resources: Resources;
+  readonly estimateMs: number;
+  /** Lower goes first among what waits at the agent. */
+  readonly rank: number;
+  /** Not to be begun after this, on the agent's clock. */
+  readonly expiresAt: number;
+}
+
+/** Order to end an attempt. */
+export interface StopOrder {
+  readonly type: 'stop';
+  readonly name: AttemptName;
+}
+
+/** How an attempt ended. `not-run`: it has not begun and will not. `lost`: it is gone with its upstream. */
+export type AttemptEnd = 'done' | 'failed' | 'stopped' | 'lost' | 'not-run';
+
+/** The one result of an attempt. */
+export interface AttemptResult {
+  readonly type: 'result';
+  readonly name: AttemptName;
+  readonly end: AttemptEnd;
+  readonly reason: string;
+}
+
+/** Newest configuration the sender knows. */
+export interface ConfigurationNotice {
+  readonly type: 'configuration';
+  readonly configuration: Configuration;
+}
+
+/** Addresses of entries the sender has a working link to, or is. */
+export interface MembersNotice {
+  readonly type: 'members';
+  readonly entries: readonly string[];
+}
+
+/** The agent takes nothing new any more. */
+export interface AgentLeaving {
+  readonly type: 'agent-leaving';
+}
+
+/** Messages of agents. */
+export type AgentMessage =
+  AgentHello | Ping | RoomChange | AttemptResult | ConfigurationNotice | MembersNotice | AgentLeaving;
+
+/** Messages of entries. */
+export type EntryMessage =
+  EntryWelcome | EntryHello | Pong | StartOrder | StopOrder | ConfigurationNotice | MembersNotice;
+
+/** Any message of a link. */
+export type PeerMessage = AgentMessage | EntryMessage;
+
+/**
+ * Returns the key of an attempt's task.
+ *
+ * @param name - job, step and index
+ * @returns a text that is unique for the task
+ * @example
+ * buildTaskKey({ job: 'a', step: 0, index: 3 }); // 'a/0/3'
+ */
+export function buildTaskKey({ job, step, index }: Omit<AttemptName, 'attempt'>): string {
+  return `${job}/${step}/${index}`;
+}
--- /dev/null
+++ b/src/ports/ConfigurationSource.ts
@@ -0,0 +1,16 @@
+/** Port: where the operators' configuration comes from. */
+import type { Configuration } from '../version/configuration.js';
+
+/** Takes what the source says. */
+export interface ConfigurationListener {
+  /** A configuration was read; it may be older than one already known. */
+  readonly adopt: (configuration: Configuration) => void;
+  /** The source was lost or found again. */
+  readonly note: (state: 'reachable' | 'unreachable', detail: string) => void;
+}
+
+/** Follows the configuration for the life of the process. */
+export abstract class ConfigurationSource {
+  abstract start(listener: ConfigurationListener): void;
+  abstract stop(): void;
+}
--- /dev/null
+++ b/src/ports/UpstreamRegistry.ts
@@ -0,0 +1,33 @@
+/** Port: how upstreams report themselves to the agent beside them. */
+import type { Resources } from '../request/dispatch/submission.js';
+import type { TaskExecutor } from './TaskExecutor.js';
+
+/** What an upstream says of itself. */
+export interface UpstreamReport {
+  /** Id of this life of the upstream. */
+  readonly id: string;
+  readonly service: string;
+  /** `host:port` of its orders. */
+  readonly address: string;
+  readonly capacity: Resources;
+  readonly labels: readonly string[];
+  readonly isDraining: boolean;
+  /** The upstream's clock when it was sent, ms. */
+  readonly clockMs: number;
+  /** Rises with each report, so that a late one is known. */
+  readonly sequence: number;
+}
+
+/** Takes reports. */
+export interface UpstreamListener {
+  report(report: UpstreamReport): void;
+  leave(upstreamId: string): void;
+}
+
+/** Where upstreams report. */
+export abstract class UpstreamRegistry {
+  abstract start(listener: UpstreamListener): Promise<void>;
+  /** Opens the way to an upstream that has reported. */
+  abstract openExecutor(report: UpstreamReport): TaskExecutor;
+  abstract stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/process/dispatcher/AgentView.ts
@@ -0,0 +1,97 @@
+/** What an entry knows of one agent: its room as last told, less what was sent since, and how fresh that is. */
+import type { AgentHello, Ping, RoomReport } from '../../connection/peer/peerMessages.js';
+import { addResources, NO_RESOURCES, subtractResources } from '../../request/dispatch/resources.js';
+import type { Resources } from '../../request/dispatch/submission.js';
+
+/**
+ * Names one life of an agent.
+ *
+ * @param hello - its first message
+ * @returns process id and life
+ */
+export function buildAgentId({ agent, life }: AgentHello): string {
+  return `${agent}@${life}`;
+}
+
+/** An agent as the entry sees it. */
+export class AgentView {
+  /** Process and life: attempts belong to one life of an agent. */
+  readonly id: string;
+  readonly agent: string;
+  readonly failureDomain: string;
+  /** Longest time after the newest ping for which our tasks can still run there, ms. */
+  readonly orphanMs: number;
+  linked = true;
+  room: RoomReport | undefined;
+  /** Our time of the newest ping. */
+  heardAt: number;
+  /** Until when nothing is sent, after it had no room, ms. */
+  pausedUntil = 0;
+  private agentClock = 0;
+  private clockAt = 0;
+  private starts = 0;
+  /** Starts that the newest room does not count yet, oldest first. */
+  private readonly unseen: { readonly number: number; readonly need: Resources }[] = [];
+  private reserved: Resources = NO_RESOURCES;
+
+  constructor(hello: AgentHello, now: number) {
+    this.id = buildAgentId(hello);
+    this.agent = hello.agent;
+    this.failureDomain = hello.failureDomain;
+    this.orphanMs = hello.orphanMs;
+    this.heardAt = now;
+  }
+
+  /** What can be sent there now. */
+  get free(): Resources {
+    return subtractResources(this.room?.free ?? NO_RESOURCES, this.reserved);
+  }
+
+  /** Starts that are on their way. */
+  get unseenStarts(): number {
+    return this.unseen.length;
+  }
+
+  /** The link was opened anew: counts on it begin again. */
+  reopen(now: number): void {
+    this.linked = true;
+    this.heardAt = Math.max(this.heardAt, now);
+    this.starts = 0;
+    this.unseen.length = 0;
+    this.reserved = NO_RESOURCES;
+  }
+
+  /** Takes a ping; pings prove that the agent lived, and carry its clock. */
+  notePing(ping: Ping, now: number): void {
+    this.heardAt = now;
+    this.noteClock(ping.at, now);
+    this.noteRoom(ping.room);
+  }
+
+  /** Takes the agent's clock from any message that has just come. */
+  noteClock(at: number, now: number): void {
+    this.agentClock = at;
+    this.clockAt = now;
+  }
+
+  /** Takes a room that is newer than the one known. */
+  noteRoom(room: RoomReport): void {
+    this.room = room;
+    while (this.unseen[0] && this.unseen[0].number <= room.startsSeen) {
+      const seen = this.unseen.shift();
+      if (seen) this.reserved = subtractResources(this.reserved, seen.need);
+    }
+  }
+
+  /** Takes room for a start that is sent now. */
+  reserve(need: Resources): void {
+    this.starts += 1;
+    this.unseen.push({ number: this.starts, need });
+    this.reserved = addResources(this.reserved, need);
+  }
+
+  /** The agent's clock now; behind it by the time its last message took. */
+  estimateClock(now: number): number {
+    return this.agentClock + (now - this.clockAt);
+  }
+}
--- /dev/null
+++ b/src/process/dispatcher/Backlog.ts
@@ -0,0 +1,50 @@
+/** Tasks of one entry that wait for an agent, in order of rank. */
+import type { DispatchTask } from './dispatchJob.js';
+
+/** Waiting tasks. */
+export class Backlog {
+  private readonly tasks: DispatchTask[] = [];
+
+  get size(): number {
+    return this.tasks.length;
+  }
+
+  /** Adds a task behind those of its rank. */
+  add(task: DispatchTask): void {
+    let low = 0;
+    let high = this.tasks.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if ((this.tasks[middle]?.job.rank ?? 0) <= task.job.rank) low = middle + 1;
+      else high = middle;
+    }
+    this.tasks.splice(low, 0, task);
+  }
+
+  /** Removes the tasks that no longer wait. */
+  prune(): void {
+    let kept = 0;
+    for (const task of this.tasks) {
+      if (task.phase === 'waiting') this.tasks[kept++] = task;
+    }
+    this.tasks.length = kept;
+  }
+
+  /** Tasks in order; those that can still be in time first. */
+  list(now: number): DispatchTask[] {
+    const inTime: DispatchTask[] = [];
+    const late: DispatchTask[] = [];
+    for (const task of this.tasks) (now <= task.job.objectiveAt ? inTime : late).push(task);
+    return late.length === 0 ? inTime : [...inTime, ...late];
+  }
+
+  /** Work that would be served before a rank, in thousandths of a core times ms of estimates. */
+  sumWorkBefore(rank: number): number {
+    let work = 0;
+    for (const { job, need } of this.tasks) {
+      if (job.rank >= rank) break;
+      work += need.resources.cpuMilli * need.estimateMs;
+    }
+    return work;
+  }
+}
--- /dev/null
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -0,0 +1,471 @@
+/**
+ * The entry's decisions: which waiting task goes to which agent and when, and how a job ends.
+ *
+ * A job lives as long as its caller waits. A task has at most one attempt that may run; the next is made only after
+ * the agent has told its end, or after the time for which anything of ours can still run there (`orphanMs` after
+ * the newest ping).
+ */
+import { assertInvariant } from '../../_lib/assertInvariant.js';
+import type {
+  AgentHello,
+  AttemptProgress,
+  AttemptResult,
+  EntryMessage,
+  Ping,
+  RoomChange,
+} from '../../connection/peer/peerMessages.js';
+import type { Caller, JobState } from '../../ports/CallerGateway.js';
+import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
+import { AgentView, buildAgentId } from './AgentView.js';
+import { Backlog } from './Backlog.js';
+import {
+  buildAttemptName,
+  createDispatchJob,
+  findChainMs,
+  findTask,
+  isOut,
+  stepTask,
+} from './dispatchJob.js';
+import type { DispatchJob, DispatchTask } from './dispatchJob.js';
+import { SLOW_SHARE } from './Placement.js';
+import type { Placement, PlacementContext } from './Placement.js';
+
+/** Age of a ping, in ping intervals, from which on an agent gets nothing new. */
+const STALE_PINGS = 2.6;
+/** How long a start may be on its way before the agent refuses it, ms. */
+const START_EXPIRY_MS = 250;
+/** Pause after an agent had no room, unless it tells its room before, ms. */
+const FULL_PAUSE_MS = 4;
+/** A deadline is answered so long before the caller stops waiting, ms. */
+const ANSWER_MARGIN_MS = 25;
+/** When an upstream's tasks are moved: no progress for so long, and for this part of the estimate. */
+const STALL_MIN_MS = 160;
+const STALL_PART = 0.25;
+/** A move must save at least this, ms. */
+const MOVE_GAIN_MS = 60;
+/** Retry hint of a refusal, ms. */
+const RETRY_AFTER_MS = 1_000;
+/** Weight of one step of priority in the order, ms. */
+const PRIORITY_STEP_MS = 100;
+/** Part of the objective after which a job that was never offered is judged, as the users price it. */
+const JUDGE_PART = 0.2;
+
+/** What the dispatcher has its process do. */
+export interface DispatchEffects {
+  readonly send: (agent: string, message: EntryMessage) => void;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+  /** A job got its answer. */
+  readonly noteOutcome: (job: DispatchJob, outcome: JobOutcome, now: number) => void;
+}
+
+/** Parameters of a dispatcher. */
+export interface DispatchOptions {
+  readonly pingMs: number;
+  readonly placement: Placement;
+  readonly nextRandom: () => number;
+}
+
+interface Submission {
+  readonly submission: JobSubmission;
+  readonly caller: Caller;
+  readonly deadlineAt: number;
+}
+
+/** Dispatches the jobs of one entry. */
+export class Dispatcher {
+  readonly agents = new Map<string, AgentView>();
+  private readonly jobs = new Map<string, DispatchJob>();
+  /** Jobs submitted again while tasks of the earlier submission may still run. */
+  private readonly successors = new Map<string, Submission>();
+  private readonly backlog = new Backlog();
+  private typicalSpeed = 1;
+
+  constructor(
+    private readonly options: DispatchOptions,
+    private readonly effects: DispatchEffects,
+  ) {}
+
+  /** Jobs whose caller waits. */
+  get openJobs(): number {
+    let open = this.successors.size;
+    for (const job of this.jobs.values()) if (!job.answered) open += 1;
+    return open;
+  }
+
+  /** Tasks that wait for an agent. */
+  get waitingTasks(): number {
+    return this.backlog.size;
+  }
+
+  /** Whether an agent of any service is linked and takes work. */
+  hasAgents(now: number): boolean {
+    for (const agent of this.agents.values()) {
+      if (agent.linked && agent.room?.state === 'ready' && now - agent.heardAt <= this.staleMs) return true;
+    }
+    return false;
+  }
+
+  /** Takes a job; its answer comes through the caller. */
+  submit(submission: JobSubmission, caller: Caller, now: number): void {
+    const known = this.jobs.get(submission.id);
+    if (!known) return this.admit({ submission, caller, deadlineAt: now + submission.patienceMs }, now);
+    this.effects.log('job-again', { job: submission.id, answered: known.answered });
+    this.successors.get(submission.id)?.caller.answer(SUPERSEDED);
+    this.successors.set(submission.id, { submission, caller, deadlineAt: now + submission.patienceMs });
+    this.endJob(known, SUPERSEDED, now);
+  }
+
+  /** The caller is gone: what waits is dropped and what runs is stopped. */
+  abandon(jobId: string, caller: Caller, now: number): void {
+    const successor = this.successors.get(jobId);
+    if (successor?.caller === caller) this.successors.delete(jobId);
+    const job = this.jobs.get(jobId);
+    if (!job || job.caller !== caller || job.answered) return;
+    this.effects.log('job-abandoned', { job: jobId, ageMs: Math.round(now - job.arrivedAt) });
+    this.endJob(job, { kind: 'failed', reason: 'caller-gone' }, now);
+  }
+
+  /** Cancels a job on request. */
+  cancel(jobId: string, now: number): boolean {
+    const job = this.jobs.get(jobId);
+    if (!job || job.answered) return false;
+    this.endJob(job, { kind: 'failed', reason: 'cancelled' }, now);
+    return true;
+  }
+
+  /** State of a job whose caller waits. */
+  findState(jobId: string): JobState | undefined {
+    const job = this.jobs.get(jobId);
+    if (!job || job.answered) return undefined;
+    return job.offered ? 'running' : 'pending';
+  }
+
+  /** Jobs of a queue that were never offered to an agent. */
+  countPending(routeName: string): number {
+    let count = 0;
+    for (const job of this.jobs.values()) {
+      if (!job.answered && !job.offered && job.submission.route.name === routeName) count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * An agent has linked; what it does not hold any more, and has not told, is lost.
+   *
+   * @returns the id by which the dispatcher knows this life of the agent
+   */
+  handleHello(hello: AgentHello, ownLife: string, now: number): string {
+    const id = buildAgentId(hello);
+    const known = this.agents.get(id);
+    this.effects.log('agent-linked', { agent: id, again: known !== undefined });
+    for (const other of this.agents.values()) {
+      if (other.agent === hello.agent && other.id !== id) other.linked = false;
+    }
+    if (!known) {
+      this.agents.set(id, new AgentView(hello, now));
+      return id;
+    }
+    known.reopen(now);
+    const isOurs = hello.entryLife === ownLife;
+    for (const result of isOurs ? hello.results : []) this.handleResult(id, result, now);
+    const holding = new Set(isOurs ? hello.holding.map((name) => buildAttemptKey(name)) : []);
+    for (const task of this.listTasksAt(id)) {
+      if (holding.has(buildAttemptKey(buildAttemptName(task)))) continue;
+      this.settle(task, 'lost', 'link-broke', now);
+    }
+    return id;
+  }
+
+  /** A link has closed; what runs there is waited for. */
+  handleClose(agentId: string, reason: string, now: number): void {
+    const agent = this.agents.get(agentId);
+    if (!agent) return;
+    agent.linked = false;
+    const tasks = this.listTasksAt(agentId).length;
+    const heardMs = Math.round(now - agent.heardAt);
+    this.effects.log('agent-unlinked', { agent: agentId, reason, tasks, heardMs });
+  }
+
+  /** Takes a ping. */
+  handlePing(agentId: string, ping: Ping, now: number): void {
+    const agent = this.agents.get(agentId);
+    if (!agent) return;
+    agent.notePing(ping, now);
+    this.expireEarlierLives(agent, now);
+    this.typicalSpeed = findMedianSpeed(this.agents.values());
+    for (const progress of ping.progress) this.reviewProgress(agent, progress, now);
+  }
+
+  /** Takes room that changed between pings. */
+  handleRoom(agentId: string, { room, at }: RoomChange, now: number): void {
+    const agent = this.agents.get(agentId);
+    if (!agent) return;
+    agent.noteClock(at, now);
+    agent.noteRoom(room);
+  }
+
+  /** Takes the end of an attempt. */
+  handleResult(agentId: string, { name, end, reason }: AttemptResult, now: number): void {
+    const task = this.findNamed(name);
+    if (!task || task.attempt !== name.attempt || task.agent !== agentId || !isOut(task)) return;
+    this.settle(task, end, reason, now);
+    if (end === 'not-run') {
+      const agent = this.agents.get(agentId);
+      if (agent) agent.pausedUntil = now + FULL_PAUSE_MS;
+    }
+  }
+
+  /** Sends waiting tasks to agents with room. */
+  place(now: number): void {
+    this.backlog.prune();
+    if (this.backlog.size === 0) return;
+    const context: PlacementContext = {
+      now,
+      typicalSpeed: this.typicalSpeed,
+      staleMs: this.staleMs,
+      nextRandom: this.options.nextRandom,
+    };
+    let smallestMissed = Infinity;
+    for (const task of this.backlog.list(now)) {
+      const { cpuMilli } = task.need.resources;
+      if (cpuMilli >= smallestMissed) continue;
+      const agent = this.options.placement.choose(task, this.agents.values(), context);
+      if (agent) this.send(task, agent, now);
+      else if (task.need.requiredLabel === '') smallestMissed = cpuMilli;
+    }
+    this.backlog.prune();
+  }
+
+  /** Does what time brings. */
+  tick(now: number): void {
+    for (const agent of [...this.agents.values()]) this.expireAgent(agent, now);
+    for (const job of [...this.jobs.values()]) if (!job.answered) this.judge(job, now);
+    for (const [id, { deadlineAt, caller }] of [...this.successors]) {
+      if (now < deadlineAt - ANSWER_MARGIN_MS) continue;
+      this.successors.delete(id);
+      caller.answer({ kind: 'refused', reason: 'deadline', retryAfterMs: RETRY_AFTER_MS });
+    }
+  }
+
+  /** Gives every open job its final answer: the process ends. */
+  endAll(reason: string, now: number): void {
+    for (const job of [...this.jobs.values()]) this.giveUp(job, reason, now);
+  }
+
+  private get staleMs(): number {
+    return this.options.pingMs * STALE_PINGS;
+  }
+
+  private admit({ submission, caller, deadlineAt }: Submission, now: number): void {
+    const timing = { now, typicalSpeed: this.typicalSpeed, priorityStepMs: PRIORITY_STEP_MS };
+    const patienceMs = deadlineAt - now;
+    const job = createDispatchJob({ ...submission, patienceMs }, caller, timing);
+    this.jobs.set(job.id, job);
+    for (const task of job.tasks) if (task.phase === 'waiting') this.backlog.add(task);
+    if (job.left === 0) this.endJob(job, { kind: 'completed' }, now);
+  }
+
+  private send(task: DispatchTask, agent: AgentView, now: number): void {
+    const { job, need } = task;
+    stepTask(task, 'send');
+    task.attempt += 1;
+    task.agent = agent.id;
+    task.sentAt = now;
+    job.offered = true;
+    agent.reserve(need.resources);
+    const { id, spec, route } = job.submission;
+    const name = buildAttemptName(task);
+    const expiresAt = agent.estimateClock(now) + START_EXPIRY_MS;
+    const { resources, estimateMs } = need;
+    const rank = Math.round(job.rank - now);
+    const order = { name, service: route.service, spec, resources, estimateMs, rank, expiresAt };
+    this.effects.send(agent.id, { type: 'start', ...order });
+    this.effects.log('place', {
+      job: id,
+      task: `${task.step}/${task.index}`,
+      attempt: task.attempt,
+      agent: agent.id,
+      freeCpu: agent.free.cpuMilli,
+      speed: agent.room?.speed,
+      roomAgeMs: Math.round(now - agent.heardAt),
+      waitedMs: Math.round(now - job.arrivedAt),
+    });
+  }
+
+  /** Takes the certain end of an attempt that was out. */
+  private settle(task: DispatchTask, end: AttemptResult['end'], reason: string, now: number): void {
+    const { job } = task;
+    assertInvariant(isOut(task), 'only an attempt that is out can end');
+    if (end !== 'not-run') job.begun = true;
+    if (end !== 'done') {
+      const { attempt, agent } = task;
+      this.effects.log('attempt-over', {
+        job: job.id,
+        task: `${task.step}/${task.index}`,
+        attempt,
+        agent,
+        end,
+        reason,
+      });
+    }
+    if (job.answered) return this.drop(task, now);
+    if (end === 'done') return this.finishTask(task, now);
+    if (end !== 'not-run') task.avoid.add(task.agent);
+    if (end === 'failed') task.failures += 1;
+    if (task.failures >= job.submission.route.maxAttempts) {
+      stepTask(task, 'drop');
+      return this.endJob(job, { kind: 'failed', reason: 'attempts' }, now);
+    }
+    stepTask(task, 'return');
+    this.backlog.add(task);
+  }
+
+  private finishTask(task: DispatchTask, now: number): void {
+    const { job } = task;
+    stepTask(task, 'finish');
+    job.left -= 1;
+    if (job.left === 0) return this.endJob(job, { kind: 'completed' }, now);
+    this.releaseSteps(job);
+  }
+
+  /** Lets go tasks whose earlier steps are all done. */
+  private releaseSteps(job: DispatchJob): void {
+    if (!job.tasks.some((task) => task.phase === 'blocked')) return;
+    const open = new Set(job.tasks.filter((task) => task.phase !== 'done').map((task) => task.step));
+    for (const task of job.tasks) {
+      if (task.phase !== 'blocked' || task.need.after.some((step) => open.has(step))) continue;
+      stepTask(task, 'release');
+      this.backlog.add(task);
+    }
+  }
+
+  /** Answers a job and has everything of it stopped. */
+  private endJob(job: DispatchJob, outcome: JobOutcome, now: number): void {
+    if (job.answered) return;
+    job.answered = true;
+    assertInvariant(outcome.kind !== 'refused' || !job.begun, 'what is refused has not run');
+    job.caller.answer(outcome);
+    this.effects.noteOutcome(job, outcome, now);
+    for (const task of job.tasks) {
+      if (task.phase === 'waiting' || task.phase === 'blocked') stepTask(task, 'drop');
+      if (task.phase === 'sent') this.withdraw(task);
+    }
+    this.forgetIfOver(job, now);
+  }
+
+  private withdraw(task: DispatchTask): void {
+    stepTask(task, 'withdraw');
+    this.effects.send(task.agent, { type: 'stop', name: buildAttemptName(task) });
+  }
+
+  private drop(task: DispatchTask, now: number): void {
+    stepTask(task, 'drop');
+    this.forgetIfOver(task.job, now);
+  }
+
+  private forgetIfOver(job: DispatchJob, now: number): void {
+    if (job.out > 0) return;
+    this.jobs.delete(job.id);
+    const successor = this.successors.get(job.id);
+    if (!successor) return;
+    this.successors.delete(job.id);
+    this.admit(successor, now);
+  }
+
+  /** Ends what nobody can wait for any more. */
+  private judge(job: DispatchJob, now: number): void {
+    if (now >= job.deadlineAt - ANSWER_MARGIN_MS) return this.giveUp(job, 'deadline', now);
+    if (job.begun || job.out > 0) return;
+    const waitedMs = now - job.arrivedAt;
+    if (waitedMs < (job.objectiveAt - job.arrivedAt) * JUDGE_PART) return;
+    const chainMs = findChainMs(job.submission.steps) / this.typicalSpeed;
+    if (now + chainMs * 0.8 > job.deadlineAt) this.giveUp(job, 'cannot-finish', now);
+  }
+
+  /** A job that has not run is refused; one that has, has failed. */
+  private giveUp(job: DispatchJob, reason: string, now: number): void {
+    if (job.answered) return;
+    const mayHaveRun = job.begun || job.out > 0;
+    if (mayHaveRun) return this.endJob(job, { kind: 'failed', reason }, now);
+    this.endJob(job, { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS }, now);
+  }
+
+  /** Nothing of ours can run at an agent that has not been heard for so long. */
+  private expireAgent(agent: AgentView, now: number): void {
+    if (now <= agent.heardAt + agent.orphanMs) return;
+    for (const task of this.listTasksAt(agent.id)) this.settle(task, 'lost', 'agent-silent', now);
+    if (!agent.linked && now > agent.heardAt + FORGET_AGENT_MS) this.agents.delete(agent.id);
+  }
+
+  /** A life of an agent takes work only after it has stopped, and fenced, what earlier lives had started. */
+  private expireEarlierLives(agent: AgentView, now: number): void {
+    if (agent.room?.state !== 'ready') return;
+    for (const earlier of this.agents.values()) {
+      if (earlier.agent !== agent.agent || earlier === agent) continue;
+      if (earlier.room?.upstream !== agent.room.upstream) continue;
+      for (const task of this.listTasksAt(earlier.id)) this.settle(task, 'lost', 'agent-replaced', now);
+      this.agents.delete(earlier.id);
+    }
+  }
+
+  /** Moves a task that stands still or crawls, if it can be in time elsewhere. */
+  private reviewProgress(agent: AgentView, progress: AttemptProgress, now: number): void {
+    const { name, percent, stalledMs } = progress;
+    const task = this.findNamed(name);
+    if (!task || task.phase !== 'sent' || task.attempt !== name.attempt || task.agent !== agent.id) return;
+    const estimateMs = task.need.estimateMs / this.typicalSpeed;
+    const isStalled = stalledMs > Math.max(STALL_MIN_MS, estimateMs * STALL_PART);
+    const speed = Math.max(agent.room?.speed ?? 1, this.typicalSpeed * 0.02);
+    const leftMs = (task.need.estimateMs * (1 - percent / 100)) / speed;
+    const isSlow = speed < this.typicalSpeed * SLOW_SHARE && leftMs > estimateMs + MOVE_GAIN_MS;
+    if ((!isStalled && !isSlow) || now + estimateMs > task.job.deadlineAt) return;
+    if (now + leftMs <= task.job.objectiveAt && !isStalled) return;
+    if (!this.hasOtherPlace(task, agent, now)) return;
+    this.effects.log('move', {
+      job: name.job,
+      task: `${task.step}/${task.index}`,
+      agent: agent.id,
+      percent,
+      stalledMs,
+      speed,
+    });
+    this.withdraw(task);
+  }
+
+  private hasOtherPlace(task: DispatchTask, from: AgentView, now: number): boolean {
+    const { typicalSpeed, staleMs } = this;
+    const context = { now, typicalSpeed, staleMs, nextRandom: this.options.nextRandom };
+    const others = [...this.agents.values()].filter((agent) => agent !== from);
+    return this.options.placement.choose(task, others, context) !== undefined;
+  }
+
+  private findNamed({ job: id, step, index }: AttemptResult['name']): DispatchTask | undefined {
+    const job = this.jobs.get(id);
+    return job && findTask(job, step, index);
+  }
+
+  private listTasksAt(agentId: string): DispatchTask[] {
+    const tasks: DispatchTask[] = [];
+    for (const job of this.jobs.values()) {
+      for (const task of job.tasks) if (task.agent === agentId && isOut(task)) tasks.push(task);
+    }
+    return tasks;
+  }
+}
+
+/** Agents that have been gone for so long are forgotten, ms. */
+const FORGET_AGENT_MS = 10_000;
+
+const SUPERSEDED: JobOutcome = { kind: 'failed', reason: 'submitted-again' };
+
+function buildAttemptKey({ job, step, index, attempt }: AttemptResult['name']): string {
+  return `${job}/${step}/${index}/${attempt}`;
+}
+
+function findMedianSpeed(agents: Iterable<AgentView>): number {
+  const speeds: number[] = [];
+  for (const { linked, room } of agents)
+    if (linked && room && room.state === 'ready') speeds.push(room.speed);
+  speeds.sort((left, right) => left - right);
+  return Math.max(0.2, speeds[Math.floor(speeds.length / 2)] ?? 1);
+}
--- /dev/null
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -0,0 +1,311 @@
+/** The dispatcher as a process: callers, links to agents and other entries, configuration, life cycle. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { SteadyClock } from '../../_lib/Clock.js';
+import { createRandom } from '../../_lib/createRandom.js';
+import type { LineChannel } from '../../connection/peer/LineChannel.js';
+import { PeerDialer } from '../../connection/peer/PeerDialer.js';
+import { PeerListener } from '../../connection/peer/PeerListener.js';
+import type { PeerMessage } from '../../connection/peer/peerMessages.js';
+import type { Caller, CallerGateway, JobDesk, JobState } from '../../ports/CallerGateway.js';
+import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
+import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
+import type { Configuration } from '../../version/configuration.js';
+import { createIncarnation } from '../createIncarnation.js';
+import { deriveDispatchTimes } from '../dispatchTimes.js';
+import { createLogger } from '../logger.js';
+import type { LogFields, ProcessLogger } from '../logger.js';
+import { MemberTable } from '../MemberTable.js';
+import { PauseGuard } from '../PauseGuard.js';
+import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { Dispatcher } from './Dispatcher.js';
+import type { DispatchJob } from './dispatchJob.js';
+import { SpeedPlacement } from './Placement.js';
+
+/** Between two looks at deadlines and silent agents, ms. */
+const TICK_MS = 40;
+/** Between two messages about members to every peer, ms. */
+const MEMBERS_MS = 4_000;
+/** How long a leaving entry still takes jobs, until the balancer has noticed, ms. */
+const NOTICE_MS = 2_500;
+/** Time kept from the grace period to answer what is left and end, ms. */
+const END_MARGIN_MS = 500;
+
+/** Outside parts of a dispatcher. */
+export interface DispatcherPorts {
+  readonly gateway: CallerGateway;
+  readonly source: ConfigurationSource;
+}
+
+/** An entry process. */
+export class DispatcherDaemon implements JobDesk {
+  configuration: Configuration | undefined;
+  private readonly clock = new SteadyClock();
+  private readonly life: string;
+  private readonly address: string;
+  private readonly logger: ProcessLogger;
+  private readonly dispatcher: Dispatcher;
+  private readonly listener: PeerListener;
+  private readonly dialer: PeerDialer;
+  private readonly members = new MemberTable();
+  private readonly pauseGuard: PauseGuard;
+  private readonly channels = new Map<string, LineChannel>();
+  private readonly agentIds = new Map<LineChannel, string>();
+  private readonly entryChannels = new Set<LineChannel>();
+  private leavingAt: number | undefined;
+  private placing = false;
+
+  constructor(
+    private settings: DispatchSettings,
+    private readonly ports: DispatcherPorts,
+  ) {
+    const peer = createIncarnation(settings.id, Date.now());
+    this.life = peer;
+    this.address = `${settings.address}:${settings.linkPort}`;
+    this.logger = createLogger(peer, settings.logLevel);
+    const nextRandom = createRandom(Date.now() % 1_000_000);
+    const { pingMs } = deriveDispatchTimes(settings);
+    this.dispatcher = new Dispatcher(
+      { pingMs, placement: new SpeedPlacement(), nextRandom },
+      {
+        send: (agent, message) => this.channels.get(agent)?.send(message),
+        log: (event, fields) => this.logDecision(event, fields),
+        noteOutcome: (job, outcome, now) => this.logOutcome(job, outcome, now),
+      },
+    );
+    this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
+      this.logger.warn('paused', { gapMs: Math.round(gapMs) });
+    });
+    this.listener = new PeerListener({
+      receive: (channel, message) => this.receive(channel, message),
+      close: (channel, reason) => this.closeChannel(channel, reason),
+    });
+    this.dialer = new PeerDialer(
+      {
+        open: (_, channel) => this.greetEntry(channel),
+        receive: (_, message) => this.receiveFromEntry(message),
+        close: () => undefined,
+      },
+      nextRandom,
+      () => this.clock.now(),
+    );
+  }
+
+  get isReady(): boolean {
+    if (this.leavingAt !== undefined || !this.configuration) return false;
+    return this.dispatcher.hasAgents(this.clock.now());
+  }
+
+  get isLeaving(): boolean {
+    return this.leavingAt !== undefined;
+  }
+
+  /** Starts to listen, to dial other entries and to follow the configuration. */
+  async start(): Promise<void> {
+    this.logger.info('started', { address: this.address, failureDomain: this.settings.failureDomain });
+    await this.listener.start(this.settings.address, this.settings.linkPort);
+    await this.ports.gateway.start(this);
+    this.ports.source.start({
+      adopt: (configuration) => this.adoptConfiguration(configuration, 'store'),
+      note: (state, detail) => this.logger.warn('store', { state, detail }),
+    });
+    this.dialSeeds();
+    setInterval(() => this.turn((now) => this.dispatcher.tick(now)), TICK_MS);
+    setInterval(() => this.tellMembers(), MEMBERS_MS);
+  }
+
+  /** Takes changed settings: other seeds are dialed; all else needs a restart. */
+  reload(settings: DispatchSettings): void {
+    this.logger.info('reloaded', { seeds: settings.seeds });
+    this.settings = settings;
+    this.dialSeeds();
+  }
+
+  /** Stops as planned: takes jobs until the balancer has noticed, answers all, and returns. */
+  async stop(): Promise<void> {
+    if (this.leavingAt !== undefined) return;
+    const begun = this.clock.now();
+    this.leavingAt = begun;
+    const endAt = begun + this.settings.graceSeconds * 1_000 - END_MARGIN_MS;
+    this.logger.info('leaving', { openJobs: this.dispatcher.openJobs });
+    while (this.clock.now() < endAt) {
+      if (this.dispatcher.openJobs === 0 && this.clock.now() > begun + NOTICE_MS) break;
+      await sleep(TICK_MS / 2);
+    }
+    const openJobs = this.dispatcher.openJobs;
+    this.dispatcher.endAll('entry-ends', this.clock.now());
+    await sleep(TICK_MS / 2);
+    await this.ports.gateway.stop();
+    this.ports.source.stop();
+    this.dialer.stop();
+    this.logger.info('stopped', { openJobs });
+    this.logger.flush();
+  }
+
+  submit(submission: JobSubmission, caller: Caller): void {
+    const { leavingAt } = this;
+    const now = this.clock.now();
+    if (leavingAt !== undefined && now > leavingAt + NOTICE_MS) {
+      this.logger.info('refuse', { job: submission.id, reason: 'leaving' });
+      return caller.answer({ kind: 'refused', reason: 'leaving', retryAfterMs: 1_000 });
+    }
+    this.turn(() => this.dispatcher.submit(submission, caller, now));
+  }
+
+  abandon(jobId: string, caller: Caller): void {
+    this.turn((now) => this.dispatcher.abandon(jobId, caller, now));
+  }
+
+  findState(jobId: string): JobState | undefined {
+    return this.dispatcher.findState(jobId);
+  }
+
+  cancel(jobId: string): boolean {
+    return this.dispatcher.cancel(jobId, this.clock.now());
+  }
+
+  countPending(routeName: string): number {
+    return this.dispatcher.countPending(routeName);
+  }
+
+  /** Takes one input, and places once all inputs at hand are taken. */
+  private turn(input: (now: number) => void): void {
+    const now = this.clock.now();
+    this.pauseGuard.look(now);
+    if (this.pauseGuard.isCatchingUp) setImmediate(() => this.turn(input));
+    else input(now);
+    this.schedulePlacing();
+  }
+
+  private schedulePlacing(): void {
+    if (this.placing) return;
+    this.placing = true;
+    setImmediate(() => {
+      this.placing = false;
+      if (this.pauseGuard.isCatchingUp) return this.schedulePlacing();
+      this.dispatcher.place(this.clock.now());
+    });
+  }
+
+  private receive(channel: LineChannel, message: PeerMessage): void {
+    const now = this.clock.now();
+    this.pauseGuard.look(now);
+    if (message.type === 'ping') channel.send({ type: 'pong', at: message.at });
+    this.handle(channel, message, now);
+    this.schedulePlacing();
+  }
+
+  private handle(channel: LineChannel, message: PeerMessage, now: number): void {
+    if (message.type === 'agent-hello') return this.welcomeAgent(channel, message, now);
+    if (message.type === 'entry-hello') return this.welcomeEntry(channel, message.address, now);
+    if (message.type === 'configuration') return this.adoptConfiguration(message.configuration, 'peer');
+    if (message.type === 'members') return this.noteMembers(message.entries, now);
+    const agent = this.agentIds.get(channel);
+    if (agent === undefined) return;
+    if (message.type === 'ping') this.dispatcher.handlePing(agent, message, now);
+    if (message.type === 'room') this.dispatcher.handleRoom(agent, message, now);
+    if (message.type === 'result') this.dispatcher.handleResult(agent, message, now);
+  }
+
+  private welcomeAgent(
+    channel: LineChannel,
+    hello: Extract<PeerMessage, { type: 'agent-hello' }>,
+    now: number,
+  ): void {
+    const id = this.dispatcher.handleHello(hello, this.life, now);
+    const before = this.channels.get(id);
+    this.channels.set(id, channel);
+    this.agentIds.set(channel, id);
+    before?.close('replaced');
+    const { address, life } = this;
+    channel.send({ type: 'entry-welcome', entry: this.settings.id, life, address });
+    channel.send({ type: 'members', entries: this.listMembers() });
+    this.sendConfiguration(channel);
+  }
+
+  private welcomeEntry(channel: LineChannel, address: string, now: number): void {
+    this.entryChannels.add(channel);
+    this.noteMembers([address], now);
+    this.sendConfiguration(channel);
+  }
+
+  private sendConfiguration(channel: LineChannel): void {
+    if (this.configuration) channel.send({ type: 'configuration', configuration: this.configuration });
+  }
+
+  private closeChannel(channel: LineChannel, reason: string): void {
+    this.entryChannels.delete(channel);
+    const id = this.agentIds.get(channel);
+    this.agentIds.delete(channel);
+    if (id === undefined || this.channels.get(id) !== channel) return;
+    this.channels.delete(id);
+    this.dispatcher.handleClose(id, reason, this.clock.now());
+  }
+
+  private greetEntry(channel: LineChannel): void {
+    channel.send({ type: 'entry-hello', entry: this.settings.id, address: this.address });
+    this.sendConfiguration(channel);
+  }
+
+  private receiveFromEntry(message: PeerMessage): void {
+    if (message.type === 'configuration') this.adoptConfiguration(message.configuration, 'peer');
+    if (message.type === 'members') this.noteMembers(message.entries, this.clock.now());
+  }
+
+  private adoptConfiguration(configuration: Configuration, from: string): void {
+    const before = this.configuration?.version ?? -1;
+    if (configuration.version <= before) return;
+    this.configuration = configuration;
+    this.ports.gateway.applyConfiguration(configuration);
+    this.logger.info('configuration', { version: configuration.version, before, from });
+    for (const channel of this.listChannels()) channel.send({ type: 'configuration', configuration });
+  }
+
+  private noteMembers(addresses: readonly string[], now: number): void {
+    const others = addresses.filter((address) => address !== this.address);
+    const fresh = this.members.note(others, now);
+    if (fresh.length === 0) return;
+    this.logger.info('members', { fresh });
+    this.tellMembers();
+  }
+
+  private listMembers(): string[] {
+    return [this.address, ...this.members.list(this.clock.now())];
+  }
+
+  /** Agents are told of entries; entries learn from agents, which know only those they have a working link to. */
+  private tellMembers(): void {
+    const entries = this.listMembers();
+    for (const channel of this.channels.values()) channel.send({ type: 'members', entries });
+  }
+
+  private listChannels(): LineChannel[] {
+    return [...this.channels.values(), ...this.entryChannels];
+  }
+
+  /** Other entries that the settings name get to know this one; agents learn of it from them. */
+  private dialSeeds(): void {
+    for (const seed of this.settings.seeds) {
+      const address = `${seed.slice(0, seed.lastIndexOf(':'))}:${this.settings.linkPort}`;
+      if (address !== this.address) this.dialer.keep(address);
+    }
+  }
+
+  private logDecision(event: string, fields: LogFields): void {
+    if (event !== 'place' || this.settings.decisionLog) this.logger.info(event, fields);
+  }
+
+  private logOutcome(job: DispatchJob, outcome: JobOutcome, now: number): void {
+    const { submission, arrivedAt, objectiveAt, deadlineAt, tasks } = job;
+    this.logger.info('answer', {
+      job: job.id,
+      queue: submission.route.name,
+      version: this.configuration?.version,
+      ...outcome,
+      tasks: tasks.length,
+      tookMs: Math.round(now - arrivedAt),
+      objectiveMs: Math.round(objectiveAt - arrivedAt),
+      deadlineMs: Math.round(deadlineAt - arrivedAt),
+    });
+  }
+}
--- /dev/null
+++ b/src/process/executor/AgentCore.ts
@@ -0,0 +1,294 @@
+/**
+ * The agent's decisions: which entries may have work running here, and which upstream does it.
+ *
+ * An entry proves that it is alive by echoing pings. What it ordered is stopped once its newest echo is older than
+ * `orphanAfterMs`, before any lease is renewed; so a lost, frozen or cut entry leaves nothing behind.
+ */
+import type { Clock } from '../../_lib/Clock.js';
+import { buildTaskKey } from '../../connection/peer/peerMessages.js';
+import type {
+  AgentHello,
+  AttemptProgress,
+  AttemptResult,
+  Ping,
+  RoomReport,
+  StartOrder,
+  StopOrder,
+} from '../../connection/peer/peerMessages.js';
+import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import type { TaskExecutor } from '../../ports/TaskExecutor.js';
+import { NO_RESOURCES } from '../../request/dispatch/resources.js';
+import type { LocalTask } from './localTask.js';
+import { UpstreamSession } from './UpstreamSession.js';
+import type { SessionBounds } from './UpstreamSession.js';
+
+/** How long results are kept to be told again on a new link, ms. */
+const KEEP_RESULTS_MS = 2_500;
+/** After this time out of reach and without a report an upstream is forgotten, ms. */
+const FORGET_UPSTREAM_MS = 5_000;
+/** Time on the way and in the agent's loop that is added to when an orphan is surely gone, ms. */
+const ORPHAN_MARGIN_MS = 60;
+
+/** Times the agent keeps to, ms. */
+export interface AgentBounds extends SessionBounds {
+  /** Age of an entry's newest echo from which on its work is stopped. */
+  readonly orphanAfterMs: number;
+}
+
+/** What the core has its process do. */
+export interface AgentEffects {
+  readonly openExecutor: (report: UpstreamReport) => TaskExecutor;
+  /** Sends a result to the entry's link, if it has one. */
+  readonly sendResult: (entryLife: string, result: AttemptResult) => void;
+  /** Room has changed. */
+  readonly noteChange: () => void;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+}
+
+interface EntryProof {
+  /** Our time of the newest ping that the entry has echoed. */
+  provenAt: number;
+  startsSeen: number;
+  readonly results: { readonly at: number; readonly result: AttemptResult }[];
+}
+
+/** Decides for one agent. */
+export class AgentCore {
+  private readonly sessions = new Map<string, UpstreamSession>();
+  private readonly proofs = new Map<string, EntryProof>();
+  private readonly reportedAt = new Map<string, number>();
+  private leaving = false;
+
+  constructor(
+    private readonly identity: {
+      readonly agent: string;
+      readonly life: string;
+      readonly failureDomain: string;
+    },
+    private readonly bounds: AgentBounds,
+    private readonly clock: Clock,
+    private readonly effects: AgentEffects,
+  ) {}
+
+  /** Tasks that wait or may run. */
+  get load(): number {
+    let load = 0;
+    for (const session of this.sessions.values()) load += session.load;
+    return load;
+  }
+
+  /** An upstream has reported. */
+  noteReport(report: UpstreamReport): void {
+    this.reportedAt.set(report.id, this.clock.now());
+    const known = this.sessions.get(report.id);
+    if (known) return known.update(report);
+    for (const other of this.sessions.values()) {
+      if (other.address === report.address) other.close('replaced');
+    }
+    const session = new UpstreamSession(report, this.effects.openExecutor(report), this.clock, this.bounds, {
+      finish: (task, end, reason) => this.finish(task, end, reason),
+      change: () => this.effects.noteChange(),
+      revalidate: (now) => this.expireEntries(now),
+      log: this.effects.log,
+    });
+    this.sessions.set(report.id, session);
+    const { id, service, capacity, labels, isDraining } = report;
+    this.effects.log('upstream-found', { upstream: id, service, capacity, labels, isDraining });
+    void session.run().finally(() => this.sessions.delete(report.id));
+  }
+
+  /** An upstream has said that it ends. */
+  noteLeave(upstreamId: string): void {
+    this.sessions.get(upstreamId)?.close('left');
+  }
+
+  /** A link to an entry is open and the entry has said which life it is. */
+  noteWelcome(entryLife: string, provenAt: number): void {
+    const proof = this.findProof(entryLife, provenAt);
+    proof.provenAt = Math.max(proof.provenAt, provenAt);
+    proof.startsSeen = 0;
+  }
+
+  /** An earlier life of an entry is over for sure. */
+  noteEntryReplaced(entryLife: string): void {
+    this.stopEntry(entryLife, 'entry-replaced');
+    this.proofs.delete(entryLife);
+  }
+
+  /** The entry has echoed a ping. */
+  noteEcho(entryLife: string, at: number): void {
+    const proof = this.findProof(entryLife, at);
+    proof.provenAt = Math.max(proof.provenAt, at);
+  }
+
+  /** Builds the first message of a link; `entryLife` is the life that was last met there. */
+  buildHello(entryLife: string): AgentHello {
+    const held = [...this.sessions.values()].flatMap((session) => session.listHeld(entryLife));
+    const { agent, life, failureDomain } = this.identity;
+    const { leaseMs, stopMs, orphanAfterMs } = this.bounds;
+    const orphanMs = orphanAfterMs + leaseMs * 1.05 + stopMs + ORPHAN_MARGIN_MS;
+    const holding = held.map(({ order }) => order.name);
+    const results = (this.proofs.get(entryLife)?.results ?? []).map(({ result }) => result);
+    return { type: 'agent-hello', agent, life, failureDomain, holding, results, entryLife, orphanMs };
+  }
+
+  /** An entry orders a task. */
+  handleStart(entryLife: string, order: StartOrder): void {
+    const now = this.clock.now();
+    const proof = this.findProof(entryLife, -Infinity);
+    proof.startsSeen += 1;
+    const refusal = this.findRefusal(order, proof, now);
+    if (refusal instanceof UpstreamSession) return refusal.offer(order, entryLife);
+    this.tellResult(entryLife, { type: 'result', name: order.name, end: 'not-run', reason: refusal });
+  }
+
+  /** An entry wants an attempt ended; if it is not here, its result has been told or never will be. */
+  handleStop(entryLife: string, { name }: StopOrder): void {
+    const key = buildTaskKey(name);
+    for (const session of this.sessions.values()) {
+      if (session.stop(key, name.attempt, entryLife, 'stopped-by-entry')) return;
+    }
+  }
+
+  /** Builds a ping for one entry. */
+  buildPing(entryLife: string): Ping {
+    const now = this.clock.now();
+    const progress: AttemptProgress[] = [];
+    for (const session of this.sessions.values()) {
+      for (const task of session.listHeld(entryLife)) {
+        if (task.phase !== 'running') continue;
+        progress.push({
+          name: task.order.name,
+          percent: task.percent,
+          stalledMs: Math.round(now - task.percentAt),
+        });
+      }
+    }
+    return { type: 'ping', at: now, room: this.buildRoom(entryLife), progress };
+  }
+
+  /** Builds the room as one entry is told it. */
+  buildRoom(entryLife: string): RoomReport {
+    const startsSeen = this.proofs.get(entryLife)?.startsSeen ?? 0;
+    const session = this.findSession();
+    if (!session) return { ...ABSENT_ROOM, startsSeen };
+    return {
+      upstream: session.id,
+      service: session.service,
+      labels: session.labels,
+      state: this.leaving ? 'draining' : session.state,
+      trust: session.readTrust(),
+      capacity: session.capacity,
+      free: session.free,
+      startsSeen,
+      speed: Number(session.readSpeed().toFixed(3)),
+    };
+  }
+
+  /** Does what time brings. */
+  tick(): void {
+    const now = this.clock.now();
+    this.expireEntries(now);
+    for (const session of this.sessions.values()) {
+      session.beginWaiting();
+      const reportedAt = this.reportedAt.get(session.id) ?? now;
+      if (!session.isReachable && now - reportedAt > FORGET_UPSTREAM_MS) session.close('forgotten');
+    }
+    for (const id of this.reportedAt.keys()) if (!this.sessions.has(id)) this.reportedAt.delete(id);
+  }
+
+  /** Takes nothing new from now on. */
+  leave(): void {
+    this.leaving = true;
+    this.effects.noteChange();
+  }
+
+  /** Stops everything. */
+  stopAll(reason: string): void {
+    for (const session of this.sessions.values()) session.stopAll(reason);
+  }
+
+  /** Ends the sessions; what runs lapses. */
+  close(): void {
+    for (const session of this.sessions.values()) session.close('agent-ends');
+  }
+
+  /** Stops what belongs to entries that have not proved to be alive, before anything is renewed for them. */
+  private expireEntries(now: number): void {
+    for (const [life, proof] of this.proofs) {
+      const ageMs = now - proof.provenAt;
+      if (ageMs <= this.bounds.orphanAfterMs) continue;
+      const stopped = this.stopEntry(life, 'entry-silent');
+      if (stopped > 0)
+        this.effects.log('entry-silent', { entryLife: life, ageMs: Math.round(ageMs), stopped });
+      while (proof.results[0] && now - proof.results[0].at > KEEP_RESULTS_MS) proof.results.shift();
+      if (ageMs > FORGET_ENTRY_MS) this.proofs.delete(life);
+    }
+  }
+
+  private stopEntry(entryLife: string, reason: string): number {
+    let stopped = 0;
+    for (const session of this.sessions.values()) stopped += session.stopOwner(entryLife, reason);
+    return stopped;
+  }
+
+  private findRefusal(order: StartOrder, proof: EntryProof, now: number): string | UpstreamSession {
+    if (this.leaving) return 'leaving';
+    if (now > order.expiresAt) return 'expired';
+    if (now - proof.provenAt > this.bounds.orphanAfterMs) return 'entry-unproven';
+    const session = this.findSession();
+    if (!session || session.state !== 'ready') return 'no-upstream';
+    if (session.service !== order.service) return 'other-service';
+    return session;
+  }
+
+  /** The upstream that takes work: a ready one before one that joins or drains. */
+  private findSession(): UpstreamSession | undefined {
+    let best: UpstreamSession | undefined;
+    for (const session of this.sessions.values()) {
+      if (session.isClosed) continue;
+      if (!best || STATE_ORDER.indexOf(session.state) < STATE_ORDER.indexOf(best.state)) best = session;
+    }
+    return best;
+  }
+
+  private findProof(entryLife: string, provenAt: number): EntryProof {
+    let proof = this.proofs.get(entryLife);
+    if (!proof) this.proofs.set(entryLife, (proof = { provenAt, startsSeen: 0, results: [] }));
+    return proof;
+  }
+
+  private finish(task: LocalTask, end: AttemptResult['end'], reason: string): void {
+    const result: AttemptResult = { type: 'result', name: task.order.name, end, reason };
+    if (end !== 'done') {
+      const { key, run } = task;
+      const waitedMs = Math.round((task.sentAt ?? this.clock.now()) - task.receivedAt);
+      this.effects.log('task-ended', { task: key, run, end, reason, percent: task.percent, waitedMs });
+    }
+    this.tellResult(task.owner, result);
+  }
+
+  private tellResult(entryLife: string, result: AttemptResult): void {
+    const now = this.clock.now();
+    const { results } = this.findProof(entryLife, -Infinity);
+    while (results[0] && now - results[0].at > KEEP_RESULTS_MS) results.shift();
+    results.push({ at: now, result });
+    this.effects.sendResult(entryLife, result);
+  }
+}
+
+/** Entries that have been silent for so long are forgotten, ms. */
+const FORGET_ENTRY_MS = 10_000;
+
+const STATE_ORDER = ['ready', 'joining', 'draining', 'absent'] as const;
+
+const ABSENT_ROOM: Omit<RoomReport, 'startsSeen'> = {
+  upstream: '',
+  service: '',
+  labels: [],
+  state: 'absent',
+  trust: 'healthy',
+  capacity: NO_RESOURCES,
+  free: NO_RESOURCES,
+  speed: 1,
+};
--- /dev/null
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -0,0 +1,220 @@
+/** The agent as a process: links to all entries, the upstream beside it, life cycle. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { SteadyClock } from '../../_lib/Clock.js';
+import { createRandom } from '../../_lib/createRandom.js';
+import type { LineChannel } from '../../connection/peer/LineChannel.js';
+import { PeerDialer } from '../../connection/peer/PeerDialer.js';
+import type { PeerMessage } from '../../connection/peer/peerMessages.js';
+import type { UpstreamRegistry } from '../../ports/UpstreamRegistry.js';
+import type { Configuration } from '../../version/configuration.js';
+import { createIncarnation } from '../createIncarnation.js';
+import { deriveDispatchTimes } from '../dispatchTimes.js';
+import { createLogger } from '../logger.js';
+import type { ProcessLogger } from '../logger.js';
+import { PauseGuard } from '../PauseGuard.js';
+import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { AgentCore } from './AgentCore.js';
+
+/** Room changes are told together after so long, ms. */
+const ROOM_DELAY_MS = 4;
+/** Between two looks at what has expired, ms. */
+const TICK_MS = 40;
+/** Between two messages about entries, ms. */
+const MEMBERS_MS = 5_000;
+/** An entry that no peer reports is forgotten after so long out of reach, ms. */
+const FORGET_ENTRY_MS = 20_000;
+/** Time kept from the grace period to stop what is left and tell it, ms. */
+const END_MARGIN_MS = 700;
+
+interface EntryLink {
+  readonly address: string;
+  channel: LineChannel;
+  /** When our hello was sent. */
+  readonly openedAt: number;
+  /** Life of the entry; empty until it has said so. */
+  life: string;
+}
+
+/** An agent process. */
+export class ExecutorDaemon {
+  private readonly clock = new SteadyClock();
+  private readonly logger: ProcessLogger;
+  private readonly core: AgentCore;
+  private readonly dialer: PeerDialer;
+  private readonly pauseGuard: PauseGuard;
+  private readonly links = new Map<string, EntryLink>();
+  /** Life of the entry last met at each address. */
+  private readonly lives = new Map<string, string>();
+  private configuration: Configuration | undefined;
+  private roomTimer: NodeJS.Timeout | undefined;
+  private leaving = false;
+
+  constructor(
+    private settings: DispatchSettings,
+    private readonly registry: UpstreamRegistry,
+  ) {
+    const peer = createIncarnation(settings.id, Date.now());
+    const times = deriveDispatchTimes(settings);
+    this.logger = createLogger(peer, settings.logLevel);
+    this.core = new AgentCore(
+      { agent: settings.id, life: peer, failureDomain: settings.failureDomain },
+      { ...times, stopMs: settings.stopMs },
+      this.clock,
+      {
+        openExecutor: (report) => this.registry.openExecutor(report),
+        sendResult: (life, result) => this.findLink(life)?.channel.send(result),
+        noteChange: () => this.scheduleRoom(),
+        log: (event, fields) => this.logger.info(event, fields),
+      },
+    );
+    this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
+      this.logger.warn('paused', { gapMs: Math.round(gapMs) });
+    });
+    this.dialer = new PeerDialer(
+      {
+        open: (address, channel) => this.open(address, channel),
+        receive: (address, message) => this.receive(address, message),
+        close: (address, reason) => this.closeLink(address, reason),
+      },
+      createRandom(Date.now() % 1_000_000),
+      () => this.clock.now(),
+    );
+  }
+
+  /** Starts to listen for the upstream and to dial the entries. */
+  async start(): Promise<void> {
+    this.logger.info('started', { failureDomain: this.settings.failureDomain });
+    await this.registry.start({
+      report: (report) => this.core.noteReport(report),
+      leave: (upstreamId) => this.core.noteLeave(upstreamId),
+    });
+    this.dialSeeds();
+    setInterval(() => this.tick(), TICK_MS);
+    setInterval(() => this.tellMembers(), MEMBERS_MS);
+    setInterval(() => this.ping(), deriveDispatchTimes(this.settings).pingMs);
+  }
+
+  /** Takes changed settings: other seeds are dialed; all else needs a restart. */
+  reload(settings: DispatchSettings): void {
+    this.logger.info('reloaded', { seeds: settings.seeds });
+    this.settings = settings;
+    this.dialSeeds();
+  }
+
+  /** Stops as planned: takes nothing new, lets what runs end, stops the rest, and returns. */
+  async stop(): Promise<void> {
+    if (this.leaving) return;
+    this.leaving = true;
+    this.logger.info('leaving', { tasks: this.core.load });
+    this.core.leave();
+    const endAt = this.clock.now() + this.settings.graceSeconds * 1_000 - END_MARGIN_MS;
+    while (this.core.load > 0 && this.clock.now() < endAt) await sleep(TICK_MS / 2);
+    this.core.stopAll('agent-ends');
+    const stoppedBy = this.clock.now() + END_MARGIN_MS / 2;
+    while (this.core.load > 0 && this.clock.now() < stoppedBy) await sleep(TICK_MS / 4);
+    await sleep(TICK_MS / 2);
+    this.logger.info('stopped', { tasks: this.core.load });
+    this.dialer.stop();
+    await this.registry.stop();
+    this.logger.flush();
+  }
+
+  private tick(): void {
+    this.pauseGuard.look(this.clock.now());
+    this.core.tick();
+  }
+
+  private ping(): void {
+    for (const { channel, life } of this.links.values()) {
+      if (life !== '') channel.send(this.core.buildPing(life));
+    }
+    for (const address of this.dialer.addresses) {
+      if (this.dialer.findSilence(address) > FORGET_ENTRY_MS && !this.isSeed(address))
+        this.dialer.forget(address);
+    }
+  }
+
+  private open(address: string, channel: LineChannel): void {
+    this.links.set(address, { address, channel, openedAt: this.clock.now(), life: '' });
+    channel.send(this.core.buildHello(this.lives.get(address) ?? ''));
+  }
+
+  private closeLink(address: string, reason: string): void {
+    const link = this.links.get(address);
+    this.links.delete(address);
+    this.logger.info('entry-unlinked', { address, life: link?.life, reason });
+  }
+
+  private receive(address: string, message: PeerMessage): void {
+    this.pauseGuard.look(this.clock.now());
+    const link = this.links.get(address);
+    if (!link) return;
+    if (message.type === 'entry-welcome') return this.noteWelcome(link, message.life);
+    if (message.type === 'members') return this.noteMembers(message.entries);
+    if (message.type === 'configuration') return this.noteConfiguration(message.configuration);
+    if (link.life === '') return;
+    if (message.type === 'pong') this.core.noteEcho(link.life, message.at);
+    if (message.type === 'start') this.core.handleStart(link.life, message);
+    if (message.type === 'stop') this.core.handleStop(link.life, message);
+  }
+
+  private noteWelcome(link: EntryLink, life: string): void {
+    const before = this.lives.get(link.address);
+    if (before !== undefined && before !== life) this.core.noteEntryReplaced(before);
+    this.lives.set(link.address, life);
+    link.life = life;
+    this.logger.info('entry-linked', { address: link.address, life, before });
+    this.core.noteWelcome(life, link.openedAt);
+    link.channel.send(this.core.buildPing(life));
+    if (this.configuration) {
+      link.channel.send({ type: 'configuration', configuration: this.configuration });
+    }
+    this.tellMembers();
+  }
+
+  private noteMembers(addresses: readonly string[]): void {
+    for (const address of addresses) this.dialer.keep(address);
+  }
+
+  /** Tells every entry which ones this agent has a working link to. */
+  private tellMembers(): void {
+    const entries = [...this.links.values()].filter(({ life }) => life !== '').map(({ address }) => address);
+    for (const { channel } of this.links.values()) channel.send({ type: 'members', entries });
+  }
+
+  /** Passes the newest configuration on to entries that may be cut off from the store. */
+  private noteConfiguration(configuration: Configuration): void {
+    if (configuration.version <= (this.configuration?.version ?? -1)) return;
+    this.configuration = configuration;
+    for (const { channel } of this.links.values()) channel.send({ type: 'configuration', configuration });
+  }
+
+  private scheduleRoom(): void {
+    this.roomTimer ??= setTimeout(() => {
+      this.roomTimer = undefined;
+      const at = this.clock.now();
+      for (const { channel, life } of this.links.values()) {
+        if (life !== '') channel.send({ type: 'room', at, room: this.core.buildRoom(life) });
+      }
+    }, ROOM_DELAY_MS);
+  }
+
+  private findLink(life: string): EntryLink | undefined {
+    for (const link of this.links.values()) if (link.life === life) return link;
+    return undefined;
+  }
+
+  private dialSeeds(): void {
+    for (const address of this.listSeeds()) this.dialer.keep(address);
+  }
+
+  private listSeeds(): string[] {
+    const { seeds, linkPort } = this.settings;
+    return seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(':'))}:${linkPort}`);
+  }
+
+  private isSeed(address: string): boolean {
+    return this.listSeeds().includes(address);
+  }
+}
--- /dev/null
+++ b/src/process/executor/UpstreamLease.ts
@@ -0,0 +1,55 @@
+/**
+ * What an agent knows of an upstream's clock, and until when anything there can still run.
+ *
+ * Everything at an upstream is leased up to a time on the upstream's own clock, which may be up to 2% slow. The
+ * estimate of that clock counts from the moment an answer arrived, so it is never ahead of it by more than drift.
+ */
+
+/** An upstream's clock may be this much slower than ours. */
+export const CLOCK_DRIFT = 0.02;
+/** Time for which an order may be on its way within one machine, and be carried out, ms. */
+const ORDER_MARGIN_MS = 15;
+
+/** Lease of one life of an upstream. */
+export class UpstreamLease {
+  private aliveUntilMs: number;
+
+  /**
+   * @param clockMs - the upstream's clock in its first report
+   * @param heardAt - our monotonic time when the report came
+   * @param leaseMs - how far ahead leases are given
+   */
+  constructor(
+    private clockMs: number,
+    private heardAt: number,
+    private readonly leaseMs: number,
+  ) {
+    this.aliveUntilMs = heardAt;
+  }
+
+  /** Until when, in our time, something at the upstream may still run: the latest lease given, and drift. */
+  get aliveUntil(): number {
+    return this.aliveUntilMs;
+  }
+
+  /** Notes the clock of an answer that has just arrived. */
+  noteClock(clockMs: number, now: number): void {
+    if (clockMs < this.estimate(now)) {
+      // An answer that was on its way for long tells less than what is known already.
+      if (clockMs < this.clockMs) return;
+    }
+    this.clockMs = clockMs;
+    this.heardAt = now;
+  }
+
+  /** Returns the end of a lease that is given now, on the upstream's clock, and remembers it. */
+  extend(now: number): number {
+    const lapse = (this.leaseMs + (now - this.heardAt) * CLOCK_DRIFT) * (1 + CLOCK_DRIFT);
+    this.aliveUntilMs = Math.max(this.aliveUntilMs, now + lapse + ORDER_MARGIN_MS);
+    return Math.floor(this.estimate(now) + this.leaseMs);
+  }
+
+  private estimate(now: number): number {
+    return this.clockMs + (now - this.heardAt);
+  }
+}
--- /dev/null
+++ b/src/process/executor/UpstreamSession.ts
@@ -0,0 +1,544 @@
+/**
+ * One life of one upstream, as its only user sees it: exact room, lease, starts, stops and ends.
+ *
+ * A task takes room from before its start is sent until its end is certain: listed by the upstream, confirmed
+ * never to have begun, or past every lease that was given. Orders are repeated when no answer comes; they carry
+ * the run's number and a near lease, so that a late copy does nothing.
+ */
+import { assertInvariant } from '../../_lib/assertInvariant.js';
+import type { Clock } from '../../_lib/Clock.js';
+import { stepMachine } from '../../_lib/compileMachine.js';
+import { buildTaskKey } from '../../connection/peer/peerMessages.js';
+import type { AttemptEnd, StartOrder, UpstreamState } from '../../connection/peer/peerMessages.js';
+import type {
+  EndedRun,
+  LeaseAnswer,
+  RunEnd,
+  RunName,
+  RunningRun,
+  TaskExecutor,
+} from '../../ports/TaskExecutor.js';
+import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import {
+  addResources,
+  fitResources,
+  NO_RESOURCES,
+  subtractResources,
+} from '../../request/dispatch/resources.js';
+import type { Resources } from '../../request/dispatch/submission.js';
+import { buildRunName, createLocalTask, LOCAL_TASK_TABLE } from './localTask.js';
+import type { LocalEvent, LocalTask } from './localTask.js';
+import { SpeedMeter } from './SpeedMeter.js';
+import { TrustMeter } from './TrustMeter.js';
+import { UpstreamLease } from './UpstreamLease.js';
+
+/** How long the upstream may hold a renewal while nothing ends, ms; a part of the lease at most. */
+const RENEWAL_WAIT_MS = 150;
+const RENEWAL_LEASE_PART = 0.25;
+/** Time that an answer may take beyond the wait that was asked for, ms. */
+const ANSWER_TIMEOUT_MS = 120;
+/** Pause before an order is repeated, ms. */
+const REPEAT_PAUSE_MS = 15;
+/** Pause between two looks at an upstream that is out of reach, ms. */
+const UNREACHABLE_PAUSE_MS = 150;
+/** Times that a start is sent before it is withdrawn. */
+const MAX_START_SENDS = 4;
+/** How long a task may wait at the agent for room, ms; the entry knows better places by then. */
+const MAX_WAIT_MS = 40;
+
+/** Bounds of the platform that a session keeps to, ms. */
+export interface SessionBounds {
+  /** Lease that is given ahead. */
+  readonly leaseMs: number;
+  /** Time a stop may take at the upstream. */
+  readonly stopMs: number;
+}
+
+/** What a session tells the agent. */
+export interface SessionEvents {
+  /** A task is over. */
+  readonly finish: (task: LocalTask, end: AttemptEnd, reason: string) => void;
+  /** Room or state has changed. */
+  readonly change: () => void;
+  /** Called before the lease of what runs is renewed: stop what may not run on. */
+  readonly revalidate: (now: number) => void;
+  /** A decision, for the log. */
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+}
+
+/** A life of an upstream. */
+export class UpstreamSession {
+  readonly tasks = new Map<string, LocalTask>();
+  private readonly waiting: LocalTask[] = [];
+  private readonly lease: UpstreamLease;
+  private readonly speedMeter: SpeedMeter;
+  private readonly trustMeter = new TrustMeter();
+  private readonly lastRuns = new Map<string, number>();
+  private used: Resources = NO_RESOURCES;
+  private token: number;
+  private lastSequence = 0;
+  private joined = false;
+  private closed = false;
+  private reachable = true;
+  /** When the newest answered renewal was sent. */
+  private renewedAt = -1;
+
+  constructor(
+    private report: UpstreamReport,
+    private readonly executor: TaskExecutor,
+    private readonly clock: Clock,
+    private readonly bounds: SessionBounds,
+    private readonly events: SessionEvents,
+  ) {
+    const now = clock.now();
+    this.lease = new UpstreamLease(report.clockMs, now, bounds.leaseMs);
+    this.speedMeter = new SpeedMeter(now);
+    this.token = Math.max(1, Math.floor(report.clockMs));
+  }
+
+  get id(): string {
+    return this.report.id;
+  }
+
+  get service(): string {
+    return this.report.service;
+  }
+
+  get labels(): readonly string[] {
+    return this.report.labels;
+  }
+
+  get address(): string {
+    return this.report.address;
+  }
+
+  get isReachable(): boolean {
+    return this.reachable;
+  }
+
+  get capacity(): Resources {
+    return this.report.capacity;
+  }
+
+  /** Whether this life of the upstream is over for the agent. */
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
+  /** What may be started now. */
+  get free(): Resources {
+    if (this.state !== 'ready') return NO_RESOURCES;
+    return subtractResources(this.report.capacity, this.used);
+  }
+
+  get state(): UpstreamState {
+    if (this.closed || !this.reachable) return 'absent';
+    if (this.report.isDraining) return 'draining';
+    return this.joined ? 'ready' : 'joining';
+  }
+
+  /** Trust from failures. */
+  readTrust(): ReturnType<TrustMeter['read']> {
+    return this.trustMeter.read(this.clock.now());
+  }
+
+  /** Work per ms, in ms of estimates. */
+  readSpeed(): number {
+    return this.speedMeter.read(this.clock.now());
+  }
+
+  /** Takes a newer report of the same life. */
+  update(report: UpstreamReport): void {
+    if (report.sequence < this.report.sequence) return;
+    const before = this.state;
+    this.report = report;
+    if (this.state !== before) {
+      this.events.log('upstream-state', { upstream: this.id, state: this.state });
+      if (this.state === 'draining') this.dropWaiting('draining');
+      this.events.change();
+    }
+  }
+
+  /** Takes an order; it starts as soon as it fits, or ends as not run. */
+  offer(order: StartOrder, owner: string): void {
+    const now = this.clock.now();
+    const task = createLocalTask(buildTaskKey(order.name), order, owner, now);
+    const other = this.tasks.get(task.key);
+    if (other && other.owner !== owner) this.stopTask(other, 'submitted-elsewhere');
+    const at = this.waiting.findIndex((one) => one.order.rank > order.rank);
+    this.waiting.splice(at < 0 ? this.waiting.length : at, 0, task);
+    this.beginWaiting();
+  }
+
+  /** Ends an attempt wherever it is; false if it is not here. */
+  stop(key: string, attempt: number, owner: string, reason: string): boolean {
+    const waiting = this.waiting.find((task) => isAttempt(task, key, attempt, owner));
+    if (waiting) {
+      this.dropOne(waiting, reason);
+      return true;
+    }
+    const task = this.tasks.get(key);
+    if (!task || !isAttempt(task, key, attempt, owner)) return false;
+    this.stopTask(task, reason);
+    return true;
+  }
+
+  /** Ends everything that an entry has ordered. */
+  stopOwner(owner: string, reason: string): number {
+    const waiting = this.waiting.filter((task) => task.owner === owner);
+    for (const task of waiting) this.dropOne(task, reason);
+    let stopped = waiting.length;
+    for (const task of this.tasks.values()) {
+      if (task.owner !== owner || task.phase === 'stopping') continue;
+      this.stopTask(task, reason);
+      stopped += 1;
+    }
+    return stopped;
+  }
+
+  /** Ends everything. */
+  stopAll(reason: string): void {
+    this.dropWaiting(reason);
+    for (const task of [...this.tasks.values()]) this.stopTask(task, reason);
+  }
+
+  /** Attempts that are held for an entry. */
+  listHeld(owner: string): LocalTask[] {
+    return [...this.waiting, ...this.tasks.values()].filter((task) => task.owner === owner);
+  }
+
+  /** Tasks that wait or may run. */
+  get load(): number {
+    return this.waiting.length + this.tasks.size;
+  }
+
+  /** Starts what fits and lets go what has waited too long. */
+  beginWaiting(): void {
+    const now = this.clock.now();
+    for (const task of [...this.waiting]) {
+      if (now > Math.min(task.order.expiresAt, task.receivedAt + MAX_WAIT_MS)) {
+        this.dropOne(task, now > task.order.expiresAt ? 'expired' : 'full');
+      } else if (this.canBegin(task)) {
+        this.waiting.splice(this.waiting.indexOf(task), 1);
+        this.begin(task, now);
+      }
+    }
+  }
+
+  /** Follows the upstream until it is gone: renews the lease, reads what runs and what has ended. */
+  async run(): Promise<void> {
+    while (!this.closed) {
+      this.events.revalidate(this.clock.now());
+      const sentAt = this.clock.now();
+      const waitMs = this.joined ? this.findRenewalWait() : 0;
+      try {
+        const answer = await this.renew(waitMs, sentAt);
+        if (this.closed) return;
+        this.handleLease(answer, sentAt);
+      } catch (error) {
+        this.noteSilence(error);
+        await this.clock.sleep(this.reachable ? REPEAT_PAUSE_MS : UNREACHABLE_PAUSE_MS);
+      }
+    }
+  }
+
+  /** Ends the session: this life of the upstream is gone, and all that ran there with it. */
+  close(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.events.log('upstream-gone', { upstream: this.id, reason, tasks: this.load });
+    this.dropWaiting(reason);
+    for (const task of [...this.tasks.values()]) this.finish(task, 'lost', reason);
+    this.executor.close();
+    this.events.change();
+  }
+
+  private findRenewalWait(): number {
+    return Math.floor(Math.min(RENEWAL_WAIT_MS, this.bounds.leaseMs * RENEWAL_LEASE_PART));
+  }
+
+  private renew(waitMs: number, now: number): Promise<LeaseAnswer> {
+    const leaseUntilMs = this.lease.extend(now);
+    const { token: fencingToken, lastSequence } = this;
+    return this.executor.renew(
+      { leaseUntilMs, fencingToken, lastSequence, waitMs },
+      waitMs + ANSWER_TIMEOUT_MS,
+    );
+  }
+
+  private handleLease(answer: LeaseAnswer, sentAt: number): void {
+    const now = this.clock.now();
+    if (answer.verdict === 'other-life') return this.close('other-life');
+    if (answer.verdict === 'fenced') return this.raiseToken(answer.clockMs, now);
+    if (answer.verdict === 'refused') return this.noteSilence('refused');
+    if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.id });
+    this.reachable = true;
+    this.lease.noteClock(answer.clockMs, now);
+    this.renewedAt = sentAt;
+    for (const ended of answer.ended) this.noteEnd(ended, now);
+    const unknown = this.noteRunning(answer.running, now);
+    this.noteMissing(answer.running, sentAt);
+    if (!this.joined && unknown === 0) this.join();
+    this.beginWaiting();
+  }
+
+  private join(): void {
+    this.joined = true;
+    this.events.log('upstream-joined', { upstream: this.id, token: this.token, service: this.service });
+    this.events.change();
+  }
+
+  /** A newer holder was there, or our token came from an old report: take the upstream's clock, which rises. */
+  private raiseToken(clockMs: number | undefined, now: number): void {
+    const next = Math.max(this.token + 1, Math.floor(clockMs ?? 0));
+    this.events.log('token-raised', { upstream: this.id, from: this.token, to: next });
+    assertInvariant(next > this.token, 'a fencing token never falls');
+    this.token = next;
+    if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
+  }
+
+  private noteEnd(ended: EndedRun, now: number): void {
+    if (ended.sequence <= this.lastSequence) return;
+    this.lastSequence = ended.sequence;
+    const key = buildTaskKey(ended.name);
+    this.noteRun(key, ended.name.run);
+    const task = this.tasks.get(key);
+    if (!task || task.run !== ended.name.run) return;
+    if (ended.end === 'done') this.noteProgress(task, 100, now);
+    this.finish(task, convertEnd(ended.end), ended.end);
+  }
+
+  /** Notes progress; stops what nobody here has ordered, and returns how many those are. */
+  private noteRunning(running: readonly RunningRun[], now: number): number {
+    let unknown = 0;
+    for (const { name, percent } of running) {
+      const task = this.tasks.get(buildTaskKey(name));
+      if (task && task.run === name.run) {
+        if (task.phase === 'starting') this.confirm(task, now);
+        this.noteProgress(task, percent, now);
+      } else {
+        unknown += 1;
+        this.noteRun(buildTaskKey(name), name.run);
+        this.stopUnknown(name);
+      }
+    }
+    return unknown;
+  }
+
+  /** What ran, or was to be stopped, and is in neither list of a renewal sent later is certainly gone. */
+  private noteMissing(running: readonly RunningRun[], sentAt: number): void {
+    const names = new Set(running.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
+    for (const task of [...this.tasks.values()]) {
+      if (names.has(`${task.key}/${task.run}`)) continue;
+      const since = task.phase === 'stopping' ? task.stopAcceptedAt : task.confirmedAt;
+      if (task.phase === 'starting' || since === undefined || since >= sentAt) continue;
+      const ran = task.confirmedAt !== undefined;
+      this.finish(task, ran ? 'stopped' : 'not-run', 'not-listed');
+    }
+  }
+
+  /** No answer: once every lease that was given is over, nothing can run there any more. */
+  private noteSilence(error: unknown): void {
+    const now = this.clock.now();
+    if (now <= this.lease.aliveUntil + this.bounds.stopMs || !this.reachable) return;
+    this.reachable = false;
+    this.events.log('upstream-unreachable', { upstream: this.id, error: String(error), tasks: this.load });
+    this.dropWaiting('unreachable');
+    for (const task of [...this.tasks.values()]) this.finish(task, 'lost', 'unreachable');
+    this.events.change();
+  }
+
+  private canBegin(task: LocalTask): boolean {
+    if (this.state !== 'ready' || this.tasks.has(task.key)) return false;
+    const trust = this.readTrust();
+    if (trust === 'suspect' || (trust === 'probation' && this.tasks.size > 0)) return false;
+    return fitResources(task.order.resources, this.free);
+  }
+
+  private begin(task: LocalTask, now: number): void {
+    this.step(task, 'begin');
+    task.sentAt = now;
+    task.run = (this.lastRuns.get(task.key) ?? 0) + 1;
+    this.noteRun(task.key, task.run);
+    this.tasks.set(task.key, task);
+    this.used = addResources(this.used, task.order.resources);
+    assertInvariant(fitResources(this.used, this.report.capacity), 'starts never exceed the room');
+    void this.sendStart(task);
+    this.events.change();
+  }
+
+  private async sendStart(task: LocalTask): Promise<void> {
+    for (let sends = 0; task.phase === 'starting' && !this.closed; sends += 1) {
+      if (sends >= MAX_START_SENDS) return this.stopTask(task, 'start-unanswered');
+      const now = this.clock.now();
+      const order = {
+        name: buildRunName(task),
+        spec: task.order.spec,
+        leaseUntilMs: this.lease.extend(now),
+        fencingToken: this.token,
+      };
+      try {
+        const { verdict, clockMs } = await this.executor.start(order, ANSWER_TIMEOUT_MS);
+        if (clockMs !== undefined) this.lease.noteClock(clockMs, this.clock.now());
+        if (task.phase !== 'starting' || this.closed) return;
+        if (verdict === 'superseded' && sends > 0) await this.waitForRenewal();
+        if (task.phase !== 'starting' || this.closed) return;
+        if (this.settleStart(task, verdict, clockMs)) return;
+      } catch (error) {
+        this.events.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
+      }
+      await this.clock.sleep(REPEAT_PAUSE_MS);
+    }
+  }
+
+  /** Acts on the answer to a start; returns false if it is to be sent again. */
+  private settleStart(task: LocalTask, verdict: string, clockMs: number | undefined): boolean {
+    const now = this.clock.now();
+    switch (verdict) {
+      case 'started':
+        this.confirm(task, now);
+        return true;
+      case 'fenced':
+        this.raiseToken(clockMs, now);
+        return false;
+      case 'superseded':
+        return this.settleSuperseded(task);
+      case 'late':
+        return false;
+      case 'other-life':
+        this.close('other-life');
+        return true;
+      case 'refused':
+        this.noteFailure(task, now);
+        this.stopTask(task, 'refused');
+        return true;
+      default:
+        this.stopTask(task, verdict);
+        return true;
+    }
+  }
+
+  /**
+   * A run as new as ours has stopped or ended there. If the lists show that it was ours, its end comes with the
+   * next renewal; else it was of an earlier life of this agent, and the task gets a newer run.
+   */
+  private settleSuperseded(task: LocalTask): boolean {
+    const next = (this.lastRuns.get(task.key) ?? task.run) + 1;
+    this.events.log('run-superseded', { task: task.key, run: task.run, next });
+    task.run = next;
+    this.noteRun(task.key, next);
+    return false;
+  }
+
+  /** Waits until a renewal that is sent from now on has been answered. */
+  private async waitForRenewal(): Promise<void> {
+    const since = this.clock.now();
+    while (!this.closed && this.reachable && this.renewedAt <= since) await this.clock.sleep(REPEAT_PAUSE_MS);
+  }
+
+  private confirm(task: LocalTask, now: number): void {
+    if (task.phase !== 'starting') return;
+    this.step(task, 'confirm');
+    task.confirmedAt = now;
+    task.percentAt = now;
+    task.sampledAt = now;
+  }
+
+  private stopTask(task: LocalTask, reason: string): void {
+    if (task.phase === 'stopping' || task.phase === 'ended') return;
+    this.step(task, 'stop');
+    task.stopReason = reason;
+    void this.sendStop(task);
+  }
+
+  private async sendStop(task: LocalTask): Promise<void> {
+    while (task.phase === 'stopping' && !this.closed) {
+      try {
+        const sentAt = this.clock.now();
+        const { verdict, clockMs } = await this.executor.stop(
+          buildRunName(task),
+          this.token,
+          ANSWER_TIMEOUT_MS,
+        );
+        const now = this.clock.now();
+        if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
+        if (verdict === 'accepted') task.stopAcceptedAt ??= Math.max(sentAt, now);
+        if (verdict === 'fenced') this.raiseToken(clockMs, now);
+        if (verdict === 'other-life') return this.close('other-life');
+      } catch (error) {
+        this.events.log('stop-unanswered', { task: task.key, run: task.run, error: String(error) });
+      }
+      await this.clock.sleep(task.stopAcceptedAt === undefined ? REPEAT_PAUSE_MS : ANSWER_TIMEOUT_MS);
+    }
+  }
+
+  /** A run of an earlier life of this agent: nobody waits for it, and it takes room nobody knows. */
+  private stopUnknown(name: RunName): void {
+    this.events.log('stop-unknown', { job: name.job, index: name.index, run: name.run });
+    this.executor.stop(name, this.token, ANSWER_TIMEOUT_MS).catch(() => undefined);
+  }
+
+  private noteProgress(task: LocalTask, percent: number, now: number): void {
+    const share = Math.max(0, percent - task.percent) / 100;
+    this.speedMeter.note(share, task.order.estimateMs, now - task.sampledAt, now);
+    task.sampledAt = now;
+    if (share === 0) return;
+    task.percent = percent;
+    task.percentAt = now;
+  }
+
+  private noteFailure(task: LocalTask, now: number): void {
+    if (this.trustMeter.noteFailure(task.order.name.job, now)) {
+      this.events.log('upstream-suspect', { upstream: this.id });
+      this.events.change();
+    }
+  }
+
+  private noteRun(key: string, run: number): void {
+    this.lastRuns.set(key, Math.max(run, this.lastRuns.get(key) ?? 0));
+    if (this.lastRuns.size <= MAX_REMEMBERED_RUNS) return;
+    const oldest = this.lastRuns.keys().next().value;
+    if (oldest !== undefined) this.lastRuns.delete(oldest);
+  }
+
+  private finish(task: LocalTask, end: AttemptEnd, reason: string): void {
+    if (task.phase === 'ended') return;
+    const now = this.clock.now();
+    this.step(task, 'end');
+    this.tasks.delete(task.key);
+    this.used = subtractResources(this.used, task.order.resources);
+    if (end === 'done') this.trustMeter.noteSuccess();
+    if (end === 'failed') this.noteFailure(task, now);
+    this.events.finish(task, end, task.stopReason === '' ? reason : task.stopReason);
+    this.events.change();
+    if (!this.closed) this.beginWaiting();
+  }
+
+  private dropOne(task: LocalTask, reason: string): void {
+    const at = this.waiting.indexOf(task);
+    if (at < 0) return;
+    this.waiting.splice(at, 1);
+    this.step(task, 'stop');
+    this.events.finish(task, 'not-run', reason);
+  }
+
+  private dropWaiting(reason: string): void {
+    for (const task of [...this.waiting]) this.dropOne(task, reason);
+  }
+
+  private step(task: LocalTask, event: LocalEvent): void {
+    task.phase = stepMachine(LOCAL_TASK_TABLE, task.phase, event);
+  }
+}
+
+/** Tasks whose newest run is remembered. */
+const MAX_REMEMBERED_RUNS = 20_000;
+
+function isAttempt(task: LocalTask, key: string, attempt: number, owner: string): boolean {
+  return task.key === key && task.order.name.attempt === attempt && task.owner === owner;
+}
+
+function convertEnd(end: RunEnd): AttemptEnd {
+  if (end === 'done' || end === 'failed' || end === 'stopped') return end;
+  return 'lost';
+}
--- /dev/null
+++ b/src/process/settings/dispatchSchema.ts
@@ -0,0 +1,33 @@
+/** Schema of the settings of dispatcher and executor. Every default stands here. */
+
+const PORT = { type: 'integer', minimum: 1, maximum: 65_535 } as const;
+const ADDRESS = { type: 'string', pattern: '^[0-9A-Za-z.\\-]+:[0-9]+$' } as const;
+const OPTIONAL_ADDRESS = { type: 'string', pattern: '^([0-9A-Za-z.\\-]+:[0-9]+)?$', default: '' } as const;
+
+/** Schema of `DispatchSettings`. */
+export const DISPATCH_SCHEMA = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['id', 'address', 'linkPort'],
+  properties: {
+    id: { type: 'string', minLength: 1, maxLength: 64, pattern: '^[A-Za-z0-9._-]+$' },
+    failureDomain: { type: 'string', minLength: 1, default: 'default' },
+    address: { type: 'string', minLength: 1 },
+    linkPort: PORT,
+    seeds: { type: 'array', items: ADDRESS, default: [] },
+    callerAddress: OPTIONAL_ADDRESS,
+    readyAddress: OPTIONAL_ADDRESS,
+    controlAddress: OPTIONAL_ADDRESS,
+    storeAddress: OPTIONAL_ADDRESS,
+    logLevel: {
+      type: 'string',
+      enum: ['trace', 'debug', 'info', 'warn', 'error', 'silent'],
+      default: 'info',
+    },
+    decisionLog: { type: 'boolean', default: true },
+    graceSeconds: { type: 'number', minimum: 1, default: 6 },
+    maxLeaseMs: { type: 'number', minimum: 1, default: 1_000 },
+    stopMs: { type: 'number', minimum: 0, default: 50 },
+    resubmitMs: { type: 'number', minimum: 1, default: 1_300 },
+  },
+} as const;
--- /dev/null
+++ b/src/process/settings/dispatchSettings.ts
@@ -0,0 +1,33 @@
+/** Settings of the daemons that serve jobs which live as long as their callers: dispatcher and executor. */
+import type { LogLevel } from './logLevel.js';
+
+/** Settings that both daemons share. Durations have their unit in the name. */
+export interface DispatchSettings {
+  readonly id: string;
+  readonly failureDomain: string;
+  /** IP address of the machine. */
+  readonly address: string;
+  /** Port of the links between daemons, the same on every machine. */
+  readonly linkPort: number;
+  /** Machines of some entries, `host:port`; only the host is used. Some may be gone. */
+  readonly seeds: readonly string[];
+  /** Where callers connect, `host:port`; only for the dispatcher. */
+  readonly callerAddress: string;
+  /** Where the balancer asks whether the process is ready, `host:port`; only for the dispatcher. */
+  readonly readyAddress: string;
+  /** Where upstreams report, `host:port`. */
+  readonly controlAddress: string;
+  /** Where the operators' configuration lies, `host:port`. */
+  readonly storeAddress: string;
+  readonly logLevel: LogLevel;
+  /** Whether each placement is logged, besides all that goes wrong. */
+  readonly decisionLog: boolean;
+  /** Time from the request to stop until the process is killed, s. */
+  readonly graceSeconds: number;
+  /** Longest lease that an upstream grants, ms. */
+  readonly maxLeaseMs: number;
+  /** Time that stopping a task takes at an upstream, ms. */
+  readonly stopMs: number;
+  /** Shortest time after which a caller that was cut off submits its job elsewhere, ms. */
+  readonly resubmitMs: number;
+}
--- /dev/null
+++ b/src/process/settings/logLevel.ts
@@ -0,0 +1,2 @@
+/** Lowest level that is logged. */
+export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent';
