Answer 504, not 'failed', for a job given up after parts of it ran

Change: outcome 'interrupted', answered at once with 504. Also: an upstream that stops answering gets no further lease, so that what runs there ends at a known time; found by the test 'takes what runs for lost only after every lease is over', which failed first, as did 'does not call a job failed ...'. Ruled out: answering 503, since parts may have run.

--- /dev/null
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -0,0 +1,233 @@
+import { expect } from 'chai';
+
+import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
+import type {
+  AgentHello,
+  AttemptEnd,
+  EntryMessage,
+  RoomReport,
+  StartOrder,
+} from '../../connection/peer/peerMessages.js';
+import type { JobSubmission, StepNeed } from '../../request/dispatch/submission.js';
+import type { QueueRoute } from '../../version/configuration.js';
+import { Dispatcher } from './Dispatcher.js';
+import { SpeedPlacement } from './Placement.js';
+
+const ROUTE: QueueRoute = {
+  name: 'quotes',
+  host: 'a.example',
+  pathPrefix: '/q/',
+  service: 'service',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 1.6,
+  targetLatencyMs: 60,
+  needsAdvice: false,
+};
+const STEP: StepNeed = {
+  count: 2,
+  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
+  estimateMs: 100,
+  after: [],
+  requiredLabel: '',
+  preferredRack: '',
+};
+const PING_MS = 100;
+const ORPHAN_MS = 1_000;
+
+function buildSubmission(change: Partial<JobSubmission> = {}): JobSubmission {
+  return { id: 'job', route: ROUTE, spec: 'text', steps: [STEP], patienceMs: 2_000, ...change };
+}
+
+class Bench {
+  readonly sent: { agent: string; message: EntryMessage }[] = [];
+  readonly caller = new FakeCaller();
+  readonly dispatcher = new Dispatcher(
+    { pingMs: PING_MS, placement: new SpeedPlacement(), nextRandom: () => 0.5 },
+    {
+      send: (agent, message) => this.sent.push({ agent, message }),
+      log: () => undefined,
+      noteOutcome: () => undefined,
+    },
+  );
+
+  link(agent: string, now: number, change: Partial<AgentHello> = {}): string {
+    const base = { failureDomain: 'x', holding: [], results: [], entryLife: 'me', orphanMs: ORPHAN_MS };
+    return this.dispatcher.handleHello(
+      { type: 'agent-hello', agent, life: '1', ...base, ...change },
+      'me',
+      now,
+    );
+  }
+
+  ping(id: string, now: number, change: Partial<RoomReport> = {}): void {
+    const capacity = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+    const room: RoomReport = {
+      upstream: `of-${id.split('@')[0]}`,
+      service: 'service',
+      labels: [],
+      state: 'ready',
+      trust: 'healthy',
+      capacity,
+      free: capacity,
+      startsSeen: 1_000,
+      speed: 1,
+      ...change,
+    };
+    this.dispatcher.handlePing(id, { type: 'ping', at: now, room, progress: [] }, now);
+  }
+
+  submit(now: number, change: Partial<JobSubmission> = {}): void {
+    this.dispatcher.submit(buildSubmission(change), this.caller, now);
+    this.dispatcher.place(now);
+  }
+
+  get starts(): { agent: string; order: StartOrder }[] {
+    return this.sent.flatMap(({ agent, message }) =>
+      message.type === 'start' ? [{ agent, order: message }] : [],
+    );
+  }
+
+  get stops(): number {
+    return this.sent.filter(({ message }) => message.type === 'stop').length;
+  }
+
+  end(at: number, end: AttemptEnd, now: number): void {
+    const start = this.starts[at];
+    if (!start) throw new Error('there is no such start');
+    const result = { type: 'result', name: start.order.name, end, reason: 'test' } as const;
+    this.dispatcher.handleResult(start.agent, result, now);
+    this.dispatcher.place(now);
+  }
+}
+
+describe('Dispatcher', () => {
+  let bench: Bench;
+
+  beforeEach(() => {
+    bench = new Bench();
+    bench.ping(bench.link('a', 0), 0);
+  });
+
+  it('completes a job when all tasks are done', () => {
+    bench.submit(10);
+    bench.end(0, 'done', 100);
+    expect(bench.caller.answers).to.deep.equal([]);
+    bench.end(1, 'done', 120);
+    expect(bench.caller.answers).to.deep.equal([{ kind: 'completed' }]);
+    expect(bench.dispatcher.openJobs).to.equal(0);
+  });
+
+  it('starts a step only after the steps before it are done', () => {
+    bench.submit(10, { steps: [STEP, { ...STEP, count: 1, after: [0] }] });
+    expect(bench.starts.length).to.equal(2);
+    bench.end(0, 'done', 100);
+    bench.end(1, 'done', 120);
+    expect(bench.starts[2]?.order.name).to.include({ step: 1, index: 0 });
+  });
+
+  it('does not call a job failed that has only run out of time', () => {
+    bench.submit(10);
+    bench.ping('a@1', 1_950);
+    bench.dispatcher.tick(1_990);
+    expect(bench.caller.answers).to.deep.equal([{ kind: 'interrupted', reason: 'deadline' }]);
+    expect(bench.stops).to.equal(2);
+  });
+
+  it('calls a job failed after the attempts of the queue have failed', () => {
+    bench.submit(10, { steps: [{ ...STEP, count: 1 }] });
+    bench.end(0, 'failed', 20);
+    expect(bench.starts.length).to.equal(2);
+    bench.end(1, 'failed', 30);
+    expect(bench.caller.answers).to.deep.equal([{ kind: 'failed', reason: 'attempts' }]);
+  });
+
+  it('refuses at once a job that nobody has started and that cannot be done in time', () => {
+    bench.ping('a@1', 0, { state: 'draining' });
+    bench.submit(10, { patienceMs: 200, steps: [{ ...STEP, estimateMs: 190 }] });
+    bench.dispatcher.tick(80);
+    expect(bench.caller.answers).to.deep.equal([
+      { kind: 'refused', reason: 'cannot-finish', retryAfterMs: 1_000 },
+    ]);
+  });
+
+  it('stops what runs when the caller is gone, and starts nothing of the job again', () => {
+    bench.submit(10);
+    bench.dispatcher.abandon('job', bench.caller, 50);
+    expect(bench.stops).to.equal(2);
+    bench.end(0, 'stopped', 60);
+    bench.end(1, 'stopped', 60);
+    expect(bench.starts.length).to.equal(2);
+  });
+
+  it('runs a job that is submitted again only after everything of the earlier submission has ended', () => {
+    bench.submit(10);
+    const again = new FakeCaller();
+    bench.dispatcher.submit(buildSubmission(), again, 100);
+    bench.dispatcher.place(100);
+    expect(bench.starts.length).to.equal(2);
+    bench.end(0, 'stopped', 150);
+    bench.end(1, 'stopped', 150);
+    expect(bench.starts.length).to.equal(4);
+  });
+
+  it('waits for the orphan time of a silent agent before it starts its tasks elsewhere', () => {
+    bench.submit(10);
+    bench.ping(bench.link('b', 20), 20);
+    bench.dispatcher.handleClose('a@1', 'reset', 100);
+    for (let now = 100; now <= 1_000; now += 50) {
+      bench.ping('b@1', now);
+      bench.dispatcher.tick(now);
+      bench.dispatcher.place(now);
+    }
+    expect(bench.starts.length).to.equal(2);
+    bench.ping('b@1', 1_010);
+    bench.dispatcher.tick(1_010);
+    bench.dispatcher.place(1_010);
+    expect(bench.starts.slice(2).map(({ agent }) => agent)).to.deep.equal(['b@1', 'b@1']);
+  });
+
+  it('starts tasks of an earlier life of an agent again once the next life takes work', () => {
+    bench.submit(10);
+    const id = bench.link('a', 300, { life: '2' });
+    bench.ping(id, 310, { state: 'joining' });
+    bench.dispatcher.place(310);
+    expect(bench.starts.length).to.equal(2);
+    bench.ping(id, 400);
+    bench.dispatcher.place(400);
+    expect(bench.starts.slice(2).map(({ agent }) => agent)).to.deep.equal(['a@2', 'a@2']);
+  });
+
+  it('takes results that were told on a broken link, and loses what is not held any more', () => {
+    bench.submit(10);
+    const [first, second] = bench.starts;
+    if (!first || !second) throw new Error('two starts');
+    bench.dispatcher.handleClose('a@1', 'reset', 50);
+    const result = { type: 'result', name: first.order.name, end: 'done', reason: 'done' } as const;
+    bench.link('a', 60, { results: [result] });
+    bench.ping('a@1', 61);
+    bench.dispatcher.place(61);
+    expect(bench.starts.length).to.equal(3);
+    expect(bench.starts[2]?.order.name).to.deep.equal({ ...second.order.name, attempt: 2 });
+  });
+
+  it('ignores the result of an attempt that is not the newest', () => {
+    bench.submit(10, { steps: [{ ...STEP, count: 1 }] });
+    bench.end(0, 'lost', 20);
+    bench.end(0, 'done', 30);
+    expect(bench.caller.answers).to.deep.equal([]);
+    bench.end(1, 'done', 40);
+    expect(bench.caller.answers).to.deep.equal([{ kind: 'completed' }]);
+  });
+
+  it('sends nothing to an agent whose pings are old', () => {
+    bench.submit(300);
+    expect(bench.starts).to.deep.equal([]);
+  });
+
+  it('never sends more than the room that was told, less what is on its way', () => {
+    bench.ping('a@1', 5, { startsSeen: 0 });
+    bench.submit(10, { steps: [{ ...STEP, count: 6 }] });
+    expect(bench.starts.length).to.equal(4);
+  });
+});
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -122,14 +122,14 @@
     const job = this.jobs.get(jobId);
     if (!job || job.caller !== caller || job.answered) return;
     this.effects.log('job-abandoned', { job: jobId, ageMs: Math.round(now - job.arrivedAt) });
-    this.endJob(job, { kind: 'failed', reason: 'caller-gone' }, now);
+    this.endJob(job, { kind: 'interrupted', reason: 'caller-gone' }, now);
   }
 
   /** Cancels a job on request. */
   cancel(jobId: string, now: number): boolean {
     const job = this.jobs.get(jobId);
     if (!job || job.answered) return false;
-    this.endJob(job, { kind: 'failed', reason: 'cancelled' }, now);
+    this.endJob(job, { kind: 'interrupted', reason: 'cancelled' }, now);
     return true;
   }
 
@@ -382,11 +382,11 @@
     if (now + chainMs * 0.8 > job.deadlineAt) this.giveUp(job, 'cannot-finish', now);
   }
 
-  /** A job that has not run is refused; one that has, has failed. */
+  /** A job that has not run is refused; one that may have is interrupted. */
   private giveUp(job: DispatchJob, reason: string, now: number): void {
     if (job.answered) return;
     const mayHaveRun = job.begun || job.out > 0;
-    if (mayHaveRun) return this.endJob(job, { kind: 'failed', reason }, now);
+    if (mayHaveRun) return this.endJob(job, { kind: 'interrupted', reason }, now);
     this.endJob(job, { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS }, now);
   }
 
@@ -456,7 +456,7 @@
 /** Agents that have been gone for so long are forgotten, ms. */
 const FORGET_AGENT_MS = 10_000;
 
-const SUPERSEDED: JobOutcome = { kind: 'failed', reason: 'submitted-again' };
+const SUPERSEDED: JobOutcome = { kind: 'interrupted', reason: 'submitted-again' };
 
 function buildAttemptKey({ job, step, index, attempt }: AttemptResult['name']): string {
   return `${job}/${step}/${index}/${attempt}`;
--- /dev/null
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -0,0 +1,203 @@
+import { expect } from 'chai';
+
+import { FakeClock } from '../../../test/fakes/FakeClock.js';
+import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
+import type { StartOrder } from '../../connection/peer/peerMessages.js';
+import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import { UpstreamSession } from './UpstreamSession.js';
+
+const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+
+function buildOrder(index: number, change: Partial<StartOrder> = {}): StartOrder {
+  return {
+    type: 'start',
+    name: { job: 'job', step: 0, index, attempt: 1 },
+    service: 'service',
+    spec: 'text',
+    resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
+    estimateMs: 100,
+    rank: 0,
+    expiresAt: Infinity,
+    ...change,
+  };
+}
+
+function buildReport(upstream: FakeUpstream): UpstreamReport {
+  const clockMs = upstream.clockMs;
+  const base = { id: 'u1', service: 'service', address: '127.0.0.1:1', labels: [], sequence: 1 };
+  return { ...base, capacity: CAPACITY, isDraining: false, clockMs };
+}
+
+class Bench {
+  readonly clock = new FakeClock();
+  readonly upstream = new FakeUpstream(this.clock);
+  readonly results: string[] = [];
+  readonly session = new UpstreamSession(
+    buildReport(this.upstream),
+    this.upstream,
+    this.clock,
+    { leaseMs: 500, stopMs: 50 },
+    {
+      finish: (task, end, reason) => this.results.push(`${task.order.name.index} ${end} ${reason}`),
+      change: () => undefined,
+      revalidate: () => undefined,
+      log: () => undefined,
+    },
+  );
+
+  async start(): Promise<void> {
+    void this.session.run();
+    await this.clock.advance(10);
+  }
+}
+
+describe('UpstreamSession', () => {
+  let bench: Bench;
+
+  beforeEach(() => {
+    bench = new Bench();
+  });
+
+  afterEach(() => bench.session.close('test ends'));
+
+  it('starts a task, renews its lease and tells its end', async () => {
+    await bench.start();
+    bench.upstream.taskMs = 2_000;
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(2_100);
+    expect(bench.results).to.deep.equal(['0 done done']);
+    expect(bench.session.free).to.deep.equal(CAPACITY);
+  });
+
+  it('never starts more than there is room for', async () => {
+    await bench.start();
+    for (let index = 0; index < 6; index += 1) bench.session.offer(buildOrder(index), 'entry');
+    await bench.clock.advance(20);
+    expect(bench.upstream.running.size).to.equal(4);
+    await bench.clock.advance(60);
+    bench.session.beginWaiting();
+    expect(bench.results).to.have.members(['4 not-run full', '5 not-run full']);
+  });
+
+  it('sends an unanswered start again under the same run, and starts it once', async () => {
+    await bench.start();
+    bench.upstream.fates.push('unanswered');
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(400);
+    expect(bench.upstream.starts).to.equal(1);
+    expect(bench.results).to.deep.equal(['0 done done']);
+  });
+
+  it('does not run a task again that ended before its unanswered start was repeated', async () => {
+    await bench.start();
+    bench.upstream.taskMs = 20;
+    bench.upstream.fates.push('unanswered');
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(600);
+    expect(bench.upstream.starts).to.equal(1);
+    expect(bench.results).to.deep.equal(['0 done done']);
+  });
+
+  it('keeps the room of a task that is being stopped until its end is listed', async () => {
+    await bench.start();
+    bench.upstream.taskMs = 5_000;
+    for (let index = 0; index < 4; index += 1) bench.session.offer(buildOrder(index), 'entry');
+    await bench.clock.advance(20);
+    bench.upstream.fates.push('lost');
+    bench.session.stop('job/0/0', 1, 'entry', 'moved');
+    await bench.clock.advance(60);
+    expect(bench.session.free.cpuMilli).to.equal(0);
+    await bench.clock.advance(400);
+    expect(bench.results).to.deep.equal(['0 stopped moved']);
+    expect(bench.session.free.cpuMilli).to.equal(1_000);
+  });
+
+  it('says that a withdrawn start has not run once the upstream has confirmed it', async () => {
+    await bench.start();
+    bench.upstream.fates.push('lost', 'lost', 'lost', 'lost');
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(1_000);
+    expect(bench.results).to.deep.equal(['0 not-run start-unanswered']);
+    expect(bench.upstream.starts).to.equal(0);
+  });
+
+  it('takes what runs for lost only after every lease is over', async () => {
+    await bench.start();
+    bench.upstream.taskMs = 5_000;
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(100);
+    bench.upstream.silent = true;
+    await bench.clock.advance(400);
+    expect(bench.results).to.deep.equal([]);
+    await bench.clock.advance(900);
+    expect(bench.results).to.deep.equal(['0 lost unreachable']);
+    expect(bench.upstream.clockMs).to.be.greaterThan(bench.upstream.leaseUntil);
+  });
+
+  it('stops what an earlier life of the agent had started before it takes work', async () => {
+    bench.upstream.taskMs = 5_000;
+    bench.upstream.leaseUntil = bench.upstream.clockMs + 1_000;
+    bench.upstream.beginForeign({ job: 'old', step: 0, index: 0, run: 3 });
+    bench.upstream.fates.push('lost');
+    void bench.session.run();
+    await bench.clock.settle();
+    expect(bench.session.state).to.equal('joining');
+    expect([...bench.upstream.running.keys()]).to.deep.equal(['old/0/0']);
+    await bench.clock.advance(100);
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(100);
+    expect(bench.session.state).to.equal('ready');
+    expect([...bench.upstream.running.keys()]).to.deep.equal(['job/0/0']);
+  });
+
+  it('gives a task a newer run where an earlier life of the agent had run it', async () => {
+    bench.upstream.leaseUntil = bench.upstream.clockMs + 1_000;
+    bench.upstream.beginForeign({ job: 'job', step: 0, index: 0, run: 7 });
+    await bench.start();
+    await bench.clock.advance(200);
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(200);
+    expect(bench.results).to.deep.equal(['0 done done']);
+    expect(bench.upstream.doubled).to.equal(0);
+  });
+
+  it('raises its fencing token above the one it meets', async () => {
+    bench.upstream.token = bench.upstream.clockMs + 50;
+    await bench.start();
+    await bench.clock.advance(100);
+    expect(bench.session.state).to.equal('ready');
+  });
+
+  it('takes no work while the upstream drains, and lets what runs end', async () => {
+    await bench.start();
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(10);
+    bench.session.update({ ...buildReport(bench.upstream), isDraining: true, sequence: 2 });
+    bench.session.offer(buildOrder(1), 'entry');
+    await bench.clock.advance(200);
+    bench.session.beginWaiting();
+    expect(bench.results).to.have.members(['0 done done', '1 not-run full']);
+  });
+
+  it('trusts an upstream that fails everything with one task at a time', async () => {
+    await bench.start();
+    bench.upstream.fails = true;
+    for (let index = 0; index < 8; index += 1) {
+      bench.session.offer(
+        buildOrder(index, { name: { job: `j${index}`, step: 0, index, attempt: 1 } }),
+        'entry',
+      );
+      await bench.clock.advance(10);
+    }
+    expect(bench.session.readTrust()).to.equal('suspect');
+    expect(bench.upstream.starts).to.be.lessThan(6);
+  });
+
+  it('reports a speed near 0 while tasks stand still', async () => {
+    await bench.start();
+    bench.upstream.hangs = true;
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(500);
+    expect(bench.session.readSpeed()).to.be.lessThan(0.1);
+  });
+});
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -80,8 +80,8 @@
   private joined = false;
   private closed = false;
   private reachable = true;
-  /** When the newest answered renewal was sent. */
-  private renewedAt = -1;
+  /** When the newest answered renewal was sent; at first, when the upstream was found. */
+  private renewedAt: number;
 
   constructor(
     private report: UpstreamReport,
@@ -93,6 +93,7 @@
     const now = clock.now();
     this.lease = new UpstreamLease(report.clockMs, now, bounds.leaseMs);
     this.speedMeter = new SpeedMeter(now);
+    this.renewedAt = now;
     this.token = Math.max(1, Math.floor(report.clockMs));
   }
 
@@ -235,6 +236,7 @@
         const answer = await this.renew(waitMs, sentAt);
         if (this.closed) return;
         this.handleLease(answer, sentAt);
+        if (!this.joined) await this.clock.sleep(REPEAT_PAUSE_MS);
       } catch (error) {
         this.noteSilence(error);
         await this.clock.sleep(this.reachable ? REPEAT_PAUSE_MS : UNREACHABLE_PAUSE_MS);
@@ -257,8 +259,13 @@
     return Math.floor(Math.min(RENEWAL_WAIT_MS, this.bounds.leaseMs * RENEWAL_LEASE_PART));
   }
 
+  /**
+   * Renews the lease while answers come. Without an answer for a whole lease nothing is prolonged any more, so that
+   * what runs there ends at a known time.
+   */
   private renew(waitMs: number, now: number): Promise<LeaseAnswer> {
-    const leaseUntilMs = this.lease.extend(now);
+    const mayExtend = now - this.renewedAt <= this.bounds.leaseMs;
+    const leaseUntilMs = mayExtend ? this.lease.extend(now) : undefined;
     const { token: fencingToken, lastSequence } = this;
     return this.executor.renew(
       { leaseUntilMs, fencingToken, lastSequence, waitMs },
--- a/src/request/dispatch/submission.ts
+++ b/src/request/dispatch/submission.ts
@@ -38,6 +38,9 @@
 /** The one answer of a job. */
 export type JobOutcome =
   | { readonly kind: 'completed' }
+  /** A task has failed as often as its queue allows. */
   | { readonly kind: 'failed'; readonly reason: string }
+  /** The job is given up and parts of it may have run; submitted again it may run anew. */
+  | { readonly kind: 'interrupted'; readonly reason: string }
   /** Nothing of the job has run or ever will under this submission. */
   | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number };
--- /dev/null
+++ b/test/fakes/FakeCaller.ts
@@ -0,0 +1,12 @@
+/** A caller that remembers its answer. */
+import type { Caller } from '../../src/ports/CallerGateway.js';
+import type { JobOutcome } from '../../src/request/dispatch/submission.js';
+
+/** A caller. */
+export class FakeCaller implements Caller {
+  readonly answers: JobOutcome[] = [];
+
+  answer(outcome: JobOutcome): void {
+    this.answers.push(outcome);
+  }
+}
--- /dev/null
+++ b/test/fakes/FakeUpstream.ts
@@ -0,0 +1,169 @@
+/**
+ * An upstream in memory that keeps to the platform's rules for runs, leases and fencing tokens, with switches for
+ * what goes wrong: answers that are lost, orders that are carried out late, tasks that stand still or fail.
+ */
+import { TaskExecutor } from '../../src/ports/TaskExecutor.js';
+import type {
+  EndedRun,
+  LeaseAnswer,
+  LeaseRenewal,
+  OrderAnswer,
+  RunEnd,
+  RunName,
+  RunStart,
+  StartVerdict,
+  StopVerdict,
+} from '../../src/ports/TaskExecutor.js';
+import type { FakeClock } from './FakeClock.js';
+
+/** Step in which a waiting renewal looks for an end, ms. */
+const LOOK_MS = 5;
+
+interface Run {
+  readonly name: RunName;
+  readonly startedAt: number;
+  workMs: number;
+}
+
+/** How an order fares on its way. */
+export type OrderFate = 'answered' | 'lost' | 'unanswered';
+
+/** A life of an upstream. */
+export class FakeUpstream extends TaskExecutor {
+  readonly running = new Map<string, Run>();
+  readonly ended: EndedRun[] = [];
+  /** Starts that took effect. */
+  starts = 0;
+  /** Time that a task takes, ms. */
+  taskMs = 100;
+  /** Whether tasks make progress. */
+  hangs = false;
+  /** Whether tasks fail at once. */
+  fails = false;
+  /** Whether the upstream answers at all. */
+  silent = false;
+  /** How the next orders fare; `answered` when empty. */
+  readonly fates: OrderFate[] = [];
+  token = 0;
+  leaseUntil = 0;
+  /** Runs that two starts were at work on at once. */
+  doubled = 0;
+  private readonly highestRun = new Map<string, number>();
+  private sequence = 0;
+
+  constructor(
+    private readonly clock: FakeClock,
+    /** Our clock is this far from the agent's, ms. */
+    private readonly offsetMs = 500_000,
+  ) {
+    super();
+  }
+
+  get clockMs(): number {
+    return this.clock.now() + this.offsetMs;
+  }
+
+  override async start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>> {
+    const fate = await this.travel(timeoutMs);
+    const verdict = fate === 'lost' ? 'started' : this.applyStart(order);
+    if (fate !== 'answered') await this.giveUp(timeoutMs);
+    return { verdict, clockMs: this.clockMs };
+  }
+
+  /** Carries out a start, as a copy that was on its way for long would be. */
+  applyStart(order: RunStart): StartVerdict {
+    this.work();
+    if (order.fencingToken < this.token) return 'fenced';
+    this.token = order.fencingToken;
+    if (order.leaseUntilMs < this.clockMs) return 'late';
+    this.leaseUntil = Math.max(this.leaseUntil, order.leaseUntilMs);
+    const key = buildKey(order.name);
+    const run = this.running.get(key);
+    if (run?.name.run === order.name.run) return 'started';
+    if (order.name.run <= (this.highestRun.get(key) ?? 0)) return 'superseded';
+    if (run) this.doubled += 1;
+    this.highestRun.set(key, order.name.run);
+    this.starts += 1;
+    this.running.set(key, { name: order.name, startedAt: this.clock.now(), workMs: 0 });
+    if (this.fails) this.end(order.name, 'failed');
+    return 'started';
+  }
+
+  override async stop(
+    name: RunName,
+    fencingToken: number,
+    timeoutMs: number,
+  ): Promise<OrderAnswer<StopVerdict>> {
+    const fate = await this.travel(timeoutMs);
+    if (fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
+    if (fate !== 'lost') this.applyStop(name);
+    if (fate !== 'answered') await this.giveUp(timeoutMs);
+    return { verdict: 'accepted', clockMs: this.clockMs };
+  }
+
+  override async renew(renewal: LeaseRenewal, timeoutMs: number): Promise<LeaseAnswer> {
+    if (this.silent) await this.giveUp(timeoutMs);
+    this.work();
+    if (renewal.fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
+    this.token = renewal.fencingToken;
+    this.leaseUntil = Math.max(this.leaseUntil, renewal.leaseUntilMs ?? 0);
+    while (this.ended[0] && this.ended[0].sequence <= renewal.lastSequence) this.ended.shift();
+    const until = this.clock.now() + renewal.waitMs;
+    while (this.ended.length === 0 && this.clock.now() < until) {
+      await this.clock.sleep(LOOK_MS);
+      if (this.silent) await this.giveUp(timeoutMs);
+      this.work();
+    }
+    const running = [...this.running.values()].map(({ name, workMs }) => {
+      return { name, percent: Math.floor(Math.min(99, (workMs / this.taskMs) * 100)) };
+    });
+    return { verdict: 'held', clockMs: this.clockMs, running, ended: [...this.ended] };
+  }
+
+  override close(): void {
+    // Nothing is open.
+  }
+
+  /** Begins a run that nobody here has ordered, as an earlier life of the agent would have. */
+  beginForeign(name: RunName): void {
+    this.running.set(buildKey(name), { name, startedAt: this.clock.now(), workMs: 0 });
+    this.highestRun.set(buildKey(name), name.run);
+  }
+
+  private applyStop(name: RunName): void {
+    this.work();
+    const key = buildKey(name);
+    this.highestRun.set(key, Math.max(name.run, this.highestRun.get(key) ?? 0));
+    if (this.running.get(key)?.name.run === name.run) this.end(name, 'stopped');
+  }
+
+  private work(): void {
+    const now = this.clock.now();
+    const lapsed = this.clockMs > this.leaseUntil;
+    for (const run of [...this.running.values()]) {
+      if (!this.hangs) run.workMs = now - run.startedAt;
+      if (run.workMs >= this.taskMs) this.end(run.name, 'done');
+      else if (lapsed) this.end(run.name, 'lapsed');
+    }
+  }
+
+  private end(name: RunName, end: RunEnd): void {
+    this.running.delete(buildKey(name));
+    this.sequence += 1;
+    this.ended.push({ sequence: this.sequence, name, end });
+  }
+
+  private async travel(timeoutMs: number): Promise<OrderFate> {
+    if (this.silent) await this.giveUp(timeoutMs);
+    return this.fates.shift() ?? 'answered';
+  }
+
+  private async giveUp(timeoutMs: number): Promise<never> {
+    await this.clock.sleep(timeoutMs);
+    throw new Error('no answer');
+  }
+}
+
+function buildKey({ job, step, index }: RunName): string {
+  return `${job}/${step}/${index}`;
+}
