Give up open jobs after a pause that outlasts their agents; stand-ins and process tests

Cause: an entry that stood still for longer than agents wait for its echo found its jobs' tasks stopped, and started them anew, while a caller might already have gone to another entry: the test 'run nothing on for a frozen entry, and take its callers elsewhere' saw six tasks run twice at once. Change: after such a pause open jobs are answered 504 at once.

--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -247,7 +247,10 @@
     }
   }
 
-  /** Gives every open job its final answer: the process ends. */
+  /**
+   * Gives every open job its final answer: the process ends, or stood still for so long that the agents have stopped
+   * its tasks and callers may have gone to other entries.
+   */
   endAll(reason: string, now: number): void {
     for (const job of [...this.jobs.values()]) this.giveUp(job, reason, now);
   }
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -64,7 +64,7 @@
     this.address = `${settings.address}:${settings.linkPort}`;
     this.logger = createLogger(peer, settings.logLevel);
     const nextRandom = createRandom(Date.now() % 1_000_000);
-    const { pingMs } = deriveDispatchTimes(settings);
+    const { pingMs, orphanAfterMs } = deriveDispatchTimes(settings);
     this.dispatcher = new Dispatcher(
       { pingMs, placement: new SpeedPlacement(), nextRandom },
       {
@@ -74,7 +74,8 @@
       },
     );
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
-      this.logger.warn('paused', { gapMs: Math.round(gapMs) });
+      this.logger.warn('paused', { gapMs: Math.round(gapMs), openJobs: this.dispatcher.openJobs });
+      if (gapMs > orphanAfterMs) this.dispatcher.endAll('paused', this.clock.now());
     });
     this.listener = new PeerListener({
       receive: (channel, message) => this.receive(channel, message),
--- /dev/null
+++ b/standins/protocol/RunnerStandin.ts
@@ -0,0 +1,191 @@
+/** Stand-in for a runner: takes orders under leases and fencing tokens, and sends heartbeats. */
+import { request as sendRequest } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { writeJson } from '../../src/connection/http/writeJson.js';
+import {
+  BEAT_PREFIX,
+  EXPECT_INSTANCE_HEADER,
+  HOLD_PATH,
+  RUN_START_PATH,
+  RUN_STOP_PATH,
+} from '../../platform/names.js';
+import { StandinServer } from '../StandinServer.js';
+import type { StandinRequest } from '../StandinServer.js';
+
+const BEAT_MS = 300;
+const LOOK_MS = 5;
+
+interface StandinRun {
+  readonly task: string;
+  readonly run: number;
+  readonly startedAt: number;
+  readonly workMs: number;
+}
+
+interface OrderBody {
+  readonly task?: string;
+  readonly run?: number;
+  readonly spec?: string;
+  readonly deadline_ms?: number;
+  readonly fencing_token?: number;
+  readonly last_seen?: number;
+  readonly wait_ms?: number;
+}
+
+/** Who a runner is. */
+export interface RunnerIdentity {
+  readonly id: string;
+  readonly service: string;
+  /** `host:port` of the agent on its machine. */
+  readonly control: string;
+  readonly cpu: number;
+}
+
+/** What every runner of a test tells of starts and ends. */
+export interface RunJournal {
+  readonly noteStart: (task: string, runner: string) => void;
+  readonly noteEnd: (task: string, runner: string, how: string) => void;
+}
+
+/** A runner. A task's `spec` is the ms it works. */
+export class RunnerStandin extends StandinServer {
+  readonly running = new Map<string, StandinRun>();
+  /** The next so many starts are carried out without an answer. */
+  muteStarts = 0;
+  /** All that starts fails. */
+  fails = false;
+  private readonly ended: [number, string, number, string, string][] = [];
+  private readonly highestRun = new Map<string, number>();
+  private sequence = 0;
+  private token = 0;
+  private leaseUntil = 0;
+  private beats = 0;
+  private beatTimer: NodeJS.Timeout | undefined;
+  private lapseTimer: NodeJS.Timeout | undefined;
+  private address = '';
+  state: 'ready' | 'draining' = 'ready';
+
+  constructor(
+    private readonly identity: RunnerIdentity,
+    private readonly journal: RunJournal,
+  ) {
+    super();
+  }
+
+  override async start(host: string, port: number): Promise<string> {
+    const url = await super.start(host, port);
+    this.address = url.slice('http://'.length);
+    this.beatTimer = setInterval(() => this.beat(), BEAT_MS);
+    this.lapseTimer = setInterval(() => this.work(), LOOK_MS);
+    this.beat();
+    return url;
+  }
+
+  override async stop(): Promise<void> {
+    clearInterval(this.beatTimer);
+    clearInterval(this.lapseTimer);
+    await super.stop();
+  }
+
+  protected override async handle(request: StandinRequest, response: ServerResponse): Promise<void> {
+    const expected = request.headers[EXPECT_INSTANCE_HEADER.toLowerCase()];
+    if (expected !== undefined && expected !== this.identity.id) return writeJson(response, 421, '{}');
+    this.work();
+    const order = JSON.parse(request.text) as OrderBody;
+    if ((order.fencing_token ?? 0) < this.token) return this.conflict(response, 'fence');
+    this.token = order.fencing_token ?? 0;
+    const path = request.url.pathname;
+    if (path === RUN_START_PATH) return this.handleStart(order, response);
+    if (path === RUN_STOP_PATH) return this.handleStop(order, response);
+    if (path === HOLD_PATH) return this.handleHold(order, response);
+    writeJson(response, 404, '{}');
+  }
+
+  private get clockMs(): number {
+    return Math.floor(performance.now());
+  }
+
+  private handleStart(order: OrderBody, response: ServerResponse): void {
+    const { task = '', run = 0, spec = '', deadline_ms: deadlineMs = 0 } = order;
+    if (deadlineMs < this.clockMs) return this.conflict(response, 'late');
+    this.leaseUntil = Math.max(this.leaseUntil, deadlineMs);
+    if (this.running.get(task)?.run === run) return this.accept(response);
+    if (run <= (this.highestRun.get(task) ?? 0)) return this.conflict(response, 'old');
+    this.highestRun.set(task, run);
+    this.running.set(task, { task, run, startedAt: performance.now(), workMs: Number(spec) });
+    this.journal.noteStart(task, this.identity.id);
+    if (this.fails) this.end(task, 'failed');
+    if (this.muteStarts === 0) return this.accept(response);
+    this.muteStarts -= 1;
+    response.destroy();
+  }
+
+  private handleStop({ task = '', run = 0 }: OrderBody, response: ServerResponse): void {
+    this.highestRun.set(task, Math.max(run, this.highestRun.get(task) ?? 0));
+    if (this.running.get(task)?.run === run) this.end(task, 'stopped');
+    this.accept(response);
+  }
+
+  private async handleHold(order: OrderBody, response: ServerResponse): Promise<void> {
+    this.leaseUntil = Math.max(this.leaseUntil, order.deadline_ms ?? 0);
+    while (this.ended[0] && this.ended[0][0] <= (order.last_seen ?? 0)) this.ended.shift();
+    const until = performance.now() + (order.wait_ms ?? 0);
+    while (this.ended.length === 0 && performance.now() < until) await sleep(LOOK_MS);
+    const running = [...this.running.values()].map(({ task, run, startedAt, workMs }) => {
+      return [task, run, '', Math.min(99, Math.floor(((performance.now() - startedAt) / workMs) * 100)), 0];
+    });
+    writeJson(response, 200, JSON.stringify({ clock_ms: this.clockMs, running, ended: this.ended }));
+  }
+
+  private work(): void {
+    const now = performance.now();
+    for (const { task, startedAt, workMs } of [...this.running.values()]) {
+      if (now - startedAt >= workMs) this.end(task, 'done');
+      else if (this.clockMs > this.leaseUntil) this.end(task, 'lapsed');
+    }
+  }
+
+  private end(task: string, how: string): void {
+    const run = this.running.get(task);
+    if (!run) return;
+    this.running.delete(task);
+    this.sequence += 1;
+    this.ended.push([this.sequence, task, run.run, how, '']);
+    this.journal.noteEnd(task, this.identity.id, how);
+  }
+
+  private accept(response: ServerResponse): void {
+    writeJson(response, 200, JSON.stringify({ clock_ms: this.clockMs }));
+  }
+
+  private conflict(response: ServerResponse, reason: string): void {
+    writeJson(response, 409, JSON.stringify({ clock_ms: this.clockMs, reason }));
+  }
+
+  private beat(): void {
+    this.beats += 1;
+    const { id, service, control, cpu } = this.identity;
+    const body = JSON.stringify({
+      service,
+      address: this.address,
+      zone: 'x',
+      version: 'v1',
+      slots: 8,
+      state: this.state,
+      cold_remaining_ms: 0,
+      capacity: { cpu, mem_mb: 4_096, gpu: 0 },
+      labels: ['a', 'r1'],
+      clock_ms: this.clockMs,
+      call_seq: this.beats,
+    });
+    const [host = '', port = ''] = control.split(':');
+    const headers = { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)) };
+    const outgoing = sendRequest({ host, port, method: 'POST', path: `${BEAT_PREFIX}${id}`, headers });
+    outgoing.on('response', (incoming) => incoming.resume());
+    outgoing.on('error', () => undefined);
+    outgoing.end(body);
+  }
+}
--- /dev/null
+++ b/test/fakes/PlatformBench.ts
@@ -0,0 +1,248 @@
+/** Dispatchers and executors as separate processes on loopback, with stand-ins for store, runners and callers. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtemp, writeFile } from 'node:fs/promises';
+import { request as sendRequest } from 'node:http';
+import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+
+import { DEADLINE_HEADER, READY_PATH } from '../../platform/names.js';
+import { RunnerStandin } from '../../standins/protocol/RunnerStandin.js';
+import { StoreStandin } from '../../standins/protocol/StoreStandin.js';
+
+const BINARY = fileURLToPath(new URL('../../src/bin/marblehall.js', import.meta.url));
+const WAIT_MS = 30_000;
+const LOOK_MS = 20;
+const SERVICE = 'service';
+const HOST = 'a.example';
+
+/** Answer to a caller; status 0 when the connection broke. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly body: string;
+  readonly retryAfter: string | undefined;
+}
+
+interface Daemon {
+  readonly args: readonly string[];
+  readonly files: { readonly settings: string };
+  child: ChildProcess;
+  output: string;
+}
+
+/** A small deployment. */
+export class PlatformBench {
+  readonly store = new StoreStandin();
+  readonly runners: RunnerStandin[] = [];
+  /** Runs of a task that are at work now. */
+  readonly atWork = new Map<string, number>();
+  /** Starts of each task. */
+  readonly starts = new Map<string, number>();
+  /** Tasks that ran twice at once. */
+  readonly doubled: string[] = [];
+  private readonly daemons = new Map<string, Daemon>();
+  private directory = '';
+  private storeAddress = '';
+  private ports = { link: 0, front: 0, ready: 0, control: 0 };
+  private version = 1;
+
+  constructor(
+    private readonly entries: number,
+    private readonly agents: number,
+  ) {}
+
+  /** Starts everything and waits until the entries take jobs. */
+  async start(): Promise<void> {
+    this.directory = await mkdtemp(path.join(tmpdir(), 'marblehall-'));
+    this.storeAddress = (await this.store.start('127.0.0.1', 0)).slice('http://'.length);
+    const [link = 0, front = 0, ready = 0, control = 0] = await findPorts(4);
+    this.ports = { link, front, ready, control };
+    this.putConfiguration(['/q/']);
+    for (let number = 1; number <= this.entries; number += 1) await this.startDaemon(`entry-${number}`);
+    for (let number = 1; number <= this.agents; number += 1) {
+      await this.startDaemon(`agent-${number}`);
+      await this.startRunner(number);
+    }
+    for (let number = 1; number <= this.entries; number += 1) await this.waitUntilReady(`entry-${number}`);
+  }
+
+  /** Ends everything that was started here. */
+  async stop(): Promise<void> {
+    for (const { child } of this.daemons.values()) child.kill('SIGKILL');
+    for (const runner of this.runners) await runner.stop();
+    await this.store.stop();
+  }
+
+  /** Writes a configuration with a queue for each path prefix. */
+  putConfiguration(prefixes: readonly string[]): void {
+    this.version += 3;
+    const routes = prefixes.map((prefix, at) => ({
+      name: `queue-${at}`,
+      host: HOST,
+      path_prefix: prefix,
+      service: SERVICE,
+      priority: 0,
+      max_attempts: 2,
+      stretch: 1.6,
+      target_latency_ms: 60,
+    }));
+    this.store.putConfiguration({ version: this.version, routes, limits: {} });
+  }
+
+  /** Starts a daemon, or starts it again. */
+  async startDaemon(id: string): Promise<void> {
+    const ip = findIp(id);
+    const { link, front, ready, control } = this.ports;
+    const settings = path.join(this.directory, `${id}.json`);
+    const seeds = Array.from({ length: this.entries }, (_, at) => `${findIp(`entry-${at + 1}`)}:${control}`);
+    const value = {
+      id,
+      address: ip,
+      linkPort: link,
+      seeds,
+      callerAddress: `${ip}:${front}`,
+      readyAddress: `${ip}:${ready}`,
+      controlAddress: `${ip}:${control}`,
+      storeAddress: this.storeAddress,
+    };
+    await writeFile(settings, JSON.stringify(value));
+    const role = id.startsWith('entry') ? 'dispatcher' : 'executor';
+    const args = [BINARY, 'serve', role, '--settings', settings];
+    const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+    const daemon: Daemon = { args, files: { settings }, child, output: '' };
+    child.stdout.on('data', (text: Buffer) => (daemon.output += text.toString()));
+    child.stderr.on('data', (text: Buffer) => (daemon.output += text.toString()));
+    this.daemons.set(id, daemon);
+  }
+
+  /** Sends a signal to a daemon. */
+  signal(id: string, name: NodeJS.Signals): void {
+    this.findDaemon(id).child.kill(name);
+  }
+
+  /** Waits for a daemon's end and returns its exit code. */
+  async waitForExit(id: string): Promise<number | null> {
+    const { child } = this.findDaemon(id);
+    await this.waitFor(() => child.exitCode !== null || child.signalCode !== null);
+    return child.exitCode;
+  }
+
+  /** Whether a daemon runs. */
+  isRunning(id: string): boolean {
+    const { child } = this.findDaemon(id);
+    return child.exitCode === null && child.signalCode === null;
+  }
+
+  /** What a daemon has logged. */
+  readOutput(id: string): string {
+    return this.findDaemon(id).output;
+  }
+
+  /** Waits until an entry calls itself ready. */
+  async waitUntilReady(id: string): Promise<void> {
+    const { ready } = this.ports;
+    await this.waitFor(async () => (await send(findIp(id), ready, 'GET', READY_PATH, '', {})).status === 200);
+  }
+
+  /** Submits a job of tasks that work for some ms each. */
+  submit(id: string, job: string, tasks: number, workMs: number, patienceMs = 20_000): Promise<CallerAnswer> {
+    const step = { count: tasks, cpu: 1_000, mem_mb: 10, estimate_ms: workMs };
+    return this.post(id, `/q/${job}`, { spec: String(workMs), steps: [step], best_effort: true }, patienceMs);
+  }
+
+  /** Sends a body to an entry. */
+  post(id: string, url: string, body: object, patienceMs = 20_000): Promise<CallerAnswer> {
+    const headers = { host: HOST, 'content-type': 'application/json', [DEADLINE_HEADER]: String(patienceMs) };
+    return send(findIp(id), this.ports.front, 'POST', url, JSON.stringify(body), headers);
+  }
+
+  /** Asks an entry. */
+  get(id: string, url: string): Promise<CallerAnswer> {
+    return send(findIp(id), this.ports.front, 'GET', url, '', { host: HOST });
+  }
+
+  /** Waits until something holds; fails after a time that only a broken program takes. */
+  async waitFor(holds: () => boolean | Promise<boolean>): Promise<void> {
+    for (let waited = 0; waited < WAIT_MS; waited += LOOK_MS) {
+      if (await holds()) return;
+      await sleep(LOOK_MS);
+    }
+    throw new Error('it does not come to hold');
+  }
+
+  private async startRunner(number: number): Promise<void> {
+    const ip = findIp(`agent-${number}`);
+    const control = `${ip}:${this.ports.control}`;
+    const runner = new RunnerStandin(
+      { id: `i-${number}`, service: SERVICE, control, cpu: 4_000 },
+      {
+        noteStart: (task) => {
+          this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
+          const atWork = (this.atWork.get(task) ?? 0) + 1;
+          this.atWork.set(task, atWork);
+          if (atWork > 1) this.doubled.push(task);
+        },
+        noteEnd: (task) => this.atWork.set(task, (this.atWork.get(task) ?? 1) - 1),
+      },
+    );
+    this.runners.push(runner);
+    await runner.start(ip, 0);
+  }
+
+  private findDaemon(id: string): Daemon {
+    const daemon = this.daemons.get(id);
+    if (!daemon) throw new Error(`there is no ${id}`);
+    return daemon;
+  }
+}
+
+/** Each daemon has a loopback address of its own, as all share their ports. */
+function findIp(id: string): string {
+  const [role, number] = id.split('-');
+  return `127.${role === 'entry' ? 10 : 20}.0.${number}`;
+}
+
+async function findPorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) => {
+          server.listen(0, '127.0.0.1', () => resolve((server.address() as { port: number }).port));
+        }),
+    ),
+  );
+  for (const server of servers) server.close();
+  return ports;
+}
+
+function send(
+  host: string,
+  port: number,
+  method: string,
+  url: string,
+  body: string,
+  headers: Readonly<Record<string, string>>,
+): Promise<CallerAnswer> {
+  return new Promise((resolve) => {
+    const broken = (): void => resolve({ status: 0, body: '', retryAfter: undefined });
+    const outgoing = sendRequest({ host, port, method, path: url, headers, agent: false }, (incoming) => {
+      const chunks: Buffer[] = [];
+      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      incoming.on('error', broken);
+      incoming.on('end', () => {
+        const text = Buffer.concat(chunks).toString('utf8');
+        resolve({
+          status: incoming.statusCode ?? 0,
+          body: text,
+          retryAfter: incoming.headers['retry-after'],
+        });
+      });
+    });
+    outgoing.on('error', broken);
+    outgoing.end(body);
+  });
+}
