Have an agent stop, on a new link, what its entry no longer wants

Cause: a stop that was sent while the link was down was lost; the agent went on, proved by later echoes. Change: on a new link the entry compares what the agent holds with what it wants. Test 'has an agent stop what it still holds ...' failed first.

--- a/bench/defects.ts
+++ b/bench/defects.ts
@@ -7,13 +7,8 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-/** One defect: a text of the built code and what stands there instead. */
-interface Defect {
-  readonly name: string;
-  readonly file: string;
-  readonly find: string;
-  readonly replace: string;
-}
+import type { Defect } from './defect.js';
+import { DISPATCH_DEFECTS } from './dispatchDefects.js';
 
 const DIST = fileURLToPath(new URL('..', import.meta.url));
 const COPIES = path.join(DIST, '..', 'dist-defect');
@@ -113,14 +108,15 @@
 ];
 
 let missed = 0;
-const waiting = DEFECTS.filter(({ name }) => name.includes(process.argv[2] ?? ''));
+const all = [...DEFECTS, ...DISPATCH_DEFECTS];
+const waiting = all.filter(({ name }) => name.includes(process.argv[2] ?? ''));
 await Promise.all(Array.from({ length: CONCURRENT }, seekNext));
 await rm(COPIES, { recursive: true, force: true });
 process.exit(missed > 0 ? 1 : 0);
 
 async function seekNext(): Promise<void> {
   for (let defect = waiting.shift(); defect; defect = waiting.shift()) {
-    const found = await seekDefect(defect, path.join(COPIES, String(DEFECTS.indexOf(defect))));
+    const found = await seekDefect(defect, path.join(COPIES, String(all.indexOf(defect))));
     if (!found) missed += 1;
     console.log(JSON.stringify({ defect: defect.name, ...(found ?? { caught: false }) }));
   }
@@ -137,7 +133,7 @@
   await symlink(path.join(DIST, '..', 'node_modules'), path.join(copy, 'node_modules')).catch(
     () => undefined,
   );
-  const output = await runSoak(copy);
+  const output = await runSoak(copy, DISPATCH_DEFECTS.includes(defect) ? 'dispatch' : 'registrar');
   const cases = /failed after (\d+) test/.exec(output);
   if (!cases) return undefined;
   const batches = output.split('\n').filter((line) => line.startsWith('{"seed"')).length;
@@ -147,8 +143,9 @@
   return { caught: true, cases: batches * 200 + Number(cases[1]), by: broken?.[0] ?? '' };
 }
 
-async function runSoak(copy: string): Promise<string> {
-  const args = [path.join(copy, 'bench', 'soak.js'), '--seed', '1', '--minutes', String(MINUTES)];
+async function runSoak(copy: string, core: string): Promise<string> {
+  const soak = path.join(copy, 'bench', 'soak.js');
+  const args = [soak, '--core', core, '--seed', '1', '--minutes', String(MINUTES)];
   const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
   let output = '';
   child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
--- /dev/null
+++ b/bench/dispatchDefects.ts
@@ -0,0 +1,73 @@
+/** Defects that are planted in dispatcher and executor. */
+import type { Defect } from './defect.js';
+
+/** The defects. */
+export const DISPATCH_DEFECTS: readonly Defect[] = [
+  {
+    name: 'tasks of a silent agent are started elsewhere at once',
+    file: 'src/process/dispatcher/Dispatcher.js',
+    find: 'if (now <= agent.heardAt + agent.orphanMs)',
+    replace: 'if (now <= agent.heardAt + 150)',
+  },
+  {
+    name: 'an agent lets the tasks of a silent entry run on',
+    file: 'src/process/executor/AgentCore.js',
+    find: 'if (ageMs <= this.bounds.orphanAfterMs)',
+    replace: 'if (true)',
+  },
+  {
+    name: 'an agent begins what has expired on its way',
+    file: 'src/process/executor/AgentCore.js',
+    find: 'if (now > order.expiresAt)',
+    replace: 'if (false)',
+  },
+  {
+    name: 'a new link loses what the agent still holds',
+    file: 'src/process/dispatcher/Dispatcher.js',
+    find: 'if (holding.has(buildAttemptKey(buildAttemptName(task))))',
+    replace: 'if (false)',
+  },
+  {
+    name: 'a new life of an agent counts before it has stopped what ran',
+    file: 'src/process/dispatcher/Dispatcher.js',
+    find: "if (agent.room?.state !== 'ready')\n            return;\n        for (const earlier",
+    replace: 'for (const earlier',
+  },
+  {
+    name: 'an agent takes work beside what an earlier life had started',
+    file: 'src/process/executor/UpstreamSession.js',
+    find: 'if (!this.joined && unknown === 0)',
+    replace: 'if (!this.joined)',
+  },
+  {
+    name: 'an unanswered start counts as not run',
+    file: 'src/process/executor/UpstreamSession.js',
+    find: "return this.stopTask(task, 'start-unanswered');",
+    replace: "return this.finish(task, 'not-run', 'start-unanswered');",
+  },
+  {
+    name: 'an upstream out of reach counts as gone before its lease is over',
+    file: 'src/process/executor/UpstreamSession.js',
+    find: 'if (now <= this.lease.aliveUntil + this.bounds.stopMs || !this.reachable)',
+    replace: 'if (now <= this.renewedAt + 100 || !this.reachable)',
+  },
+  {
+    name: 'what a caller has left is not stopped',
+    file: 'src/process/dispatcher/Dispatcher.js',
+    find: "this.effects.send(task.agent, { type: 'stop'",
+    replace: "void (task.agent, { type: 'stop'",
+  },
+  {
+    name: 'a job that has run is refused',
+    file: 'src/process/dispatcher/Dispatcher.js',
+    find: 'const mayHaveRun = job.begun || job.out > 0;',
+    replace: 'const mayHaveRun = job.out > 0; job.begun = false;',
+  },
+  {
+    name: 'a start is repeated under a new run',
+    file: 'src/process/executor/UpstreamSession.js',
+    find: 'const now = this.clock.now();\n            const order',
+    replace:
+      'if (sends > 0) task.run += 1;\n            const now = this.clock.now();\n            const order',
+  },
+];
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -3,6 +3,7 @@
 import * as fc from 'fast-check';
 
 import { FakeWorld } from '../test/fakes/FakeWorld.js';
+import { runDispatchWorld } from '../test/fakes/runDispatchWorld.js';
 import { RUN_AGENTS, RUN_ENTRIES, worldCommands } from '../test/fakes/worldCommands.js';
 
 /** Runs between two lines of progress. */
@@ -51,6 +52,7 @@
 }
 
 const cli = cac('soak');
+cli.option('--core <name>', 'registrar (own interface) or dispatch (platform)', { default: 'registrar' });
 cli.option('--seed <number>', 'first seed', { default: 1 });
 cli.option('--minutes <number>', 'how long to run', { default: 5 });
 cli.help();
@@ -59,7 +61,9 @@
 let seed = Number(options['seed']);
 while (Date.now() < until) {
   try {
-    runBatch(seed);
+    if (options['core'] === 'dispatch')
+      console.log(JSON.stringify(await runDispatchWorld(seed, BATCH, true)));
+    else runBatch(seed);
   } catch (error) {
     console.error(`seed ${seed}: ${String(error instanceof Error ? error.message : error)}`);
     if (error instanceof Error && error.cause instanceof Error) console.error(error.cause.stack);
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -211,6 +211,21 @@
     expect(bench.starts[2]?.order.name).to.deep.equal({ ...second.order.name, attempt: 2 });
   });
 
+  it('has an agent stop what it still holds of a job that ended while the link was down', () => {
+    bench.submit(10, { steps: [{ ...STEP, count: 1 }] });
+    const [start] = bench.starts;
+    if (!start) throw new Error('one start');
+    bench.dispatcher.handleClose('a@1', 'reset', 50);
+    bench.dispatcher.abandon('job', bench.caller, 60);
+    const stray = { job: 'unknown', step: 0, index: 0, attempt: 1 };
+    const before = bench.sent.length;
+    bench.link('a', 100, { holding: [start.order.name, stray] });
+    expect(bench.sent.slice(before).map(({ message }) => message)).to.deep.equal([
+      { type: 'stop', name: start.order.name },
+      { type: 'stop', name: stray },
+    ]);
+  });
+
   it('ignores the result of an attempt that is not the newest', () => {
     bench.submit(10, { steps: [{ ...STEP, count: 1 }] });
     bench.end(0, 'lost', 20);
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -150,7 +150,7 @@
   }
 
   /**
-   * An agent has linked; what it does not hold any more, and has not told, is lost.
+   * An agent has linked; what it does not hold any more, and has not told, is lost. Its link must take orders.
    *
    * @returns the id by which the dispatcher knows this life of the agent
    */
@@ -166,13 +166,8 @@
       return id;
     }
     known.reopen(now);
-    const isOurs = hello.entryLife === ownLife;
-    for (const result of isOurs ? hello.results : []) this.handleResult(id, result, now);
-    const holding = new Set(isOurs ? hello.holding.map((name) => buildAttemptKey(name)) : []);
-    for (const task of this.listTasksAt(id)) {
-      if (holding.has(buildAttemptKey(buildAttemptName(task)))) continue;
-      this.settle(task, 'lost', 'link-broke', now);
-    }
+    if (hello.entryLife === ownLife) this.compareHeld(id, hello, now);
+    else for (const task of this.listTasksAt(id)) this.settle(task, 'lost', 'link-broke', now);
     return id;
   }
 
@@ -447,6 +442,20 @@
     return job && findTask(job, step, index);
   }
 
+  /** Brings what we have at an agent and what it holds for us together: orders and results may have been lost. */
+  private compareHeld(id: string, hello: AgentHello, now: number): void {
+    for (const result of hello.results) this.handleResult(id, result, now);
+    const holding = new Set(hello.holding.map((name) => buildAttemptKey(name)));
+    for (const task of this.listTasksAt(id)) {
+      if (!holding.has(buildAttemptKey(buildAttemptName(task)))) this.settle(task, 'lost', 'link-broke', now);
+    }
+    for (const name of hello.holding) {
+      const task = this.findNamed(name);
+      const isWanted = task?.phase === 'sent' && task.attempt === name.attempt && task.agent === id;
+      if (!isWanted) this.effects.send(id, { type: 'stop', name });
+    }
+  }
+
   private listTasksAt(agentId: string): DispatchTask[] {
     const tasks: DispatchTask[] = [];
     for (const job of this.jobs.values()) {
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -18,6 +18,7 @@
 import { MemberTable } from '../MemberTable.js';
 import { PauseGuard } from '../PauseGuard.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { buildAgentId } from './AgentView.js';
 import { Dispatcher } from './Dispatcher.js';
 import type { DispatchJob } from './dispatchJob.js';
 import { SpeedPlacement } from './Placement.js';
@@ -213,7 +214,7 @@
     hello: Extract<PeerMessage, { type: 'agent-hello' }>,
     now: number,
   ): void {
-    const id = this.dispatcher.handleHello(hello, this.life, now);
+    const id = buildAgentId(hello);
     const before = this.channels.get(id);
     this.channels.set(id, channel);
     this.agentIds.set(channel, id);
@@ -222,6 +223,7 @@
     channel.send({ type: 'entry-welcome', entry: this.settings.id, life, address });
     channel.send({ type: 'members', entries: this.listMembers() });
     this.sendConfiguration(channel);
+    this.dispatcher.handleHello(hello, this.life, now);
   }
 
   private welcomeEntry(channel: LineChannel, address: string, now: number): void {
--- /dev/null
+++ b/test/fakes/DispatchWorld.ts
@@ -0,0 +1,515 @@
+/**
+ * Dispatchers, agents and upstreams on a virtual clock, with links that stall, reset and heal, processes that freeze
+ * and die, and callers that leave and come again elsewhere. The product's own core runs unchanged; the promises are
+ * checked as it goes.
+ */
+import { createRandom } from '../../src/_lib/createRandom.js';
+import type { AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
+import type { JobOutcome, JobSubmission } from '../../src/request/dispatch/submission.js';
+import type { UpstreamReport } from '../../src/ports/UpstreamRegistry.js';
+import { AgentCore } from '../../src/process/executor/AgentCore.js';
+import { buildAgentId } from '../../src/process/dispatcher/AgentView.js';
+import { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
+import { SpeedPlacement } from '../../src/process/dispatcher/Placement.js';
+import { deriveDispatchTimes } from '../../src/process/dispatchTimes.js';
+import { FakeCaller } from './FakeCaller.js';
+import { FakeClock } from './FakeClock.js';
+import { FakeUpstream } from './FakeUpstream.js';
+import { GatedExecutor, ProcessGate } from './ProcessGate.js';
+
+export const WORLD_ENTRIES = 2;
+export const WORLD_AGENTS = 3;
+
+const RESUBMIT_MS = 1_300;
+const STOP_MS = 50;
+const STEP_MS = 5;
+const TICK_MS = 40;
+const REDIAL_MS = 60;
+const REPORT_MS = 500;
+const RESTART_MS = 300;
+const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+const TIMES = deriveDispatchTimes({
+  resubmitMs: RESUBMIT_MS,
+  maxLeaseMs: 1_000,
+} as Parameters<typeof deriveDispatchTimes>[0]);
+
+interface Parcel<Message> {
+  readonly at: number;
+  readonly message: Message;
+}
+
+interface Link {
+  readonly entry: WorldEntry;
+  readonly agent: WorldAgent;
+  readonly toEntry: Parcel<AgentMessage>[];
+  readonly toAgent: Parcel<EntryMessage>[];
+  readonly openedAt: number;
+  agentId: string;
+  life: string;
+  broken: boolean;
+}
+
+interface WorldEntry {
+  readonly index: number;
+  life: number;
+  gate: ProcessGate;
+  core: Dispatcher;
+  lastTurnAt: number;
+}
+
+interface WorldAgent {
+  readonly index: number;
+  life: number;
+  gate: ProcessGate;
+  core: AgentCore;
+  restartAt: number;
+  upstream: WorldUpstream;
+  readonly lastLives: Map<number, string>;
+}
+
+interface WorldUpstream {
+  readonly life: number;
+  readonly fake: FakeUpstream;
+  draining: boolean;
+}
+
+interface WorldJob {
+  readonly id: string;
+  readonly tasks: number;
+  readonly callers: { caller: FakeCaller; entry: WorldEntry; leftAt: number | undefined }[];
+  started: boolean;
+}
+
+/** A small deployment in memory. */
+export class DispatchWorld {
+  readonly clock = new FakeClock();
+  readonly jobs: WorldJob[] = [];
+  /** Counts for reports. */
+  readonly counts = { submitted: 0, completed: 0, interrupted: 0, refused: 0, failed: 0, starts: 0 };
+  private readonly nextRandom: () => number;
+  private readonly entries: WorldEntry[];
+  private readonly agents: WorldAgent[];
+  private readonly links = new Map<string, Link>();
+  private readonly cutUntil = new Map<string, number>();
+  private readonly redialAt = new Map<string, number>();
+  private lastTickAt = 0;
+  private lastPingAt = 0;
+  private lastReportAt = 0;
+  private sequence = 0;
+
+  constructor(seed: number) {
+    this.nextRandom = createRandom(seed);
+    this.entries = Array.from({ length: WORLD_ENTRIES }, (_, index) => this.createEntry(index, 1));
+    this.agents = Array.from({ length: WORLD_AGENTS }, (_, index) => this.createAgent(index));
+  }
+
+  /** Submits a job. */
+  submit(entryIndex: number, tasks: number, taskMs: number, patienceMs: number): void {
+    const job: WorldJob = { id: `job${this.jobs.length}`, tasks, callers: [], started: false };
+    this.jobs.push(job);
+    this.submitAt(job, this.pick(this.entries, entryIndex), taskMs, patienceMs);
+  }
+
+  /** A caller leaves and comes again at another entry after the time that callers keep. */
+  async resubmit(jobIndex: number, entryIndex: number): Promise<void> {
+    const job = this.jobs[jobIndex % Math.max(1, this.jobs.length)];
+    const last = job?.callers.at(-1);
+    if (!job || !last || last.caller.answers.length > 0) return;
+    this.leave(job, last);
+    await this.advance(RESUBMIT_MS);
+    this.submitAt(job, this.pick(this.entries, entryIndex), 60, 3_000);
+  }
+
+  /** An entry or agent stands still. */
+  freeze(kind: 'entry' | 'agent', index: number, ms: number): void {
+    const { gate } = kind === 'entry' ? this.pick(this.entries, index) : this.pick(this.agents, index);
+    gate.frozenUntil = this.clock.now() + ms;
+  }
+
+  /** A process dies and comes back as another life. */
+  kill(kind: 'entry' | 'agent', index: number): void {
+    if (kind === 'entry') return this.killEntry(this.pick(this.entries, index));
+    const agent = this.pick(this.agents, index);
+    agent.gate.dead = true;
+    agent.restartAt = this.clock.now() + RESTART_MS;
+    for (const link of [...this.links.values()]) if (link.agent === agent) this.breakLink(link);
+  }
+
+  /** The path between an entry and an agent carries nothing for a while; what was sent comes late, or is lost. */
+  cut(entryIndex: number, agentIndex: number, ms: number): void {
+    const key = `${entryIndex % WORLD_ENTRIES}/${agentIndex % WORLD_AGENTS}`;
+    this.cutUntil.set(key, this.clock.now() + ms);
+  }
+
+  /** A connection is reset. */
+  reset(entryIndex: number, agentIndex: number): void {
+    const link = this.links.get(`${entryIndex % WORLD_ENTRIES}/${agentIndex % WORLD_AGENTS}`);
+    if (link) this.breakLink(link);
+  }
+
+  /** An upstream crashes; another life takes its place. */
+  crash(index: number): void {
+    const agent = this.pick(this.agents, index);
+    agent.upstream.fake.running.clear();
+    agent.upstream.fake.silent = true;
+    agent.upstream = this.createUpstream(agent.upstream.life + 1);
+    this.report(agent);
+  }
+
+  /** The next orders to an upstream are lost, or carried out without an answer. */
+  disturb(index: number, fate: 'lost' | 'unanswered', count: number): void {
+    const { fake } = this.pick(this.agents, index).upstream;
+    for (let i = 0; i < count; i += 1) fake.fates.push(fate);
+  }
+
+  /** An upstream answers nothing for a while. */
+  async silence(index: number, ms: number): Promise<void> {
+    const { fake } = this.pick(this.agents, index).upstream;
+    fake.silent = true;
+    await this.advance(ms);
+    fake.silent = false;
+  }
+
+  /** Tasks of an upstream stand still, or go on. */
+  hang(index: number, hangs: boolean): void {
+    this.pick(this.agents, index).upstream.fake.hangs = hangs;
+  }
+
+  /** Moves time on. */
+  async advance(ms: number): Promise<void> {
+    const until = this.clock.now() + ms;
+    while (this.clock.now() < until) {
+      await this.clock.advance(STEP_MS, STEP_MS);
+      this.turn();
+      await this.clock.settle();
+      this.checkRuns();
+    }
+  }
+
+  /** Heals everything and checks that every caller who waited has an answer. */
+  async settle(): Promise<void> {
+    this.cutUntil.clear();
+    for (const { gate } of [...this.entries, ...this.agents]) gate.frozenUntil = 0;
+    for (const { upstream } of this.agents) {
+      upstream.fake.silent = false;
+      upstream.fake.hangs = false;
+      upstream.fake.fates.length = 0;
+    }
+    await this.advance(6_000);
+    for (const job of this.jobs) this.checkAnswers(job);
+    for (const agent of this.agents) {
+      if (agent.upstream.fake.running.size > 0) throw new Error('something still runs that nobody waits for');
+    }
+  }
+
+  /** Ends the loops of the sessions. */
+  close(): void {
+    for (const { core } of this.agents) core.close();
+  }
+
+  private submitAt(job: WorldJob, entry: WorldEntry, taskMs: number, patienceMs: number): void {
+    const caller = new FakeCaller();
+    job.callers.push({ caller, entry, leftAt: undefined });
+    this.counts.submitted += 1;
+    for (const { upstream } of this.agents) upstream.fake.taskMs = taskMs;
+    const route = { ...ROUTE, maxAttempts: 3 };
+    const step = { ...STEP, count: job.tasks, estimateMs: taskMs };
+    const submission: JobSubmission = { id: job.id, route, spec: '', steps: [step], patienceMs };
+    if (entry.gate.isFrozen) return this.leave(job, job.callers.at(-1));
+    entry.core.submit(submission, caller, this.clock.now());
+    entry.core.place(this.clock.now());
+  }
+
+  private leave(job: WorldJob, one: WorldJob['callers'][number] | undefined): void {
+    if (!one || one.leftAt !== undefined) return;
+    one.leftAt = this.clock.now();
+    this.afterThaw(one.entry.gate, () => one.entry.core.abandon(job.id, one.caller, this.clock.now()));
+  }
+
+  private afterThaw(gate: ProcessGate, run: () => void): void {
+    if (!gate.isFrozen) return run();
+    void gate.pass().then(run);
+  }
+
+  private killEntry(entry: WorldEntry): void {
+    for (const link of [...this.links.values()]) if (link.entry === entry) this.breakLink(link);
+    for (const job of this.jobs) {
+      for (const one of job.callers) if (one.entry === entry) one.leftAt ??= this.clock.now();
+    }
+    entry.gate.dead = true;
+    Object.assign(entry, this.createEntry(entry.index, entry.life + 1));
+  }
+
+  private turn(): void {
+    const now = this.clock.now();
+    this.restartAgents(now);
+    this.dial(now);
+    this.pingAll(now);
+    this.deliver(now);
+    if (now - this.lastReportAt >= REPORT_MS) {
+      this.lastReportAt = now;
+      for (const agent of this.agents) this.report(agent);
+    }
+    const ticks = now - this.lastTickAt >= TICK_MS;
+    if (ticks) this.lastTickAt = now;
+    for (const entry of this.entries) this.turnEntry(entry, now, ticks);
+    if (ticks) for (const { core, gate } of this.agents) if (!gate.isFrozen && !gate.dead) core.tick();
+  }
+
+  private turnEntry(entry: WorldEntry, now: number, ticks: boolean): void {
+    if (entry.gate.isFrozen) return;
+    if (now - entry.lastTurnAt > TIMES.orphanAfterMs) entry.core.endAll('paused', now);
+    entry.lastTurnAt = now;
+    if (ticks) entry.core.tick(now);
+    entry.core.place(now);
+  }
+
+  private restartAgents(now: number): void {
+    for (const agent of this.agents) {
+      if (!agent.gate.dead || now < agent.restartAt) continue;
+      const gate = new ProcessGate(this.clock);
+      const life = agent.life + 1;
+      agent.lastLives.clear();
+      Object.assign(agent, { life, gate, core: this.createCore(agent.index, life, gate, () => agent) });
+      this.report(agent);
+    }
+  }
+
+  private dial(now: number): void {
+    for (const agent of this.agents) {
+      if (agent.gate.dead || agent.gate.isFrozen) continue;
+      for (const entry of this.entries) {
+        const key = `${entry.index}/${agent.index}`;
+        if (this.links.has(key) || now < (this.redialAt.get(key) ?? 0) || this.isCut(key)) continue;
+        const link: Link = {
+          entry,
+          agent,
+          toEntry: [],
+          toAgent: [],
+          openedAt: now,
+          agentId: '',
+          life: '',
+          broken: false,
+        };
+        this.links.set(key, link);
+        this.toEntry(link, agent.core.buildHello(agent.lastLives.get(entry.index) ?? ''));
+      }
+    }
+  }
+
+  private pingAll(now: number): void {
+    if (now - this.lastPingAt < TIMES.pingMs) return;
+    this.lastPingAt = now;
+    for (const link of this.links.values()) {
+      const { gate, core } = link.agent;
+      if (link.life !== '' && !gate.isFrozen && !gate.dead) this.toEntry(link, core.buildPing(link.life));
+    }
+  }
+
+  private deliver(now: number): void {
+    for (const [key, link] of [...this.links]) {
+      if (this.isCut(key)) continue;
+      while (!link.broken && !link.entry.gate.isFrozen && (link.toEntry[0]?.at ?? Infinity) <= now) {
+        const parcel = link.toEntry.shift();
+        if (parcel) this.receiveAtEntry(link, parcel.message, now);
+      }
+      while (!link.broken && !link.agent.gate.isFrozen && (link.toAgent[0]?.at ?? Infinity) <= now) {
+        const parcel = link.toAgent.shift();
+        if (parcel) this.receiveAtAgent(link, parcel.message);
+      }
+    }
+  }
+
+  private receiveAtEntry(link: Link, message: AgentMessage, now: number): void {
+    const { core, life, index } = link.entry;
+    const entryLife = `entry-${index}@${life}`;
+    if (message.type === 'agent-hello') {
+      link.agentId = buildAgentId(message);
+      this.toAgent(link, { type: 'entry-welcome', entry: `entry-${index}`, life: entryLife, address: '' });
+      core.handleHello(message, entryLife, now);
+    }
+    if (message.type === 'ping') {
+      this.toAgent(link, { type: 'pong', at: message.at });
+      core.handlePing(link.agentId, message, now);
+    }
+    if (message.type === 'room') core.handleRoom(link.agentId, message, now);
+    if (message.type === 'result') core.handleResult(link.agentId, message, now);
+  }
+
+  private receiveAtAgent(link: Link, message: EntryMessage): void {
+    const { core, lastLives } = link.agent;
+    if (message.type === 'entry-welcome') {
+      const before = lastLives.get(link.entry.index);
+      if (before !== undefined && before !== message.life) core.noteEntryReplaced(before);
+      lastLives.set(link.entry.index, message.life);
+      link.life = message.life;
+      core.noteWelcome(message.life, link.openedAt);
+      this.toEntry(link, core.buildPing(message.life));
+    }
+    if (message.type === 'pong') core.noteEcho(link.life, message.at);
+    if (message.type === 'start') core.handleStart(link.life, message);
+    if (message.type === 'stop') core.handleStop(link.life, message);
+  }
+
+  private toEntry(link: Link, message: AgentMessage): void {
+    link.toEntry.push({ at: this.clock.now() + this.nextRandom() * 4, message });
+  }
+
+  private toAgent(link: Link, message: EntryMessage): void {
+    link.toAgent.push({ at: this.clock.now() + this.nextRandom() * 4, message });
+  }
+
+  private breakLink(link: Link): void {
+    const key = `${link.entry.index}/${link.agent.index}`;
+    link.broken = true;
+    if (this.links.get(key) === link) this.links.delete(key);
+    this.redialAt.set(key, this.clock.now() + REDIAL_MS);
+    const { core, gate } = link.entry;
+    if (link.agentId !== '') {
+      this.afterThaw(gate, () => core.handleClose(link.agentId, 'broken', this.clock.now()));
+    }
+  }
+
+  private isCut(key: string): boolean {
+    return this.clock.now() < (this.cutUntil.get(key) ?? 0);
+  }
+
+  private report(agent: WorldAgent): void {
+    if (agent.gate.dead || agent.gate.isFrozen) return;
+    this.sequence += 1;
+    const { life, fake, draining } = agent.upstream;
+    const report: UpstreamReport = {
+      id: `u${agent.index}-${life}`,
+      service: ROUTE.service,
+      address: `u${agent.index}`,
+      capacity: CAPACITY,
+      labels: [],
+      isDraining: draining,
+      clockMs: fake.clockMs,
+      sequence: this.sequence,
+    };
+    agent.core.noteReport(report);
+  }
+
+  private createEntry(index: number, life: number): WorldEntry {
+    const gate = new ProcessGate(this.clock);
+    const entry: WorldEntry = {
+      index,
+      life,
+      gate,
+      lastTurnAt: this.clock.now(),
+      core: new Dispatcher(
+        { pingMs: TIMES.pingMs, placement: new SpeedPlacement(), nextRandom: this.nextRandom },
+        {
+          send: (agentId, message) => {
+            for (const link of this.links.values()) {
+              if (link.entry.index === index && link.agentId === agentId) this.toAgent(link, message);
+            }
+          },
+          log: () => undefined,
+          noteOutcome: () => undefined,
+        },
+      ),
+    };
+    return entry;
+  }
+
+  private createAgent(index: number): WorldAgent {
+    const gate = new ProcessGate(this.clock);
+    const upstream = this.createUpstream(1);
+    const agent = {
+      index,
+      life: 1,
+      gate,
+      restartAt: 0,
+      upstream,
+      lastLives: new Map(),
+    } as unknown as WorldAgent;
+    agent.core = this.createCore(index, 1, gate, () => agent);
+    return agent;
+  }
+
+  private createCore(index: number, life: number, gate: ProcessGate, find: () => WorldAgent): AgentCore {
+    return new AgentCore(
+      { agent: `agent-${index}`, life: String(life), failureDomain: 'x' },
+      { ...TIMES, stopMs: STOP_MS },
+      gate,
+      {
+        openExecutor: () => new GatedExecutor(find().upstream.fake, gate),
+        sendResult: (entryLife, result) => {
+          for (const link of this.links.values()) {
+            if (link.agent.index === index && link.life === entryLife && !gate.dead)
+              this.toEntry(link, result);
+          }
+        },
+        noteChange: () => undefined,
+        log: () => undefined,
+      },
+    );
+  }
+
+  private createUpstream(life: number): WorldUpstream {
+    return { life, fake: new FakeUpstream(this.clock, 500_000 + life * 1_000), draining: false };
+  }
+
+  /** No task at work twice, nothing beyond room, nothing of a caller that left so long ago. */
+  private checkRuns(): void {
+    const atWork = new Set<string>();
+    const now = this.clock.now();
+    for (const { upstream } of this.agents) {
+      const { fake } = upstream;
+      fake.applyTime();
+      if (fake.doubled > 0) throw new Error('a run began beside another of its task');
+      if (fake.running.size * STEP.resources.cpuMilli > CAPACITY.cpuMilli) throw new Error('beyond the room');
+      for (const [key, { name }] of fake.running) {
+        if (atWork.has(key)) throw new Error(`${key} runs twice at once`);
+        atWork.add(key);
+        const job = this.jobs.find(({ id }) => id === name.job);
+        if (!job) throw new Error(`${name.job} was never submitted`);
+        job.started = true;
+        const waits = job.callers.some(({ leftAt }) => leftAt === undefined || now < leftAt + RESUBMIT_MS);
+        if (!waits) throw new Error(`${key} runs though its callers left long ago`);
+      }
+    }
+  }
+
+  private checkAnswers(job: WorldJob): void {
+    const answers: JobOutcome[] = [];
+    for (const { caller, leftAt } of job.callers) {
+      if (caller.answers.length > 1) throw new Error(`${job.id} was answered twice`);
+      if (caller.answers.length === 0 && leftAt === undefined) throw new Error(`${job.id} has no answer`);
+      answers.push(...caller.answers);
+    }
+    for (const { kind } of answers) this.counts[kind] += 1;
+    const refusedOnly =
+      answers.length === job.callers.length && answers.every(({ kind }) => kind === 'refused');
+    if (refusedOnly && job.started) throw new Error(`${job.id} has run though every submission was refused`);
+  }
+
+  private pick<Item>(items: readonly Item[], index: number): Item {
+    const item = items[index % items.length];
+    if (item === undefined) throw new Error('nothing to pick from');
+    return item;
+  }
+}
+
+const ROUTE = {
+  name: 'queue',
+  host: 'a.example',
+  pathPrefix: '/q/',
+  service: 'service',
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 1.6,
+  targetLatencyMs: 60,
+  needsAdvice: false,
+};
+
+const STEP = {
+  count: 1,
+  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
+  estimateMs: 50,
+  after: [],
+  requiredLabel: '',
+  preferredRack: '',
+};
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -137,6 +137,11 @@
     if (this.running.get(key)?.name.run === name.run) this.end(name, 'stopped');
   }
 
+  /** Lets tasks end and leases run out up to now. */
+  applyTime(): void {
+    this.work();
+  }
+
   private work(): void {
     const now = this.clock.now();
     const lapsed = this.clockMs > this.leaseUntil;
--- /dev/null
+++ b/test/fakes/dispatchCommands.ts
@@ -0,0 +1,95 @@
+/** Commands of the randomised runs of dispatchers and agents. */
+import * as fc from 'fast-check';
+
+import type { DispatchWorld } from './DispatchWorld.js';
+
+type WorldCommand = fc.AsyncCommand<object, DispatchWorld>;
+
+/** Most commands of one run. */
+const MAX_COMMANDS = 40;
+
+function createCommand(name: string, run: (world: DispatchWorld) => void | Promise<void>): WorldCommand {
+  return { check: () => true, run: async (_, world) => run(world), toString: () => name };
+}
+
+const index = fc.nat(5);
+const kind = fc.constantFrom('entry' as const, 'agent' as const);
+const fate = fc.constantFrom('lost' as const, 'unanswered' as const);
+
+const submit = fc
+  .tuple(
+    index,
+    fc.integer({ min: 1, max: 6 }),
+    fc.constantFrom(20, 80, 300, 900),
+    fc.constantFrom(600, 2_000, 4_000),
+  )
+  .map(([at, tasks, taskMs, patienceMs]) =>
+    createCommand(`submit(${at},${tasks},${taskMs},${patienceMs})`, (world) =>
+      world.submit(at, tasks, taskMs, patienceMs),
+    ),
+  );
+
+const advance = fc
+  .constantFrom(5, 20, 60, 200, 700)
+  .map((ms) => createCommand(`advance(${ms})`, (world) => world.advance(ms)));
+
+const resubmit = fc
+  .tuple(fc.nat(40), index)
+  .map(([job, at]) => createCommand(`resubmit(${job},${at})`, (world) => world.resubmit(job, at)));
+
+const freeze = fc
+  .tuple(kind, index, fc.constantFrom(100, 300, 600, 900, 2_500))
+  .map(([what, at, ms]) =>
+    createCommand(`freeze(${what},${at},${ms})`, (world) => world.freeze(what, at, ms)),
+  );
+
+const kill = fc
+  .tuple(kind, index)
+  .map(([what, at]) => createCommand(`kill(${what},${at})`, (world) => world.kill(what, at)));
+
+const cut = fc
+  .tuple(index, index, fc.constantFrom(100, 450, 700, 1_500, 4_000))
+  .map(([entry, agent, ms]) =>
+    createCommand(`cut(${entry},${agent},${ms})`, (world) => world.cut(entry, agent, ms)),
+  );
+
+const reset = fc
+  .tuple(index, index)
+  .map(([entry, agent]) => createCommand(`reset(${entry},${agent})`, (world) => world.reset(entry, agent)));
+
+const crash = index.map((at) => createCommand(`crash(${at})`, (world) => world.crash(at)));
+
+const disturb = fc
+  .tuple(index, fate, fc.integer({ min: 1, max: 6 }))
+  .map(([at, how, count]) =>
+    createCommand(`disturb(${at},${how},${count})`, (world) => world.disturb(at, how, count)),
+  );
+
+const silence = fc
+  .tuple(index, fc.constantFrom(100, 500, 1_200, 2_500))
+  .map(([at, ms]) => createCommand(`silence(${at},${ms})`, (world) => world.silence(at, ms)));
+
+const hang = fc
+  .tuple(index, fc.boolean())
+  .map(([at, hangs]) => createCommand(`hang(${at},${hangs})`, (world) => world.hang(at, hangs)));
+
+/** Draws the commands of one run. */
+export const dispatchCommands = fc.commands(
+  [
+    submit,
+    submit,
+    submit,
+    advance,
+    advance,
+    resubmit,
+    freeze,
+    kill,
+    cut,
+    reset,
+    crash,
+    disturb,
+    silence,
+    hang,
+  ],
+  { maxCommands: MAX_COMMANDS, size: 'max' },
+);
--- /dev/null
+++ b/test/fakes/runDispatchWorld.ts
@@ -0,0 +1,34 @@
+import * as fc from 'fast-check';
+
+import { dispatchCommands } from './dispatchCommands.js';
+import { DispatchWorld } from './DispatchWorld.js';
+
+/**
+ * Runs dispatchers and agents through random failures.
+ *
+ * @param seed - first seed
+ * @param runs - number of runs
+ * @param shrink - whether a failure is reduced, which takes long
+ * @returns what was submitted and how it was answered
+ * @throws when a promise is broken, with seed and commands
+ */
+export async function runDispatchWorld(
+  seed: number,
+  runs: number,
+  shrink: boolean,
+): Promise<Record<string, number>> {
+  const totals: Record<string, number> = {};
+  const property = fc.asyncProperty(dispatchCommands, fc.integer(), async (commands, worldSeed) => {
+    const world = new DispatchWorld(worldSeed);
+    try {
+      await world.advance(200);
+      await fc.asyncModelRun(() => ({ model: {}, real: world }), commands);
+      await world.settle();
+    } finally {
+      world.close();
+    }
+    for (const [name, count] of Object.entries(world.counts)) totals[name] = (totals[name] ?? 0) + count;
+  });
+  await fc.assert(property, { numRuns: runs, seed, endOnFailure: !shrink });
+  return totals;
+}
