--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -10,7 +10,7 @@
   readonly job: string;
   readonly step: number;
   readonly index: number;
-  /** Counts the entry's attempts at the task, from 1. */
+  /** Counts all attempts of one life of the entry, from 1. */
   readonly attempt: number;
 }
 
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -79,6 +79,8 @@
   private readonly successors = new Map<string, Submission>();
   private readonly backlog = new Backlog();
   private typicalSpeed = 1;
+  /** Attempts of all jobs: a job may be submitted again while results of its earlier attempts are on their way. */
+  private attempts = 0;
 
   constructor(
     private readonly options: DispatchOptions,
@@ -266,7 +268,8 @@
   private send(task: DispatchTask, agent: AgentView, now: number): void {
     const { job, need } = task;
     stepTask(task, 'send');
-    task.attempt += 1;
+    this.attempts += 1;
+    task.attempt = this.attempts;
     task.agent = agent.id;
     task.sentAt = now;
     job.offered = true;
--- a/src/process/dispatcher/dispatchJob.ts
+++ b/src/process/dispatcher/dispatchJob.ts
@@ -39,7 +39,7 @@
   readonly index: number;
   readonly need: StepNeed;
   phase: DispatchPhase;
-  /** Attempts that were sent. */
+  /** Number of the newest attempt, counted over all jobs of the entry; 0 before the first. */
   attempt: number;
   /** Attempts that ended `failed`. */
   failures: number;
