Send no work to an upstream that leaves an order or a renewal without an answer

Change: state 'silent' from the first missed answer to the next one; renewals do not wait for an end meanwhile. Test failed first.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -14,8 +14,8 @@
   readonly attempt: number;
 }
 
-/** Whether an upstream takes work. */
-export type UpstreamState = 'absent' | 'joining' | 'ready' | 'draining';
+/** Whether an upstream takes work. `silent`: an order or a renewal is without an answer. */
+export type UpstreamState = 'absent' | 'joining' | 'ready' | 'silent' | 'draining';
 
 /** How far an agent trusts its upstream with work, from what it did of late. */
 export type UpstreamTrust = 'healthy' | 'probation' | 'suspect';
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -280,7 +280,7 @@
 /** Entries that have been silent for so long are forgotten, ms. */
 const FORGET_ENTRY_MS = 10_000;
 
-const STATE_ORDER = ['ready', 'joining', 'draining', 'absent'] as const;
+const STATE_ORDER = ['ready', 'silent', 'joining', 'draining', 'absent'] as const;
 
 const ABSENT_ROOM: Omit<RoomReport, 'startsSeen'> = {
   upstream: '',
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -134,6 +134,22 @@
     expect(bench.upstream.clockMs).to.be.greaterThan(bench.upstream.leaseUntil);
   });
 
+  it('takes no work while the upstream leaves a renewal or a start without an answer', async () => {
+    await bench.start();
+    bench.upstream.silent = true;
+    await bench.clock.advance(300);
+    expect(bench.session.state).to.equal('silent');
+    expect(bench.session.free.cpuMilli).to.equal(0);
+    bench.upstream.silent = false;
+    await bench.clock.advance(300);
+    expect(bench.session.state).to.equal('ready');
+    bench.upstream.fates.push('unanswered');
+    bench.session.offer(buildOrder(0), 'entry');
+    bench.upstream.silent = true;
+    await bench.clock.advance(130);
+    expect(bench.session.state).to.equal('silent');
+  });
+
   it('stops what an earlier life of the agent had started before it takes work', async () => {
     bench.upstream.taskMs = 5_000;
     bench.upstream.leaseUntil = bench.upstream.clockMs + 1_000;
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -80,6 +80,8 @@
   private joined = false;
   private closed = false;
   private reachable = true;
+  /** Whether the newest order or renewal was answered. */
+  private answers = true;
   /** When the newest answered renewal was sent; at first, when the upstream was found. */
   private renewedAt: number;
 
@@ -135,7 +137,8 @@
   get state(): UpstreamState {
     if (this.closed || !this.reachable) return 'absent';
     if (this.report.isDraining) return 'draining';
-    return this.joined ? 'ready' : 'joining';
+    if (!this.joined) return 'joining';
+    return this.answers ? 'ready' : 'silent';
   }
 
   /** Trust from failures. */
@@ -231,7 +234,7 @@
     while (!this.closed) {
       this.events.revalidate(this.clock.now());
       const sentAt = this.clock.now();
-      const waitMs = this.joined ? this.findRenewalWait() : 0;
+      const waitMs = this.joined && this.answers ? this.findRenewalWait() : 0;
       try {
         const answer = await this.renew(waitMs, sentAt);
         if (this.closed) return;
@@ -282,6 +285,7 @@
     this.reachable = true;
     this.lease.noteClock(answer.clockMs, now);
     this.renewedAt = sentAt;
+    this.noteAnswers(true);
     for (const ended of answer.ended) this.noteEnd(ended, now);
     const unknown = this.noteRunning(answer.running, now);
     this.noteMissing(answer.running, sentAt);
@@ -344,8 +348,16 @@
     }
   }
 
+  private noteAnswers(answers: boolean): void {
+    if (this.answers === answers) return;
+    this.answers = answers;
+    this.events.log('upstream-answers', { upstream: this.id, answers, tasks: this.load });
+    this.events.change();
+  }
+
   /** No answer: once every lease that was given is over, nothing can run there any more. */
   private noteSilence(error: unknown): void {
+    this.noteAnswers(false);
     const now = this.clock.now();
     if (now <= this.lease.aliveUntil + this.bounds.stopMs || !this.reachable) return;
     this.reachable = false;
@@ -392,6 +404,7 @@
         if (task.phase !== 'starting' || this.closed) return;
         if (this.settleStart(task, verdict, clockMs)) return;
       } catch (error) {
+        this.noteAnswers(false);
         this.events.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
       }
       await this.clock.sleep(REPEAT_PAUSE_MS);
