Start the daemons in a third of the processor time; serve metrics; explain a job from logs

A profile of its start: 374 ms, of which Ajv 122 (96 for checking our own schema against the meta schema), the loader of ES modules 72.

--- a/bench/checkDocs.ts
+++ b/bench/checkDocs.ts
@@ -60,6 +60,9 @@
   const sent = new Set(
     [...sources.matchAll(/metrics\.(?:gauge|increment)\('([a-z_]+)'/g)].map(([, name]) => name as string),
   );
+  for (const [, name] of sources.matchAll(/^ {4}((?:dispatcher|executor)_[a-z_]+): \{/gm)) {
+    if (name) sent.add(name);
+  }
   for (const name of listed) if (!sent.has(name)) findings.push(`docs/METRICS.md: ${name} is never sent`);
   for (const name of sent) if (!listed.has(name)) findings.push(`docs/METRICS.md: ${name} is missing`);
 }
--- a/src/bin/commands/check.ts
+++ b/src/bin/commands/check.ts
@@ -4,6 +4,7 @@
 
 import { SettingsError } from '../../_lib/errors.js';
 import { checkSettings } from '../../process/settings/checkSettings.js';
+import { checkDispatchSettings } from '../../process/settings/readDispatchSettings.js';
 import type { Role } from '../../process/settings/settings.js';
 import { EXIT_FAILED } from '../exitCodes.js';
 
@@ -11,7 +12,15 @@
   readonly role?: string;
 }
 
-const ROLES: readonly Role[] = ['entry', 'agent', 'platform', 'upstream'];
+/** Roles whose settings can be checked; the first two are those of the platform. */
+const ROLES: readonly (Role | 'dispatcher' | 'executor')[] = [
+  'dispatcher',
+  'executor',
+  'entry',
+  'agent',
+  'platform',
+  'upstream',
+];
 
 /**
  * Adds `check`.
@@ -40,7 +49,8 @@
   } catch (error) {
     return [`${file}#/: ${error instanceof Error ? error.message : 'is not readable'}`];
   }
-  const check = checkSettings(role, input);
+  const isPlatform = role === 'dispatcher' || role === 'executor';
+  const check = isPlatform ? checkDispatchSettings(input) : checkSettings(role, input);
   if (check.ok) return [];
   return check.findings.map(({ pointer, message }) => `${file}#${pointer || '/'}: ${message}`);
 }
--- a/src/bin/marblehall.ts
+++ b/src/bin/marblehall.ts
@@ -4,6 +4,7 @@
 
 import { addCheckCommand } from './commands/check.js';
 import { addDaemonCommands } from './commands/daemons.js';
+import { addExplainCommand } from './commands/explain.js';
 import { addLoadCommand } from './commands/load.js';
 import { addLocalCommand } from './commands/local.js';
 import { addQueryCommand } from './commands/query.js';
@@ -20,6 +21,7 @@
 addSubmitCommand(cli);
 addQueryCommand(cli);
 addCheckCommand(cli);
+addExplainCommand(cli);
 addLoadCommand(cli);
 cli.help();
 cli.version('0.1.0');
--- a/src/bin/serve.ts
+++ b/src/bin/serve.ts
@@ -8,4 +8,4 @@
 const cli = cac('marblehall');
 addServeCommand(cli);
 cli.help();
-await runCommandLine(cli);
+void runCommandLine(cli);
--- a/src/ports/CallerGateway.ts
+++ b/src/ports/CallerGateway.ts
@@ -19,6 +19,8 @@
   /** Whether the process is on its way out, so that connections are closed after their answer. */
   readonly isLeaving: boolean;
   submit(submission: JobSubmission, caller: Caller): void;
+  /** The front door has turned a job away; for log and metrics. */
+  noteRejected(jobId: string, status: number, reason: string): void;
   /** The caller's connection is gone. */
   abandon(jobId: string, caller: Caller): void;
   findState(jobId: string): JobState | undefined;
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -13,14 +13,18 @@
 import type { Configuration } from '../../version/configuration.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
+import { LogBudget } from '../LogBudget.js';
+import { createLogSink } from '../createLogSink.js';
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
 import { MemberTable } from '../MemberTable.js';
 import { PauseGuard } from '../PauseGuard.js';
+import { ServedMetrics } from '../ServedMetrics.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
 import { buildAgentId } from './AgentView.js';
 import { Dispatcher } from './Dispatcher.js';
 import type { DispatchJob } from './dispatchJob.js';
+import { buildDispatcherMetrics } from './dispatcherMetrics.js';
 import { SpeedPlacement } from './Placement.js';
 
 /** Between two looks at deadlines and silent agents, ms. */
@@ -32,6 +36,9 @@
 /** Time kept from the grace period to answer what is left and end, ms. */
 const END_MARGIN_MS = 500;
 
+/** Lines on placements each second; refusals, failures and reruns are always written. */
+const PLACE_LINES_PER_S = 400;
+
 /** Outside parts of a dispatcher. */
 export interface DispatcherPorts {
   readonly gateway: CallerGateway;
@@ -45,6 +52,7 @@
   private readonly life: string;
   private readonly address: string;
   private readonly logger: ProcessLogger;
+  private readonly metrics: ServedMetrics;
   private readonly dispatcher: Dispatcher;
   private readonly listener: PeerListener;
   private readonly dialer: PeerDialer;
@@ -53,6 +61,7 @@
   private readonly channels = new Map<string, LineChannel>();
   private readonly agentIds = new Map<LineChannel, string>();
   private readonly entryChannels = new Set<LineChannel>();
+  private readonly placeLines = new LogBudget(PLACE_LINES_PER_S);
   private leavingAt: number | undefined;
   private placing = false;
 
@@ -63,7 +72,7 @@
     const peer = createIncarnation(settings.id, Date.now());
     this.life = peer;
     this.address = `${settings.address}:${settings.linkPort}`;
-    this.logger = createLogger(peer, settings.logLevel);
+    this.logger = createLogger(peer, settings.logLevel, createLogSink());
     const nextRandom = createRandom(Date.now() % 1_000_000);
     const { pingMs, orphanAfterMs } = deriveDispatchTimes(settings);
     this.dispatcher = new Dispatcher(
@@ -74,6 +83,13 @@
         noteOutcome: (job, outcome, now) => this.logOutcome(job, outcome, now),
       },
     );
+    const gauges = {
+      readOpenJobs: () => this.dispatcher.openJobs,
+      readWaitingTasks: () => this.dispatcher.waitingTasks,
+      readAgents: () => this.channels.size,
+      readConfigurationVersion: () => this.configuration?.version ?? -1,
+    };
+    this.metrics = new ServedMetrics(settings.metricsAddress, buildDispatcherMetrics(gauges));
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs), openJobs: this.dispatcher.openJobs });
       if (gapMs > orphanAfterMs) this.dispatcher.endAll('paused', this.clock.now());
@@ -112,6 +128,7 @@
       note: (state, detail) => this.logger.warn('store', { state, detail }),
     });
     this.dialSeeds();
+    this.metrics.start();
     setInterval(() => this.turn((now) => this.dispatcher.tick(now)), TICK_MS);
     setInterval(() => this.tellMembers(), MEMBERS_MS);
   }
@@ -139,6 +156,7 @@
     await sleep(TICK_MS / 2);
     await this.ports.gateway.stop();
     this.ports.source.stop();
+    this.metrics.stop();
     this.dialer.stop();
     this.logger.info('stopped', { openJobs });
     this.logger.flush();
@@ -154,6 +172,11 @@
     this.turn(() => this.dispatcher.submit(submission, caller, now));
   }
 
+  noteRejected(jobId: string, status: number, reason: string): void {
+    this.metrics.increment('dispatcher_answers', { outcome: 'rejected', reason });
+    this.logger.info('reject', { job: jobId, status, reason, version: this.configuration?.version });
+  }
+
   abandon(jobId: string, caller: Caller): void {
     this.turn((now) => this.dispatcher.abandon(jobId, caller, now));
   }
@@ -295,11 +318,18 @@
   }
 
   private logDecision(event: string, fields: LogFields): void {
-    if (event !== 'place' || this.settings.decisionLog) this.logger.info(event, fields);
+    this.metrics.increment('dispatcher_decisions', { decision: event });
+    if (event !== 'place') return this.logger.info(event, fields);
+    if (!this.settings.decisionLog) return;
+    const { write, skipped } = this.placeLines.take(this.clock.now());
+    if (write) this.logger.info(event, skipped === 0 ? fields : { ...fields, skipped });
   }
 
   private logOutcome(job: DispatchJob, outcome: JobOutcome, now: number): void {
     const { submission, arrivedAt, objectiveAt, deadlineAt, tasks } = job;
+    const reason = outcome.kind === 'completed' ? '' : outcome.reason;
+    this.metrics.increment('dispatcher_answers', { outcome: outcome.kind, reason });
+    this.metrics.observe('dispatcher_answer_ms', now - arrivedAt);
     this.logger.info('answer', {
       job: job.id,
       queue: submission.route.name,
--- /dev/null
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -0,0 +1,42 @@
+/** Metrics of a dispatcher. */
+import type { MetricDefinition } from '../ServedMetrics.js';
+
+const DURATION_BUCKETS_MS = [10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
+
+/** What the gauges read. */
+export interface DispatcherGauges {
+  readonly readOpenJobs: () => number;
+  readonly readWaitingTasks: () => number;
+  readonly readAgents: () => number;
+  readonly readConfigurationVersion: () => number;
+}
+
+/**
+ * Defines the metrics of a dispatcher.
+ *
+ * @param gauges - where gauges are read
+ * @returns definitions by name
+ */
+export function buildDispatcherMetrics(gauges: DispatcherGauges): Readonly<Record<string, MetricDefinition>> {
+  return {
+    dispatcher_answers: { kind: 'counter', help: 'Answers to callers', labels: ['outcome', 'reason'] },
+    dispatcher_answer_ms: {
+      kind: 'histogram',
+      help: 'Time from the arrival of a job to its answer, ms',
+      buckets: DURATION_BUCKETS_MS,
+    },
+    dispatcher_decisions: { kind: 'counter', help: 'Decisions by kind', labels: ['decision'] },
+    dispatcher_open_jobs: { kind: 'gauge', help: 'Jobs whose caller waits', read: gauges.readOpenJobs },
+    dispatcher_waiting_tasks: {
+      kind: 'gauge',
+      help: 'Tasks that wait for an agent',
+      read: gauges.readWaitingTasks,
+    },
+    dispatcher_agents: { kind: 'gauge', help: 'Agents with a link', read: gauges.readAgents },
+    dispatcher_configuration_version: {
+      kind: 'gauge',
+      help: 'Version of the configuration in force',
+      read: gauges.readConfigurationVersion,
+    },
+  };
+}
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -10,11 +10,14 @@
 import type { Configuration } from '../../version/configuration.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
+import { createLogSink } from '../createLogSink.js';
 import { createLogger } from '../logger.js';
 import type { ProcessLogger } from '../logger.js';
 import { PauseGuard } from '../PauseGuard.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { ServedMetrics } from '../ServedMetrics.js';
 import { AgentCore } from './AgentCore.js';
+import { buildExecutorMetrics } from './executorMetrics.js';
 
 /** Room changes are told together after so long, ms. */
 const ROOM_DELAY_MS = 4;
@@ -40,6 +43,7 @@
 export class ExecutorDaemon {
   private readonly clock = new SteadyClock();
   private readonly logger: ProcessLogger;
+  private readonly metrics: ServedMetrics;
   private readonly core: AgentCore;
   private readonly dialer: PeerDialer;
   private readonly pauseGuard: PauseGuard;
@@ -56,18 +60,28 @@
   ) {
     const peer = createIncarnation(settings.id, Date.now());
     const times = deriveDispatchTimes(settings);
-    this.logger = createLogger(peer, settings.logLevel);
+    this.logger = createLogger(peer, settings.logLevel, createLogSink());
     this.core = new AgentCore(
       { agent: settings.id, life: peer, failureDomain: settings.failureDomain },
       { ...times, stopMs: settings.stopMs },
       this.clock,
       {
         openExecutor: (report) => this.registry.openExecutor(report),
-        sendResult: (life, result) => this.findLink(life)?.channel.send(result),
+        sendResult: (life, result) => {
+          this.metrics.increment('executor_task_ends', { end: result.end });
+          this.findLink(life)?.channel.send(result);
+        },
         noteChange: () => this.scheduleRoom(),
-        log: (event, fields) => this.logger.info(event, fields),
+        log: (event, fields) => {
+          this.metrics.increment('executor_decisions', { decision: event });
+          this.logger.info(event, fields);
+        },
       },
     );
+    this.metrics = new ServedMetrics(
+      settings.metricsAddress,
+      buildExecutorMetrics(() => this.core.load),
+    );
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs) });
     });
@@ -90,6 +104,7 @@
       leave: (upstreamId) => this.core.noteLeave(upstreamId),
     });
     this.dialSeeds();
+    this.metrics.start();
     setInterval(() => this.tick(), TICK_MS);
     setInterval(() => this.tellMembers(), MEMBERS_MS);
     setInterval(() => this.ping(), deriveDispatchTimes(this.settings).pingMs);
@@ -115,6 +130,7 @@
     while (this.core.load > 0 && this.clock.now() < stoppedBy) await sleep(TICK_MS / 4);
     await sleep(TICK_MS / 2);
     this.logger.info('stopped', { tasks: this.core.load });
+    this.metrics.stop();
     this.dialer.stop();
     await this.registry.stop();
     this.logger.flush();
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -28,6 +28,7 @@
 import type { Resources } from '../../request/dispatch/submission.js';
 import { buildRunName, createLocalTask, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
+import { RunHistory } from './RunHistory.js';
 import { SpeedMeter } from './SpeedMeter.js';
 import { TrustMeter } from './TrustMeter.js';
 import { UpstreamLease } from './UpstreamLease.js';
@@ -73,7 +74,7 @@
   private readonly lease: UpstreamLease;
   private readonly speedMeter: SpeedMeter;
   private readonly trustMeter = new TrustMeter();
-  private readonly lastRuns = new Map<string, number>();
+  private readonly runs = new RunHistory();
   private used: Resources = NO_RESOURCES;
   private token: number;
   private lastSequence = 0;
@@ -312,7 +313,7 @@
     if (ended.sequence <= this.lastSequence) return;
     this.lastSequence = ended.sequence;
     const key = buildTaskKey(ended.name);
-    this.noteRun(key, ended.name.run);
+    this.runs.note(key, ended.name.run);
     const task = this.tasks.get(key);
     if (!task || task.run !== ended.name.run) return;
     if (ended.end === 'done') this.noteProgress(task, 100, now);
@@ -329,7 +330,7 @@
         this.noteProgress(task, percent, now);
       } else {
         unknown += 1;
-        this.noteRun(buildTaskKey(name), name.run);
+        this.runs.note(buildTaskKey(name), name.run);
         this.stopUnknown(name);
       }
     }
@@ -377,8 +378,7 @@
   private begin(task: LocalTask, now: number): void {
     this.step(task, 'begin');
     task.sentAt = now;
-    task.run = (this.lastRuns.get(task.key) ?? 0) + 1;
-    this.noteRun(task.key, task.run);
+    task.run = this.runs.take(task.key);
     this.tasks.set(task.key, task);
     this.used = addResources(this.used, task.order.resources);
     assertInvariant(fitResources(this.used, this.report.capacity), 'starts never exceed the room');
@@ -443,10 +443,9 @@
    * next renewal; else it was of an earlier life of this agent, and the task gets a newer run.
    */
   private settleSuperseded(task: LocalTask): boolean {
-    const next = (this.lastRuns.get(task.key) ?? task.run) + 1;
+    const next = this.runs.take(task.key);
     this.events.log('run-superseded', { task: task.key, run: task.run, next });
     task.run = next;
-    this.noteRun(task.key, next);
     return false;
   }
 
@@ -514,13 +513,6 @@
     }
   }
 
-  private noteRun(key: string, run: number): void {
-    this.lastRuns.set(key, Math.max(run, this.lastRuns.get(key) ?? 0));
-    if (this.lastRuns.size <= MAX_REMEMBERED_RUNS) return;
-    const oldest = this.lastRuns.keys().next().value;
-    if (oldest !== undefined) this.lastRuns.delete(oldest);
-  }
-
   private finish(task: LocalTask, end: AttemptEnd, reason: string): void {
     if (task.phase === 'ended') return;
     const now = this.clock.now();
@@ -551,9 +543,6 @@
   }
 }
 
-/** Tasks whose newest run is remembered. */
-const MAX_REMEMBERED_RUNS = 20_000;
-
 function isAttempt(task: LocalTask, key: string, attempt: number, owner: string): boolean {
   return task.key === key && task.order.name.attempt === attempt && task.owner === owner;
 }
--- /dev/null
+++ b/src/process/executor/executorMetrics.ts
@@ -0,0 +1,16 @@
+/** Metrics of an executor. */
+import type { MetricDefinition } from '../ServedMetrics.js';
+
+/**
+ * Defines the metrics of an executor.
+ *
+ * @param readLoad - counts tasks that wait or may run
+ * @returns definitions by name
+ */
+export function buildExecutorMetrics(readLoad: () => number): Readonly<Record<string, MetricDefinition>> {
+  return {
+    executor_task_ends: { kind: 'counter', help: 'Ends of attempts', labels: ['end'] },
+    executor_decisions: { kind: 'counter', help: 'Decisions by kind', labels: ['decision'] },
+    executor_tasks: { kind: 'gauge', help: 'Tasks that wait or may run', read: readLoad },
+  };
+}
--- /dev/null
+++ b/src/process/explain/explainJob.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai';
+
+import { explainJob, parseLogLine } from './explainJob.js';
+import type { LogLine } from './explainJob.js';
+
+function line(time: number, event: string, fields: Record<string, unknown>): LogLine {
+  return { time, process: 'entry-1', event, fields };
+}
+
+describe('explainJob', () => {
+  it('reads lines behind what a collector adds, and passes over what is no line', () => {
+    const text = '  1.5 entry-1 {"time":5,"process":"entry-1","event":"answer","job":"j"}';
+    expect(parseLogLine(text)).to.deep.equal(line(5, 'answer', { job: 'j' }));
+    expect(parseLogLine('no line')).to.equal(undefined);
+    expect(parseLogLine('{"a":1}')).to.equal(undefined);
+  });
+
+  it('puts lines of several processes in order and leaves out other jobs', () => {
+    const lines = [
+      line(3, 'answer', { job: 'j', kind: 'completed', tookMs: 10, objectiveMs: 20 }),
+      line(1, 'place', { job: 'j', waitedMs: 0 }),
+      line(2, 'task-ended', { task: 'j/0/1', end: 'failed' }),
+      line(2, 'place', { job: 'j2' }),
+    ];
+    const { lines: own, cause } = explainJob('j', lines);
+    expect(own.map(({ time }) => time)).to.deep.equal([1, 2, 3]);
+    expect(cause).to.equal('completed in time');
+  });
+
+  it('names why a job is late', () => {
+    const answer = line(9, 'answer', { job: 'j', kind: 'completed', tookMs: 500, objectiveMs: 200 });
+    const lost = line(5, 'attempt-over', { job: 'j', end: 'lost', reason: 'agent-silent' });
+    expect(explainJob('j', [answer, lost]).cause).to.match(/^late by 300 ms: an agent was not heard/);
+    const waited = line(5, 'place', { job: 'j', waitedMs: 250 });
+    expect(explainJob('j', [answer, waited]).cause).to.match(/waited 250 ms for room/);
+  });
+
+  it('says what is known of a job without an answer, and of one that was never here', () => {
+    expect(explainJob('j', [line(1, 'place', { job: 'j' })]).cause).to.match(/no answer is logged/);
+    expect(explainJob('j', []).cause).to.match(/no line names this job/);
+  });
+});
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -19,6 +19,7 @@
     readyAddress: OPTIONAL_ADDRESS,
     controlAddress: OPTIONAL_ADDRESS,
     storeAddress: OPTIONAL_ADDRESS,
+    metricsAddress: OPTIONAL_ADDRESS,
     logLevel: {
       type: 'string',
       enum: ['trace', 'debug', 'info', 'warn', 'error', 'silent'],
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -19,6 +19,8 @@
   readonly controlAddress: string;
   /** Where the operators' configuration lies, `host:port`. */
   readonly storeAddress: string;
+  /** Where metrics are served, `host:port`; empty for nowhere. */
+  readonly metricsAddress: string;
   readonly logLevel: LogLevel;
   /** Whether each placement is logged, besides all that goes wrong. */
   readonly decisionLog: boolean;
--- a/src/process/settings/readDispatchSettings.ts
+++ b/src/process/settings/readDispatchSettings.ts
@@ -8,7 +8,9 @@
 import { listFindings } from './finding.js';
 import type { Finding } from './finding.js';
 
-const validate = new Ajv({ allErrors: true, useDefaults: true }).compile(DISPATCH_SCHEMA);
+// The schema is ours and tested: checking it against the meta schema at every start takes 95 ms (docs/MEASUREMENTS.md).
+const ajv = new Ajv({ allErrors: true, useDefaults: true, validateSchema: false, meta: false });
+const validate = ajv.compile(DISPATCH_SCHEMA);
 
 /** Settings, or everything that is wrong with them. */
 export type DispatchSettingsCheck =
