Refuse a job that nobody could take before its caller gives up

Change: refused when an answer would come later than three objectives, or after 0.4 of the caller's patience once it cannot be in time. Ruled out: refusing as soon as the objective is lost; short outages pass, and an answer up to three objectives late still counts.

--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -151,6 +151,24 @@
     ]);
   });
 
+  it('refuses, well before its caller gives up, a job that nobody could take', () => {
+    bench.ping('a@1', 0, { state: 'draining' });
+    bench.submit(0, { patienceMs: 4_000, steps: [{ ...STEP, estimateMs: 1_500 }] });
+    bench.dispatcher.tick(1_500);
+    expect(bench.caller.answers).to.deep.equal([]);
+    bench.dispatcher.tick(1_650);
+    expect(bench.caller.answers.map(({ kind }) => kind)).to.deep.equal(['refused']);
+  });
+
+  it('refuses a job that nobody could take once its answer would be of no use', () => {
+    bench.ping('a@1', 0, { state: 'draining' });
+    bench.submit(0, { patienceMs: 4_000 });
+    bench.dispatcher.tick(570);
+    expect(bench.caller.answers).to.deep.equal([]);
+    bench.dispatcher.tick(590);
+    expect(bench.caller.answers.map(({ kind }) => kind)).to.deep.equal(['refused']);
+  });
+
   it('stops what runs when the caller is gone, and starts nothing of the job again', () => {
     bench.submit(10);
     bench.dispatcher.abandon('job', bench.caller, 50);
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -49,6 +49,12 @@
 const PRIORITY_STEP_MS = 100;
 /** Part of the objective after which a job that was never offered is judged, as the users price it. */
 const JUDGE_PART = 0.2;
+/** An answer later than so many objectives is of no use to the users. */
+const USELESS_FACTOR = 3;
+/** Part of the estimated chain that a fast upstream may need. */
+const FAST_CHAIN_PART = 0.8;
+/** Part of a caller's patience after which a job that nobody could take is refused, so that it can go elsewhere. */
+const HELD_PART = 0.4;
 
 /** What the dispatcher has its process do. */
 export interface DispatchEffects {
@@ -378,9 +384,14 @@
     if (now >= job.deadlineAt - ANSWER_MARGIN_MS) return this.giveUp(job, 'deadline', now);
     if (job.begun || job.out > 0) return;
     const waitedMs = now - job.arrivedAt;
-    if (waitedMs < (job.objectiveAt - job.arrivedAt) * JUDGE_PART) return;
+    const objectiveMs = job.objectiveAt - job.arrivedAt;
+    if (waitedMs < objectiveMs * JUDGE_PART) return;
     const chainMs = findChainMs(job.submission.steps) / this.typicalSpeed;
-    if (now + chainMs * 0.8 > job.deadlineAt) this.giveUp(job, 'cannot-finish', now);
+    const usefulUntil = Math.min(job.deadlineAt, job.arrivedAt + objectiveMs * USELESS_FACTOR);
+    if (now + chainMs * FAST_CHAIN_PART > usefulUntil) return this.giveUp(job, 'cannot-finish', now);
+    const patienceMs = job.deadlineAt - job.arrivedAt;
+    if (now > job.objectiveAt - chainMs && waitedMs > patienceMs * HELD_PART)
+      this.giveUp(job, 'no-room', now);
   }
 
   /** A job that has not run is refused; one that may have is interrupted. */
--- a/src/process/explain/explainJob.ts
+++ b/src/process/explain/explainJob.ts
@@ -21,6 +21,7 @@
 const CAUSES: Readonly<Record<string, string>> = {
   'cannot-finish':
     'refused: no agent had room in time to finish it before its deadline; nothing of it has run',
+  'no-room': 'refused: no agent had room for it in time; nothing of it has run',
   leaving: 'refused: the entry was stopping as planned; nothing of it has run',
   paused: 'given up: the entry stood still for longer than agents wait for it',
   'entry-ends': 'given up: the entry ended before the job did',
