Remember an agent's upstream on the store, for its next life

Change: the first report of each upstream is kept in a keyed topic of ours; a restarted executor reads it and asks that life of the upstream at once; another life answers 421, and heartbeats go before it. Test 'use the upstream of a restarted agent ...' failed before (there was nothing to recall).

--- a/src/bin/commands/serve.ts
+++ b/src/bin/commands/serve.ts
@@ -49,12 +49,12 @@
 }
 
 async function createDaemon(role: string, settings: DispatchSettings): Promise<ServedDaemon> {
-  const { openDispatcherPorts, openUpstreamRegistry } = await import('../../../platform/openPlatform.js');
+  const { openDispatcherPorts, openExecutorPorts } = await import('../../../platform/openPlatform.js');
   if (role === 'dispatcher') {
     const { DispatcherDaemon } = await import('../../process/dispatcher/DispatcherDaemon.js');
     return new DispatcherDaemon(settings, openDispatcherPorts(settings));
   }
   if (role !== 'executor') throw new SettingsError(`there is no role ${role}: dispatcher or executor`);
   const { ExecutorDaemon } = await import('../../process/executor/ExecutorDaemon.js');
-  return new ExecutorDaemon(settings, openUpstreamRegistry(settings));
+  return new ExecutorDaemon(settings, openExecutorPorts(settings));
 }
--- a/src/connection/http/readBody.ts
+++ b/src/connection/http/readBody.ts
@@ -2,7 +2,8 @@
 
 /** A body, or why there is none. */
 export type BodyRead =
-  { readonly ok: true; readonly text: string } | { readonly ok: false; readonly reason: 'too-large' | 'cut' };
+  | { readonly ok: true; readonly text: string; readonly bytes: Buffer }
+  | { readonly ok: false; readonly reason: 'too-large' | 'cut' };
 
 /**
  * Reads a request's body up to a bound. A larger one is given up before it is read whole.
@@ -25,5 +26,6 @@
   } catch {
     return { ok: false, reason: 'cut' };
   }
-  return { ok: true, text: Buffer.concat(chunks).toString('utf8') };
+  const bytes = Buffer.concat(chunks);
+  return { ok: true, text: bytes.toString('utf8'), bytes };
 }
--- /dev/null
+++ b/src/ports/UpstreamMemory.ts
@@ -0,0 +1,11 @@
+/** Port: where an agent finds, after a restart, the upstream that it had before, until that reports itself again. */
+import type { UpstreamReport } from './UpstreamRegistry.js';
+
+/** Keeps the newest report of each agent's upstream, as far as it can be reached. */
+export abstract class UpstreamMemory {
+  /** Keeps a report; a loss only makes the next start slower. */
+  abstract remember(agent: string, report: UpstreamReport): void;
+  /** Returns what was kept, or undefined; never rejects and never waits for long. */
+  abstract recall(agent: string): Promise<UpstreamReport | undefined>;
+  abstract stop(): void;
+}
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -6,7 +6,8 @@
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
 import type { PeerMessage } from '../../connection/peer/peerMessages.js';
-import type { UpstreamRegistry } from '../../ports/UpstreamRegistry.js';
+import type { UpstreamMemory } from '../../ports/UpstreamMemory.js';
+import type { UpstreamRegistry, UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import type { Configuration } from '../../version/configuration.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
@@ -30,6 +31,12 @@
 /** Time kept from the grace period to stop what is left and tell it, ms. */
 const END_MARGIN_MS = 700;
 
+/** Outside parts of an executor. */
+export interface ExecutorPorts {
+  readonly registry: UpstreamRegistry;
+  readonly memory: UpstreamMemory;
+}
+
 interface EntryLink {
   readonly address: string;
   channel: LineChannel;
@@ -50,13 +57,15 @@
   private readonly links = new Map<string, EntryLink>();
   /** Life of the entry last met at each address. */
   private readonly lives = new Map<string, string>();
+  /** Upstreams that have reported themselves to this life of the process. */
+  private readonly reported = new Set<string>();
   private configuration: Configuration | undefined;
   private roomTimer: NodeJS.Timeout | undefined;
   private leaving = false;
 
   constructor(
     private settings: DispatchSettings,
-    private readonly registry: UpstreamRegistry,
+    private readonly ports: ExecutorPorts,
   ) {
     const peer = createIncarnation(settings.id, Date.now());
     const times = deriveDispatchTimes(settings);
@@ -66,7 +75,7 @@
       { ...times, stopMs: settings.stopMs },
       this.clock,
       {
-        openExecutor: (report) => this.registry.openExecutor(report),
+        openExecutor: (report) => this.ports.registry.openExecutor(report),
         sendResult: (life, result) => {
           this.metrics.increment('executor_task_ends', { end: result.end });
           this.findLink(life)?.channel.send(result);
@@ -99,11 +108,12 @@
   /** Starts to listen for the upstream and to dial the entries. */
   async start(): Promise<void> {
     this.logger.info('started', { failureDomain: this.settings.failureDomain });
-    await this.registry.start({
-      report: (report) => this.core.noteReport(report),
+    await this.ports.registry.start({
+      report: (report) => this.takeReport(report),
       leave: (upstreamId) => this.core.noteLeave(upstreamId),
     });
     this.dialSeeds();
+    void this.recallUpstream();
     this.metrics.start();
     setInterval(() => this.tick(), TICK_MS);
     setInterval(() => this.tellMembers(), MEMBERS_MS);
@@ -131,11 +141,28 @@
     await sleep(TICK_MS / 2);
     this.logger.info('stopped', { tasks: this.core.load });
     this.metrics.stop();
+    this.ports.memory.stop();
     this.dialer.stop();
-    await this.registry.stop();
+    await this.ports.registry.stop();
     this.logger.flush();
   }
 
+  private takeReport(report: UpstreamReport): void {
+    const isNew = !this.reported.has(report.id);
+    this.core.noteReport(report);
+    if (!isNew) return;
+    this.reported.add(report.id);
+    if (!report.isDraining) this.ports.memory.remember(this.settings.id, report);
+  }
+
+  /** Finds the upstream of an earlier life, whose next report may be more than a second away. */
+  private async recallUpstream(): Promise<void> {
+    const report = await this.ports.memory.recall(this.settings.id);
+    if (!report || this.reported.size > 0 || this.leaving) return;
+    this.logger.info('upstream-recalled', { upstream: report.id });
+    this.core.noteReport({ ...report, clockMs: 0, sequence: -1 });
+  }
+
   private tick(): void {
     this.pauseGuard.look(this.clock.now());
     this.core.tick();
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -19,6 +19,7 @@
     readyAddress: OPTIONAL_ADDRESS,
     controlAddress: OPTIONAL_ADDRESS,
     storeAddress: OPTIONAL_ADDRESS,
+    storePartitions: { type: 'integer', minimum: 1, default: 1 },
     metricsAddress: OPTIONAL_ADDRESS,
     logLevel: {
       type: 'string',
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -19,6 +19,8 @@
   readonly controlAddress: string;
   /** Where the operators' configuration lies, `host:port`. */
   readonly storeAddress: string;
+  /** Partitions of a topic on the store. */
+  readonly storePartitions: number;
   /** Where metrics are served, `host:port`; empty for nowhere. */
   readonly metricsAddress: string;
   readonly logLevel: LogLevel;
--- a/standins/StandinServer.ts
+++ b/standins/StandinServer.ts
@@ -14,6 +14,8 @@
   readonly url: URL;
   readonly headers: IncomingMessage['headers'];
   readonly text: string;
+  /** The body as it came. */
+  readonly bytes: Buffer;
 }
 
 /** Base of the stand-ins. */
@@ -45,6 +47,6 @@
     if (!body.ok) return void response.destroy();
     const url = new URL(request.url ?? '/', 'http://local');
     const { method = 'GET', headers } = request;
-    await this.handle({ method, url, headers, text: body.text }, response);
+    await this.handle({ method, url, headers, text: body.text, bytes: body.bytes }, response);
   }
 }
--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -55,6 +55,8 @@
   readonly running = new Map<string, StandinRun>();
   /** The next so many starts are carried out without an answer. */
   muteStarts = 0;
+  /** Sends no heartbeats. */
+  mute = false;
   /** All that starts fails. */
   fails = false;
   private readonly ended: [number, string, number, string, string][] = [];
@@ -166,6 +168,7 @@
   }
 
   private beat(): void {
+    if (this.mute) return;
     this.beats += 1;
     const { id, service, control, cpu } = this.identity;
     const body = JSON.stringify({
--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -2,7 +2,14 @@
 import type { ServerResponse } from 'node:http';
 
 import { writeJson } from '../../src/connection/http/writeJson.js';
-import { CONFIGURATION_KEY, LOG_NEWEST_PATH, LOG_READ_PATH } from '../../platform/names.js';
+import { buildLogRecord } from '../../platform/buildLogRecord.js';
+import {
+  CONFIGURATION_KEY,
+  LOG_APPEND_PATH,
+  LOG_NEWEST_PATH,
+  LOG_READ_PATH,
+  OPERATOR_TOPIC,
+} from '../../platform/names.js';
 import { StandinServer } from '../StandinServer.js';
 import type { StandinRequest } from '../StandinServer.js';
 
@@ -13,6 +20,8 @@
 export class StoreStandin extends StandinServer {
   fault: StoreFault = 'none';
   private readonly records: Buffer[] = [];
+  /** Newest values of the system's own topics, by partition and key, in base64. */
+  private readonly keyed = new Map<string, Map<string, string>>();
   private first = 0;
   private newest: string | undefined;
   private readonly readers = new Set<() => void>();
@@ -20,15 +29,17 @@
   /** Writes a configuration, as the operator does. */
   putConfiguration(configuration: object): void {
     this.newest = JSON.stringify(configuration);
-    const key = Buffer.from(CONFIGURATION_KEY);
-    const value = Buffer.from(this.newest);
-    const record = Buffer.concat([Buffer.from([key.length]), key, value]);
-    const length = Buffer.alloc(4);
-    length.writeUInt32BE(record.length);
-    this.records.push(Buffer.concat([length, record]));
+    this.records.push(buildLogRecord(CONFIGURATION_KEY, this.newest));
     for (const wake of [...this.readers]) wake();
   }
 
+  /** Keys in the system's own topics. */
+  countKeys(): number {
+    let count = 0;
+    for (const keys of this.keyed.values()) count += keys.size;
+    return count;
+  }
+
   /** Drops all records; the newest of each key stays. */
   forget(): void {
     this.first = this.records.length;
@@ -39,6 +50,10 @@
     if (this.fault === 'reset') return void response.destroy();
     if (this.fault === 'busy') return writeJson(response, 503, '{}');
     const { pathname, searchParams } = request.url;
+    const topic = searchParams.get('topic') ?? '';
+    const partition = `${topic}/${searchParams.get('part')}`;
+    if (pathname === LOG_APPEND_PATH) return this.append(partition, request.bytes, response);
+    if (pathname === LOG_NEWEST_PATH && topic !== OPERATOR_TOPIC) return this.answerKeys(partition, response);
     if (pathname === LOG_NEWEST_PATH) return this.answerNewest(response);
     if (pathname !== LOG_READ_PATH) return writeJson(response, 404, '{}');
     const from = Number(searchParams.get('from'));
@@ -47,6 +62,19 @@
     this.answerRecords(response, from);
   }
 
+  private append(partition: string, body: Buffer, response: ServerResponse): void {
+    const keyEnd = 5 + body.readUInt8(4);
+    const keys = this.keyed.get(partition) ?? new Map<string, string>();
+    keys.set(body.toString('utf8', 5, keyEnd), body.toString('base64', keyEnd));
+    this.keyed.set(partition, keys);
+    writeJson(response, 200, JSON.stringify({ offset: 0, end: 1 }));
+  }
+
+  private answerKeys(partition: string, response: ServerResponse): void {
+    const items = [...(this.keyed.get(partition) ?? [])].map(([key, value]) => ({ key, value, offset: 0 }));
+    writeJson(response, 200, JSON.stringify({ items, more: false, end: 1 }));
+  }
+
   private answerNewest(response: ServerResponse): void {
     const value = this.newest === undefined ? undefined : Buffer.from(this.newest).toString('base64');
     const items =
