--- a/bench/dispatchDefects.ts
+++ b/bench/dispatchDefects.ts
@@ -16,16 +16,16 @@
     replace: 'if (true)',
   },
   {
-    name: 'an agent begins what has expired on its way',
-    file: 'src/process/executor/AgentCore.js',
-    find: 'if (now > order.expiresAt)',
-    replace: 'if (false)',
+    name: 'a start that was long on its way does not expire',
+    file: 'src/process/dispatcher/Dispatcher.js',
+    find: 'agent.estimateClock(now) + START_EXPIRY_MS',
+    replace: 'agent.estimateClock(now) + 60_000',
   },
   {
     name: 'a new link loses what the agent still holds',
     file: 'src/process/dispatcher/Dispatcher.js',
-    find: 'if (holding.has(buildAttemptKey(buildAttemptName(task))))',
-    replace: 'if (false)',
+    find: 'if (!holding.has(buildAttemptKey(buildAttemptName(task))))',
+    replace: 'if (true)',
   },
   {
     name: 'a new life of an agent counts before it has stopped what ran',
