Remove what the test fakes keep and nothing reads

A count of starts that was never raised, a flag that was never set, and the arguments of a started daemon.

--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -70,7 +70,6 @@
 interface WorldUpstream {
   readonly life: number;
   readonly fake: FakeUpstream;
-  draining: boolean;
 }
 
 interface WorldJob {
@@ -85,7 +84,7 @@
   readonly clock = new FakeClock();
   readonly jobs: WorldJob[] = [];
   /** Counts for reports. */
-  readonly counts = { submitted: 0, completed: 0, interrupted: 0, refused: 0, failed: 0, starts: 0 };
+  readonly counts = { submitted: 0, completed: 0, interrupted: 0, refused: 0, failed: 0 };
   private readonly nextRandom: () => number;
   private readonly entries: WorldEntry[];
   private readonly agents: WorldAgent[];
@@ -377,14 +376,14 @@
   private report(agent: WorldAgent): void {
     if (agent.gate.dead || agent.gate.isFrozen) return;
     this.sequence += 1;
-    const { life, fake, draining } = agent.upstream;
+    const { life, fake } = agent.upstream;
     const report: UpstreamReport = {
       id: `u${agent.index}-${life}`,
       service: ROUTE.service,
       address: `u${agent.index}`,
       capacity: CAPACITY,
       labels: [],
-      isDraining: draining,
+      isDraining: false,
       clockMs: fake.clockMs,
       sequence: this.sequence,
     };
@@ -449,7 +448,7 @@
   }
 
   private createUpstream(life: number): WorldUpstream {
-    return { life, fake: new FakeUpstream(this.clock, 500_000 + life * 1_000), draining: false };
+    return { life, fake: new FakeUpstream(this.clock, 500_000 + life * 1_000) };
   }
 
   /** No task at work twice, nothing beyond room, nothing of a caller that left so long ago. */
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -27,9 +27,7 @@
 }
 
 interface Daemon {
-  readonly args: readonly string[];
-  readonly files: { readonly settings: string };
-  child: ChildProcess;
+  readonly child: ChildProcess;
   output: string;
 }
 
@@ -112,7 +110,7 @@
     const role = id.startsWith('entry') ? 'dispatcher' : 'executor';
     const args = [BINARY, 'serve', role, '--settings', settings];
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
-    const daemon: Daemon = { args, files: { settings }, child, output: '' };
+    const daemon: Daemon = { child, output: '' };
     child.stdout.on('data', (text: Buffer) => (daemon.output += text.toString()));
     child.stderr.on('data', (text: Buffer) => (daemon.output += text.toString()));
     this.daemons.set(id, daemon);
