Doubt an upstream after two calls without an answer, wait as long as answers take, and ask often while they are lost

A refused renewal is no longer repeated without a pause. Tests that failed first: three in UpstreamSession.test.ts. In 'keeps the room of a task that is being stopped' the stop is now lost twice, as a repeat comes after 45 ms and not after 135; what it expects stays.

--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -103,7 +103,7 @@
     bench.upstream.taskMs = 5_000;
     for (let index = 0; index < 4; index += 1) bench.session.offer(buildOrder(index), 'entry');
     await bench.clock.advance(20);
-    bench.upstream.fates.push('lost');
+    bench.upstream.fates.push('lost', 'lost');
     bench.session.stop('job/0/0', 1, 'entry', 'moved');
     await bench.clock.advance(60);
     expect(bench.session.free.cpuMilli).to.equal(0);
@@ -150,6 +150,43 @@
     expect(bench.session.state).to.equal('silent');
   });
 
+  it('takes work while other orders are answered, though one start was not', async () => {
+    await bench.start();
+    bench.upstream.taskMs = 2_000;
+    bench.upstream.fates.push('unanswered');
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(10);
+    bench.session.offer(buildOrder(1), 'entry');
+    for (let ms = 0; ms < 200; ms += 5) {
+      await bench.clock.advance(5);
+      expect(bench.session.state).to.equal('ready');
+    }
+  });
+
+  it('asks for ends often for a second after the answer of a renewal was lost', async () => {
+    await bench.start();
+    bench.upstream.lostRenewals = 1;
+    await bench.clock.advance(300);
+    const before = bench.upstream.renewals;
+    await bench.clock.advance(400);
+    expect(bench.upstream.renewals - before).to.be.within(8, 14);
+    await bench.clock.advance(1_000);
+    const later = bench.upstream.renewals;
+    await bench.clock.advance(400);
+    expect(bench.upstream.renewals - later).to.be.within(2, 4);
+  });
+
+  it('sends a start again soon where answers usually come at once', async () => {
+    await bench.start();
+    bench.upstream.taskMs = 30;
+    for (let index = 0; index < 4; index += 1) bench.session.offer(buildOrder(index), 'entry');
+    await bench.clock.advance(100);
+    bench.upstream.fates.push('lost');
+    bench.session.offer(buildOrder(9), 'entry');
+    await bench.clock.advance(60);
+    expect(bench.upstream.starts).to.equal(5);
+  });
+
   it('stops what an earlier life of the agent had started before it takes work', async () => {
     bench.upstream.taskMs = 5_000;
     bench.upstream.leaseUntil = bench.upstream.clockMs + 1_000;
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -10,14 +10,7 @@
 import { stepMachine } from '../../_lib/compileMachine.js';
 import { buildTaskKey } from '../../connection/peer/peerMessages.js';
 import type { AttemptEnd, StartOrder, UpstreamState } from '../../connection/peer/peerMessages.js';
-import type {
-  EndedRun,
-  LeaseAnswer,
-  RunEnd,
-  RunName,
-  RunningRun,
-  TaskExecutor,
-} from '../../ports/TaskExecutor.js';
+import type { EndedRun, LeaseAnswer, RunName, RunningRun, TaskExecutor } from '../../ports/TaskExecutor.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import {
   addResources,
@@ -26,7 +19,9 @@
   subtractResources,
 } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
-import { buildRunName, createLocalTask, LOCAL_TASK_TABLE } from './localTask.js';
+import { AnswerWatch } from './AnswerWatch.js';
+import { convertRunEnd } from './convertRunEnd.js';
+import { buildRunName, createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
 import { RunHistory } from './RunHistory.js';
 import { SpeedMeter } from './SpeedMeter.js';
@@ -36,8 +31,10 @@
 /** How long the upstream may hold a renewal while nothing ends, ms; a part of the lease at most. */
 const RENEWAL_WAIT_MS = 150;
 const RENEWAL_LEASE_PART = 0.25;
-/** Time that an answer may take beyond the wait that was asked for, ms. */
-const ANSWER_TIMEOUT_MS = 120;
+/** Pause before a stop that was accepted is sent again, as its end was not listed, ms. */
+const STOP_PAUSE_MS = 120;
+/** The same while answers are being lost, so that ends are heard soon, ms. */
+const SHORT_RENEWAL_WAIT_MS = 30;
 /** Pause before an order is repeated, ms. */
 const REPEAT_PAUSE_MS = 15;
 /** Pause between two looks at an upstream that is out of reach, ms. */
@@ -81,8 +78,7 @@
   private joined = false;
   private closed = false;
   private reachable = true;
-  /** Whether the newest order or renewal was answered. */
-  private answers = true;
+  private readonly answers: AnswerWatch;
   /** When the newest answered renewal was sent; at first, when the upstream was found. */
   private renewedAt: number;
 
@@ -97,6 +93,7 @@
     this.lease = new UpstreamLease(report.clockMs, now, bounds.leaseMs);
     this.speedMeter = new SpeedMeter(now);
     this.renewedAt = now;
+    this.answers = new AnswerWatch(now);
     this.token = Math.max(1, Math.floor(report.clockMs));
   }
 
@@ -139,7 +136,7 @@
     if (this.closed || !this.reachable) return 'absent';
     if (this.report.isDraining) return 'draining';
     if (!this.joined) return 'joining';
-    return this.answers ? 'ready' : 'silent';
+    return this.answers.isAnswering ? 'ready' : 'silent';
   }
 
   /** Trust from failures. */
@@ -190,15 +187,12 @@
 
   /** Ends everything that an entry has ordered. */
   stopOwner(owner: string, reason: string): number {
-    const waiting = this.waiting.filter((task) => task.owner === owner);
-    for (const task of waiting) this.dropOne(task, reason);
-    let stopped = waiting.length;
-    for (const task of this.tasks.values()) {
-      if (task.owner !== owner || task.phase === 'stopping') continue;
-      this.stopTask(task, reason);
-      stopped += 1;
+    const held = this.listHeld(owner).filter(({ phase }) => phase !== 'stopping');
+    for (const task of held) {
+      if (task.phase === 'waiting') this.dropOne(task, reason);
+      else this.stopTask(task, reason);
     }
-    return stopped;
+    return held.length;
   }
 
   /** Ends everything. */
@@ -235,13 +229,15 @@
     while (!this.closed) {
       this.events.revalidate(this.clock.now());
       const sentAt = this.clock.now();
-      const waitMs = this.joined && this.answers ? this.findRenewalWait() : 0;
+      const waitMs = this.joined && this.answers.isAnswering ? this.findRenewalWait() : 0;
       try {
         const answer = await this.renew(waitMs, sentAt);
         if (this.closed) return;
+        if (waitMs === 0) this.noteAnswer(sentAt);
         this.handleLease(answer, sentAt);
-        if (!this.joined) await this.clock.sleep(REPEAT_PAUSE_MS);
+        if (!this.joined || !this.answers.isAnswering) await this.clock.sleep(REPEAT_PAUSE_MS);
       } catch (error) {
+        this.noteUnanswered(sentAt);
         this.noteSilence(error);
         await this.clock.sleep(this.reachable ? REPEAT_PAUSE_MS : UNREACHABLE_PAUSE_MS);
       }
@@ -260,7 +256,8 @@
   }
 
   private findRenewalWait(): number {
-    return Math.floor(Math.min(RENEWAL_WAIT_MS, this.bounds.leaseMs * RENEWAL_LEASE_PART));
+    const longestMs = this.answers.isLossy(this.clock.now()) ? SHORT_RENEWAL_WAIT_MS : RENEWAL_WAIT_MS;
+    return Math.floor(Math.min(longestMs, this.bounds.leaseMs * RENEWAL_LEASE_PART));
   }
 
   /**
@@ -273,7 +270,7 @@
     const { token: fencingToken, lastSequence } = this;
     return this.executor.renew(
       { leaseUntilMs, fencingToken, lastSequence, waitMs },
-      waitMs + ANSWER_TIMEOUT_MS,
+      waitMs + this.answers.timeoutMs,
     );
   }
 
@@ -281,12 +278,12 @@
     const now = this.clock.now();
     if (answer.verdict === 'other-life') return this.close('other-life');
     if (answer.verdict === 'fenced') return this.raiseToken(answer.clockMs, now);
-    if (answer.verdict === 'refused') return this.noteSilence('refused');
+    if (answer.verdict === 'refused') return this.noteRefusedRenewal(sentAt);
     if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.id });
     this.reachable = true;
     this.lease.noteClock(answer.clockMs, now);
     this.renewedAt = sentAt;
-    this.noteAnswers(true);
+    this.watchAnswers(() => this.answers.noteAnswer(now));
     for (const ended of answer.ended) this.noteEnd(ended, now);
     const unknown = this.noteRunning(answer.running, now);
     this.noteMissing(answer.running, sentAt);
@@ -294,6 +291,11 @@
     this.beginWaiting();
   }
 
+  private noteRefusedRenewal(sentAt: number): void {
+    this.noteUnanswered(sentAt);
+    this.noteSilence('refused');
+  }
+
   private join(): void {
     this.joined = true;
     this.events.log('upstream-joined', { upstream: this.id, token: this.token, service: this.service });
@@ -317,7 +319,7 @@
     const task = this.tasks.get(key);
     if (!task || task.run !== ended.name.run) return;
     if (ended.end === 'done') this.noteProgress(task, 100, now);
-    this.finish(task, convertEnd(ended.end), ended.end);
+    this.finish(task, convertRunEnd(ended.end), ended.end);
   }
 
   /** Notes progress; stops what nobody here has ordered, and returns how many those are. */
@@ -349,16 +351,29 @@
     }
   }
 
-  private noteAnswers(answers: boolean): void {
-    if (this.answers === answers) return;
-    this.answers = answers;
+  /** An answer has come that was not to wait for anything. */
+  private noteAnswer(sentAt: number, clockMs?: number): void {
+    const now = this.clock.now();
+    if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
+    this.watchAnswers(() => this.answers.noteAnswer(now, now - sentAt));
+  }
+
+  private noteUnanswered(sentAt: number): void {
+    this.watchAnswers(() => this.answers.noteUnanswered(sentAt, this.clock.now()));
+  }
+
+  /** Tells if an upstream begins or ceases to answer. */
+  private watchAnswers(note: () => void): void {
+    const before = this.answers.isAnswering;
+    note();
+    const answers = this.answers.isAnswering;
+    if (answers === before) return;
     this.events.log('upstream-answers', { upstream: this.id, answers, tasks: this.load });
     this.events.change();
   }
 
   /** No answer: once every lease that was given is over, nothing can run there any more. */
   private noteSilence(error: unknown): void {
-    this.noteAnswers(false);
     const now = this.clock.now();
     if (now <= this.lease.aliveUntil + this.bounds.stopMs || !this.reachable) return;
     this.reachable = false;
@@ -397,14 +412,14 @@
         fencingToken: this.token,
       };
       try {
-        const { verdict, clockMs } = await this.executor.start(order, ANSWER_TIMEOUT_MS);
-        if (clockMs !== undefined) this.lease.noteClock(clockMs, this.clock.now());
+        const { verdict, clockMs } = await this.executor.start(order, this.answers.timeoutMs);
+        this.noteAnswer(now, clockMs);
         if (task.phase !== 'starting' || this.closed) return;
         if (verdict === 'superseded' && sends > 0) await this.waitForRenewal();
         if (task.phase !== 'starting' || this.closed) return;
         if (this.settleStart(task, verdict, clockMs)) return;
       } catch (error) {
-        this.noteAnswers(false);
+        this.noteUnanswered(now);
         this.events.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
       }
       await this.clock.sleep(REPEAT_PAUSE_MS);
@@ -472,29 +487,26 @@
 
   private async sendStop(task: LocalTask): Promise<void> {
     while (task.phase === 'stopping' && !this.closed) {
+      const sentAt = this.clock.now();
       try {
-        const sentAt = this.clock.now();
-        const { verdict, clockMs } = await this.executor.stop(
-          buildRunName(task),
-          this.token,
-          ANSWER_TIMEOUT_MS,
-        );
-        const now = this.clock.now();
-        if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
-        if (verdict === 'accepted') task.stopAcceptedAt ??= Math.max(sentAt, now);
-        if (verdict === 'fenced') this.raiseToken(clockMs, now);
+        const timeoutMs = this.answers.timeoutMs;
+        const { verdict, clockMs } = await this.executor.stop(buildRunName(task), this.token, timeoutMs);
+        this.noteAnswer(sentAt, clockMs);
+        if (verdict === 'accepted') task.stopAcceptedAt ??= this.clock.now();
+        if (verdict === 'fenced') this.raiseToken(clockMs, this.clock.now());
         if (verdict === 'other-life') return this.close('other-life');
       } catch (error) {
+        this.noteUnanswered(sentAt);
         this.events.log('stop-unanswered', { task: task.key, run: task.run, error: String(error) });
       }
-      await this.clock.sleep(task.stopAcceptedAt === undefined ? REPEAT_PAUSE_MS : ANSWER_TIMEOUT_MS);
+      await this.clock.sleep(task.stopAcceptedAt === undefined ? REPEAT_PAUSE_MS : STOP_PAUSE_MS);
     }
   }
 
   /** A run of an earlier life of this agent: nobody waits for it, and it takes room nobody knows. */
   private stopUnknown(name: RunName): void {
     this.events.log('stop-unknown', { job: name.job, index: name.index, run: name.run });
-    this.executor.stop(name, this.token, ANSWER_TIMEOUT_MS).catch(() => undefined);
+    this.executor.stop(name, this.token, this.answers.timeoutMs).catch(() => undefined);
   }
 
   private noteProgress(task: LocalTask, percent: number, now: number): void {
@@ -542,12 +554,3 @@
     task.phase = stepMachine(LOCAL_TASK_TABLE, task.phase, event);
   }
 }
-
-function isAttempt(task: LocalTask, key: string, attempt: number, owner: string): boolean {
-  return task.key === key && task.order.name.attempt === attempt && task.owner === owner;
-}
-
-function convertEnd(end: RunEnd): AttemptEnd {
-  if (end === 'done' || end === 'failed' || end === 'stopped') return end;
-  return 'lost';
-}
--- a/src/process/executor/localTask.ts
+++ b/src/process/executor/localTask.ts
@@ -92,3 +92,16 @@
   const { job, step, index } = order.name;
   return { job, step, index, run };
 }
+
+/**
+ * Tells whether a task is one attempt of one entry.
+ *
+ * @param task - the task
+ * @param key - of the task that is meant
+ * @param attempt - number of the attempt
+ * @param owner - life of the entry
+ * @returns true if all three are the task's
+ */
+export function isAttempt(task: LocalTask, key: string, attempt: number, owner: string): boolean {
+  return task.key === key && task.order.name.attempt === attempt && task.owner === owner;
+}
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -44,6 +44,10 @@
   silent = false;
   /** How the next orders fare; `answered` when empty. */
   readonly fates: OrderFate[] = [];
+  /** The next so many renewals are lost. */
+  lostRenewals = 0;
+  /** Renewals that were asked for. */
+  renewals = 0;
   token = 0;
   leaseUntil = 0;
   /** Runs that two starts were at work on at once. */
@@ -102,7 +106,12 @@
   }
 
   override async renew(renewal: LeaseRenewal, timeoutMs: number): Promise<LeaseAnswer> {
+    this.renewals += 1;
     if (this.silent) await this.giveUp(timeoutMs);
+    if (this.lostRenewals > 0) {
+      this.lostRenewals -= 1;
+      await this.giveUp(timeoutMs);
+    }
     this.work();
     if (renewal.fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
     this.token = renewal.fencingToken;
