Keep what an upstream runs until its end is certain, also after it has said goodbye; calls in a module of their own

Change: it takes nothing new, its lease is renewed while it answers, and its tasks end when they are listed or the lease is over; with none it is gone at once. The test 'waits for the ends of what still runs at an upstream that has said goodbye' failed first ('0 lost left').

--- a/bench/dispatchDefects.ts
+++ b/bench/dispatchDefects.ts
@@ -48,8 +48,8 @@
   {
     name: 'an upstream out of reach counts as gone before its lease is over',
     file: 'src/process/executor/UpstreamSession.js',
-    find: 'if (now <= this.lease.aliveUntil + this.bounds.stopMs || !this.reachable)',
-    replace: 'if (now <= this.renewedAt + 100 || !this.reachable)',
+    find: 'if (now <= this.calls.aliveUntil + this.bounds.stopMs || !this.reachable)',
+    replace: 'if (now <= this.calls.renewedAt + 100 || !this.reachable)',
   },
   {
     name: 'what a caller has left is not stopped',
@@ -66,8 +66,7 @@
   {
     name: 'a start is repeated under a new run',
     file: 'src/process/executor/UpstreamSession.js',
-    find: 'const now = this.clock.now();\n            const order',
-    replace:
-      'if (sends > 0) task.run += 1;\n            const now = this.clock.now();\n            const order',
+    find: 'const verdict = await this.calls.start(',
+    replace: 'if (sends > 0) task.run += 1; const verdict = await this.calls.start(',
   },
 ];
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -99,7 +99,7 @@
 
   /** An upstream has said that it ends. */
   noteLeave(upstreamId: string): void {
-    this.sessions.get(upstreamId)?.close('left');
+    this.sessions.get(upstreamId)?.leave();
   }
 
   /** A link to an entry is open and the entry has said which life it is. */
--- /dev/null
+++ b/src/process/executor/UpstreamCalls.ts
@@ -0,0 +1,174 @@
+/**
+ * Calls to one life of one upstream. Each carries the lease and the fencing token, is waited for as long as answers
+ * take, and its answer, or the absence of one, tells something of the upstream.
+ */
+import { assertInvariant } from '../../_lib/assertInvariant.js';
+import type { Clock } from '../../_lib/Clock.js';
+import type {
+  LeaseAnswer,
+  RunName,
+  StartVerdict,
+  StopVerdict,
+  TaskExecutor,
+} from '../../ports/TaskExecutor.js';
+import { AnswerWatch } from './AnswerWatch.js';
+import { UpstreamLease } from './UpstreamLease.js';
+
+/** How long the upstream may hold a renewal while nothing ends, ms; a part of the lease at most. */
+const RENEWAL_WAIT_MS = 150;
+const RENEWAL_LEASE_PART = 0.25;
+/** The same while answers are being lost, so that ends are heard soon, ms. */
+const SHORT_RENEWAL_WAIT_MS = 30;
+
+/** What calls tell their session. */
+export interface CallEvents {
+  /** The upstream begins or ceases to answer. */
+  readonly changeAnswers: (answers: boolean) => void;
+  /** A newer holder was met. */
+  readonly raiseToken: (from: number, to: number) => void;
+}
+
+/** Calls to one upstream. */
+export class UpstreamCalls {
+  private readonly lease: UpstreamLease;
+  private readonly answers: AnswerWatch;
+  private fencingToken: number;
+  /** When the newest answered renewal was sent; at first, when the upstream was found. */
+  private renewalSentAt: number;
+
+  /**
+   * @param executor - the way to the upstream
+   * @param clockMs - the upstream's clock in its first report
+   * @param leaseMs - how far ahead leases are given
+   * @param clock - of this process
+   * @param events - what to tell
+   */
+  constructor(
+    private readonly executor: TaskExecutor,
+    clockMs: number,
+    private readonly leaseMs: number,
+    private readonly clock: Clock,
+    private readonly events: CallEvents,
+  ) {
+    const now = clock.now();
+    this.lease = new UpstreamLease(clockMs, now, leaseMs);
+    this.answers = new AnswerWatch(now);
+    this.renewalSentAt = now;
+    this.fencingToken = Math.max(1, Math.floor(clockMs));
+  }
+
+  /** Whether the upstream answers. */
+  get isAnswering(): boolean {
+    return this.answers.isAnswering;
+  }
+
+  /** Until when, in our time, something at the upstream may still run. */
+  get aliveUntil(): number {
+    return this.lease.aliveUntil;
+  }
+
+  /** When the newest answered renewal was sent. */
+  get renewedAt(): number {
+    return this.renewalSentAt;
+  }
+
+  /** The fencing token of the calls. */
+  get token(): number {
+    return this.fencingToken;
+  }
+
+  /** Sends a start. Rejects when no answer came in time. */
+  async start(name: RunName, spec: string): Promise<StartVerdict> {
+    const sentAt = this.clock.now();
+    const leaseUntilMs = this.lease.extend(sentAt);
+    const order = { name, spec, leaseUntilMs, fencingToken: this.fencingToken };
+    return this.watch(sentAt, () => this.executor.start(order, this.answers.timeoutMs));
+  }
+
+  /** Sends a stop. Rejects when no answer came in time. */
+  async stop(name: RunName): Promise<StopVerdict> {
+    const sentAt = this.clock.now();
+    return this.watch(sentAt, () => this.executor.stop(name, this.fencingToken, this.answers.timeoutMs));
+  }
+
+  /**
+   * Renews the lease while answers come. Without an answer for a whole lease nothing is prolonged any more, so that
+   * what runs there ends at a known time. Rejects when no answer came in time.
+   *
+   * @param lastSequence - ends up to here have been noted for good
+   * @param mayWait - whether the upstream may wait for an end
+   */
+  async renew(lastSequence: number, mayWait: boolean): Promise<LeaseAnswer> {
+    const sentAt = this.clock.now();
+    const waitMs = mayWait && this.isAnswering ? this.findRenewalWait(sentAt) : 0;
+    const mayExtend = sentAt - this.renewalSentAt <= this.leaseMs;
+    const leaseUntilMs = mayExtend ? this.lease.extend(sentAt) : undefined;
+    const renewal = { leaseUntilMs, fencingToken: this.fencingToken, lastSequence, waitMs };
+    try {
+      const answer = await this.executor.renew(renewal, waitMs + this.answers.timeoutMs);
+      this.noteRenewal(answer, sentAt, waitMs);
+      return answer;
+    } catch (error) {
+      this.noteUnanswered(sentAt);
+      throw error;
+    }
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    this.executor.close();
+  }
+
+  private findRenewalWait(now: number): number {
+    const longestMs = this.answers.isLossy(now) ? SHORT_RENEWAL_WAIT_MS : RENEWAL_WAIT_MS;
+    return Math.floor(Math.min(longestMs, this.leaseMs * RENEWAL_LEASE_PART));
+  }
+
+  private async watch<Verdict extends string>(
+    sentAt: number,
+    call: () => Promise<{ readonly verdict: Verdict; readonly clockMs: number | undefined }>,
+  ): Promise<Verdict> {
+    try {
+      const { verdict, clockMs } = await call();
+      this.noteAnswer(sentAt, clockMs, true);
+      if (verdict === 'fenced') this.raise(clockMs);
+      return verdict;
+    } catch (error) {
+      this.noteUnanswered(sentAt);
+      throw error;
+    }
+  }
+
+  private noteRenewal(answer: LeaseAnswer, sentAt: number, waitMs: number): void {
+    if (answer.verdict === 'refused') return this.noteUnanswered(sentAt);
+    if (answer.verdict === 'held') this.renewalSentAt = sentAt;
+    const clockMs = answer.verdict === 'other-life' ? undefined : answer.clockMs;
+    this.noteAnswer(sentAt, clockMs, waitMs === 0);
+    if (answer.verdict === 'fenced') this.raise(clockMs);
+  }
+
+  /** A newer holder was there, or our token came from an old report: take the upstream's clock, which rises. */
+  private raise(clockMs: number | undefined): void {
+    const from = this.fencingToken;
+    const to = Math.max(from + 1, Math.floor(clockMs ?? 0));
+    assertInvariant(to > from, 'a fencing token never falls');
+    this.fencingToken = to;
+    this.events.raiseToken(from, to);
+  }
+
+  private noteAnswer(sentAt: number, clockMs: number | undefined, wasAtOnce: boolean): void {
+    const now = this.clock.now();
+    if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
+    this.tellChange(() => this.answers.noteAnswer(now, wasAtOnce ? now - sentAt : undefined));
+  }
+
+  private noteUnanswered(sentAt: number): void {
+    this.tellChange(() => this.answers.noteUnanswered(sentAt, this.clock.now()));
+  }
+
+  private tellChange(note: () => void): void {
+    const before = this.isAnswering;
+    note();
+    if (this.isAnswering !== before) this.events.changeAnswers(this.isAnswering);
+  }
+}
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -232,6 +232,24 @@
     expect(bench.results).to.have.members(['0 done done', '1 not-run full']);
   });
 
+  it('waits for the ends of what still runs at an upstream that has said goodbye', async () => {
+    await bench.start();
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(20);
+    bench.session.leave();
+    expect(bench.results).to.deep.equal([]);
+    expect(bench.session.state).to.equal('draining');
+    await bench.clock.advance(200);
+    expect(bench.results).to.deep.equal(['0 done done']);
+    expect(bench.session.isClosed).to.equal(true);
+  });
+
+  it('ends with an upstream that has said goodbye and runs nothing', async () => {
+    await bench.start();
+    bench.session.leave();
+    expect(bench.session.isClosed).to.equal(true);
+  });
+
   it('trusts an upstream that fails everything with one task at a time', async () => {
     await bench.start();
     bench.upstream.fails = true;
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -10,7 +10,14 @@
 import { stepMachine } from '../../_lib/compileMachine.js';
 import { buildTaskKey } from '../../connection/peer/peerMessages.js';
 import type { AttemptEnd, StartOrder, UpstreamState } from '../../connection/peer/peerMessages.js';
-import type { EndedRun, LeaseAnswer, RunName, RunningRun, TaskExecutor } from '../../ports/TaskExecutor.js';
+import type {
+  EndedRun,
+  LeaseAnswer,
+  RunName,
+  RunningRun,
+  StartVerdict,
+  TaskExecutor,
+} from '../../ports/TaskExecutor.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import {
   addResources,
@@ -19,22 +26,16 @@
   subtractResources,
 } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
-import { AnswerWatch } from './AnswerWatch.js';
 import { convertRunEnd } from './convertRunEnd.js';
 import { buildRunName, createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
 import { RunHistory } from './RunHistory.js';
 import { SpeedMeter } from './SpeedMeter.js';
 import { TrustMeter } from './TrustMeter.js';
-import { UpstreamLease } from './UpstreamLease.js';
+import { UpstreamCalls } from './UpstreamCalls.js';
 
-/** How long the upstream may hold a renewal while nothing ends, ms; a part of the lease at most. */
-const RENEWAL_WAIT_MS = 150;
-const RENEWAL_LEASE_PART = 0.25;
 /** Pause before a stop that was accepted is sent again, as its end was not listed, ms. */
 const STOP_PAUSE_MS = 120;
-/** The same while answers are being lost, so that ends are heard soon, ms. */
-const SHORT_RENEWAL_WAIT_MS = 30;
 /** Pause before an order is repeated, ms. */
 const REPEAT_PAUSE_MS = 15;
 /** Pause between two looks at an upstream that is out of reach, ms. */
@@ -68,33 +69,33 @@
 export class UpstreamSession {
   readonly tasks = new Map<string, LocalTask>();
   private readonly waiting: LocalTask[] = [];
-  private readonly lease: UpstreamLease;
+  private readonly calls: UpstreamCalls;
   private readonly speedMeter: SpeedMeter;
   private readonly trustMeter = new TrustMeter();
   private readonly runs = new RunHistory();
   private used: Resources = NO_RESOURCES;
-  private token: number;
   private lastSequence = 0;
   private joined = false;
   private closed = false;
+  private leaving = false;
   private reachable = true;
-  private readonly answers: AnswerWatch;
-  /** When the newest answered renewal was sent; at first, when the upstream was found. */
-  private renewedAt: number;
 
   constructor(
     private report: UpstreamReport,
-    private readonly executor: TaskExecutor,
+    executor: TaskExecutor,
     private readonly clock: Clock,
     private readonly bounds: SessionBounds,
     private readonly events: SessionEvents,
   ) {
     const now = clock.now();
-    this.lease = new UpstreamLease(report.clockMs, now, bounds.leaseMs);
+    this.calls = new UpstreamCalls(executor, report.clockMs, bounds.leaseMs, clock, {
+      changeAnswers: (answers) => {
+        this.events.log('upstream-answers', { upstream: this.id, answers, tasks: this.load });
+        this.events.change();
+      },
+      raiseToken: (from, to) => this.events.log('token-raised', { upstream: this.id, from, to }),
+    });
     this.speedMeter = new SpeedMeter(now);
-    this.renewedAt = now;
-    this.answers = new AnswerWatch(now);
-    this.token = Math.max(1, Math.floor(report.clockMs));
   }
 
   get id(): string {
@@ -134,9 +135,9 @@
 
   get state(): UpstreamState {
     if (this.closed || !this.reachable) return 'absent';
-    if (this.report.isDraining) return 'draining';
+    if (this.report.isDraining || this.leaving) return 'draining';
     if (!this.joined) return 'joining';
-    return this.answers.isAnswering ? 'ready' : 'silent';
+    return this.calls.isAnswering ? 'ready' : 'silent';
   }
 
   /** Trust from failures. */
@@ -161,6 +162,17 @@
     }
   }
 
+  /**
+   * The upstream has said that it ends. What it runs takes room, and may run on, until its end is listed or its lease
+   * is over: the upstream's process outlives its word.
+   */
+  leave(): void {
+    this.leaving = true;
+    this.dropWaiting('left');
+    if (this.load === 0) this.close('left');
+    else this.events.change();
+  }
+
   /** Takes an order; it starts as soon as it fits, or ends as not run. */
   offer(order: StartOrder, owner: string): void {
     const now = this.clock.now();
@@ -229,15 +241,12 @@
     while (!this.closed) {
       this.events.revalidate(this.clock.now());
       const sentAt = this.clock.now();
-      const waitMs = this.joined && this.answers.isAnswering ? this.findRenewalWait() : 0;
       try {
-        const answer = await this.renew(waitMs, sentAt);
+        const answer = await this.calls.renew(this.lastSequence, this.joined);
         if (this.closed) return;
-        if (waitMs === 0) this.noteAnswer(sentAt);
         this.handleLease(answer, sentAt);
-        if (!this.joined || !this.answers.isAnswering) await this.clock.sleep(REPEAT_PAUSE_MS);
+        if (!this.joined || !this.calls.isAnswering) await this.clock.sleep(REPEAT_PAUSE_MS);
       } catch (error) {
-        this.noteUnanswered(sentAt);
         this.noteSilence(error);
         await this.clock.sleep(this.reachable ? REPEAT_PAUSE_MS : UNREACHABLE_PAUSE_MS);
       }
@@ -251,39 +260,17 @@
     this.events.log('upstream-gone', { upstream: this.id, reason, tasks: this.load });
     this.dropWaiting(reason);
     for (const task of [...this.tasks.values()]) this.finish(task, 'lost', reason);
-    this.executor.close();
+    this.calls.close();
     this.events.change();
   }
 
-  private findRenewalWait(): number {
-    const longestMs = this.answers.isLossy(this.clock.now()) ? SHORT_RENEWAL_WAIT_MS : RENEWAL_WAIT_MS;
-    return Math.floor(Math.min(longestMs, this.bounds.leaseMs * RENEWAL_LEASE_PART));
-  }
-
-  /**
-   * Renews the lease while answers come. Without an answer for a whole lease nothing is prolonged any more, so that
-   * what runs there ends at a known time.
-   */
-  private renew(waitMs: number, now: number): Promise<LeaseAnswer> {
-    const mayExtend = now - this.renewedAt <= this.bounds.leaseMs;
-    const leaseUntilMs = mayExtend ? this.lease.extend(now) : undefined;
-    const { token: fencingToken, lastSequence } = this;
-    return this.executor.renew(
-      { leaseUntilMs, fencingToken, lastSequence, waitMs },
-      waitMs + this.answers.timeoutMs,
-    );
-  }
-
   private handleLease(answer: LeaseAnswer, sentAt: number): void {
     const now = this.clock.now();
     if (answer.verdict === 'other-life') return this.close('other-life');
-    if (answer.verdict === 'fenced') return this.raiseToken(answer.clockMs, now);
-    if (answer.verdict === 'refused') return this.noteRefusedRenewal(sentAt);
+    if (answer.verdict === 'refused') return this.noteSilence('refused');
+    if (answer.verdict === 'fenced') return;
     if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.id });
     this.reachable = true;
-    this.lease.noteClock(answer.clockMs, now);
-    this.renewedAt = sentAt;
-    this.watchAnswers(() => this.answers.noteAnswer(now));
     for (const ended of answer.ended) this.noteEnd(ended, now);
     const unknown = this.noteRunning(answer.running, now);
     this.noteMissing(answer.running, sentAt);
@@ -291,26 +278,12 @@
     this.beginWaiting();
   }
 
-  private noteRefusedRenewal(sentAt: number): void {
-    this.noteUnanswered(sentAt);
-    this.noteSilence('refused');
-  }
-
   private join(): void {
     this.joined = true;
-    this.events.log('upstream-joined', { upstream: this.id, token: this.token, service: this.service });
+    this.events.log('upstream-joined', { upstream: this.id, token: this.calls.token, service: this.service });
     this.events.change();
   }
 
-  /** A newer holder was there, or our token came from an old report: take the upstream's clock, which rises. */
-  private raiseToken(clockMs: number | undefined, now: number): void {
-    const next = Math.max(this.token + 1, Math.floor(clockMs ?? 0));
-    this.events.log('token-raised', { upstream: this.id, from: this.token, to: next });
-    assertInvariant(next > this.token, 'a fencing token never falls');
-    this.token = next;
-    if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
-  }
-
   private noteEnd(ended: EndedRun, now: number): void {
     if (ended.sequence <= this.lastSequence) return;
     this.lastSequence = ended.sequence;
@@ -351,31 +324,10 @@
     }
   }
 
-  /** An answer has come that was not to wait for anything. */
-  private noteAnswer(sentAt: number, clockMs?: number): void {
-    const now = this.clock.now();
-    if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
-    this.watchAnswers(() => this.answers.noteAnswer(now, now - sentAt));
-  }
-
-  private noteUnanswered(sentAt: number): void {
-    this.watchAnswers(() => this.answers.noteUnanswered(sentAt, this.clock.now()));
-  }
-
-  /** Tells if an upstream begins or ceases to answer. */
-  private watchAnswers(note: () => void): void {
-    const before = this.answers.isAnswering;
-    note();
-    const answers = this.answers.isAnswering;
-    if (answers === before) return;
-    this.events.log('upstream-answers', { upstream: this.id, answers, tasks: this.load });
-    this.events.change();
-  }
-
   /** No answer: once every lease that was given is over, nothing can run there any more. */
   private noteSilence(error: unknown): void {
     const now = this.clock.now();
-    if (now <= this.lease.aliveUntil + this.bounds.stopMs || !this.reachable) return;
+    if (now <= this.calls.aliveUntil + this.bounds.stopMs || !this.reachable) return;
     this.reachable = false;
     this.events.log('upstream-unreachable', { upstream: this.id, error: String(error), tasks: this.load });
     this.dropWaiting('unreachable');
@@ -404,22 +356,13 @@
   private async sendStart(task: LocalTask): Promise<void> {
     for (let sends = 0; task.phase === 'starting' && !this.closed; sends += 1) {
       if (sends >= MAX_START_SENDS) return this.stopTask(task, 'start-unanswered');
-      const now = this.clock.now();
-      const order = {
-        name: buildRunName(task),
-        spec: task.order.spec,
-        leaseUntilMs: this.lease.extend(now),
-        fencingToken: this.token,
-      };
       try {
-        const { verdict, clockMs } = await this.executor.start(order, this.answers.timeoutMs);
-        this.noteAnswer(now, clockMs);
+        const verdict = await this.calls.start(buildRunName(task), task.order.spec);
         if (task.phase !== 'starting' || this.closed) return;
         if (verdict === 'superseded' && sends > 0) await this.waitForRenewal();
         if (task.phase !== 'starting' || this.closed) return;
-        if (this.settleStart(task, verdict, clockMs)) return;
+        if (this.settleStart(task, verdict)) return;
       } catch (error) {
-        this.noteUnanswered(now);
         this.events.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
       }
       await this.clock.sleep(REPEAT_PAUSE_MS);
@@ -427,17 +370,15 @@
   }
 
   /** Acts on the answer to a start; returns false if it is to be sent again. */
-  private settleStart(task: LocalTask, verdict: string, clockMs: number | undefined): boolean {
+  private settleStart(task: LocalTask, verdict: StartVerdict): boolean {
     const now = this.clock.now();
     switch (verdict) {
       case 'started':
         this.confirm(task, now);
         return true;
-      case 'fenced':
-        this.raiseToken(clockMs, now);
-        return false;
       case 'superseded':
         return this.settleSuperseded(task);
+      case 'fenced':
       case 'late':
         return false;
       case 'other-life':
@@ -467,7 +408,8 @@
   /** Waits until a renewal that is sent from now on has been answered. */
   private async waitForRenewal(): Promise<void> {
     const since = this.clock.now();
-    while (!this.closed && this.reachable && this.renewedAt <= since) await this.clock.sleep(REPEAT_PAUSE_MS);
+    while (!this.closed && this.reachable && this.calls.renewedAt <= since)
+      await this.clock.sleep(REPEAT_PAUSE_MS);
   }
 
   private confirm(task: LocalTask, now: number): void {
@@ -487,16 +429,11 @@
 
   private async sendStop(task: LocalTask): Promise<void> {
     while (task.phase === 'stopping' && !this.closed) {
-      const sentAt = this.clock.now();
       try {
-        const timeoutMs = this.answers.timeoutMs;
-        const { verdict, clockMs } = await this.executor.stop(buildRunName(task), this.token, timeoutMs);
-        this.noteAnswer(sentAt, clockMs);
+        const verdict = await this.calls.stop(buildRunName(task));
         if (verdict === 'accepted') task.stopAcceptedAt ??= this.clock.now();
-        if (verdict === 'fenced') this.raiseToken(clockMs, this.clock.now());
         if (verdict === 'other-life') return this.close('other-life');
       } catch (error) {
-        this.noteUnanswered(sentAt);
         this.events.log('stop-unanswered', { task: task.key, run: task.run, error: String(error) });
       }
       await this.clock.sleep(task.stopAcceptedAt === undefined ? REPEAT_PAUSE_MS : STOP_PAUSE_MS);
@@ -506,7 +443,7 @@
   /** A run of an earlier life of this agent: nobody waits for it, and it takes room nobody knows. */
   private stopUnknown(name: RunName): void {
     this.events.log('stop-unknown', { job: name.job, index: name.index, run: name.run });
-    this.executor.stop(name, this.token, this.answers.timeoutMs).catch(() => undefined);
+    this.calls.stop(name).catch(() => undefined);
   }
 
   private noteProgress(task: LocalTask, percent: number, now: number): void {
@@ -535,7 +472,9 @@
     if (end === 'failed') this.noteFailure(task, now);
     this.events.finish(task, end, task.stopReason === '' ? reason : task.stopReason);
     this.events.change();
-    if (!this.closed) this.beginWaiting();
+    if (this.closed) return;
+    if (this.leaving && this.load === 0) this.close('left');
+    else this.beginWaiting();
   }
 
   private dropOne(task: LocalTask, reason: string): void {
