Tell a link its room once and when it changes, and progress only of what stands still or crawls

Cause: each of some 9 pings a second carried the whole room (299 B) and all progress (99 B a task), 2.9 KB/s on an idle link against the users' bound of 2 KB/s; every change of room was told whole to every entry (docs/CAPACITY.md). Change: the upstream's description goes once a link and when it changes, the room when it differs from what the link was last told, progress only for attempts that stood still for 150 ms or whose upstream works below 0.7 of the typical speed, which entries tell with their echo; times on links are whole ms.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -20,14 +20,20 @@
 /** How far an agent trusts its upstream with work, from what it did of late. */
 export type UpstreamTrust = 'healthy' | 'probation' | 'suspect';
 
-/** What an agent's upstream has left. */
-export interface RoomReport {
+/** What an agent's upstream is; told on a link when it opens and when it changes. */
+export interface UpstreamDescription {
   readonly upstream: string;
   readonly service: string;
   readonly labels: readonly string[];
+  readonly capacity: Resources;
+}
+
+/** What an agent's upstream has left. */
+export interface RoomReport {
+  /** Undefined while it is what the link was last told. */
+  readonly description: UpstreamDescription | undefined;
   readonly state: UpstreamState;
   readonly trust: UpstreamTrust;
-  readonly capacity: Resources;
   readonly free: Resources;
   /** Starts of the addressed entry that are counted in `free`, since its link opened. */
   readonly startsSeen: number;
@@ -81,14 +87,18 @@
 export interface Ping {
   readonly type: 'ping';
   readonly at: number;
-  readonly room: RoomReport;
-  readonly progress: readonly AttemptProgress[];
+  /** Undefined while it is what the link was last told. */
+  readonly room: RoomReport | undefined;
+  /** Attempts that stand still or crawl; undefined for none. */
+  readonly progress: readonly AttemptProgress[] | undefined;
 }
 
 /** Echo of a ping: proves that the entry lived after it was sent. */
 export interface Pong {
   readonly type: 'pong';
   readonly at: number;
+  /** Typical speed of the upstreams as the entry sees it, against which an upstream crawls. */
+  readonly typicalSpeed: number;
 }
 
 /** Room that changed between two pings. */
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -1,5 +1,10 @@
 /** What an entry knows of one agent: its room as last told, less what was sent since, and how fresh that is. */
-import type { AgentHello, Ping, RoomReport } from '../../connection/peer/peerMessages.js';
+import type {
+  AgentHello,
+  Ping,
+  RoomReport,
+  UpstreamDescription,
+} from '../../connection/peer/peerMessages.js';
 import { addResources, NO_RESOURCES, subtractResources } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
 
@@ -13,6 +18,9 @@
   return `${agent}@${life}`;
 }
 
+/** An upstream and its room as last told. */
+export type AgentRoom = UpstreamDescription & Omit<RoomReport, 'description'>;
+
 /** An agent as the entry sees it. */
 export class AgentView {
   /** Process and life: attempts belong to one life of an agent. */
@@ -22,7 +30,7 @@
   /** Longest time after the newest ping for which our tasks can still run there, ms. */
   readonly orphanMs: number;
   linked = true;
-  room: RoomReport | undefined;
+  room: AgentRoom | undefined;
   /** Our time of the newest ping. */
   heardAt: number;
   /** Until when nothing is sent, after it had no room, ms. */
@@ -65,7 +73,7 @@
   notePing(ping: Ping, now: number): void {
     this.heardAt = now;
     this.noteClock(ping.at, now);
-    this.noteRoom(ping.room);
+    if (ping.room) this.noteRoom(ping.room);
   }
 
   /** Takes the agent's clock from any message that has just come. */
@@ -76,7 +84,10 @@
 
   /** Takes a room that is newer than the one known. */
   noteRoom(room: RoomReport): void {
-    this.room = room;
+    const { description = this.room, ...rest } = room;
+    if (!description) return;
+    const { upstream, service, labels, capacity } = description;
+    this.room = { upstream, service, labels, capacity, ...rest };
     while (this.unseen[0] && this.unseen[0].number <= room.startsSeen) {
       const seen = this.unseen.shift();
       if (seen) this.reserved = subtractResources(this.reserved, seen.need);
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -62,13 +62,11 @@
 
   ping(id: string, now: number, change: Partial<RoomReport> = {}): void {
     const capacity = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+    const upstream = `of-${id.split('@')[0]}`;
     const room: RoomReport = {
-      upstream: `of-${id.split('@')[0]}`,
-      service: 'service',
-      labels: [],
+      description: { upstream, service: 'service', labels: [], capacity },
       state: 'ready',
       trust: 'healthy',
-      capacity,
       free: capacity,
       startsSeen: 1_000,
       speed: 1,
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -84,7 +84,8 @@
   /** Jobs submitted again while tasks of the earlier submission may still run. */
   private readonly successors = new Map<string, Submission>();
   private readonly backlog = new Backlog();
-  private typicalSpeed = 1;
+  /** Typical work per ms of the upstreams, in ms of estimates. */
+  typicalSpeed = 1;
   /** Attempts of all jobs: a job may be submitted again while results of its earlier attempts are on their way. */
   private attempts = 0;
 
@@ -196,7 +197,7 @@
     agent.notePing(ping, now);
     this.expireEarlierLives(agent, now);
     this.typicalSpeed = findMedianSpeed(this.agents.values());
-    for (const progress of ping.progress) this.reviewProgress(agent, progress, now);
+    for (const progress of ping.progress ?? []) this.reviewProgress(agent, progress, now);
   }
 
   /** Takes room that changed between pings. */
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -21,6 +21,7 @@
 import { PauseGuard } from '../PauseGuard.js';
 import { ServedMetrics } from '../ServedMetrics.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { roundSpeed } from '../roundSpeed.js';
 import { buildAgentId } from './AgentView.js';
 import { Dispatcher } from './Dispatcher.js';
 import type { DispatchJob } from './dispatchJob.js';
@@ -215,7 +216,10 @@
   private receive(channel: LineChannel, message: PeerMessage): void {
     const now = this.clock.now();
     this.pauseGuard.look(now);
-    if (message.type === 'ping') channel.send({ type: 'pong', at: message.at });
+    if (message.type === 'ping') {
+      const typicalSpeed = roundSpeed(this.dispatcher.typicalSpeed);
+      channel.send({ type: 'pong', at: message.at, typicalSpeed });
+    }
     this.handle(channel, message, now);
     this.schedulePlacing();
   }
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -11,6 +11,7 @@
   AttemptProgress,
   AttemptResult,
   Ping,
+  Pong,
   RoomReport,
   StartOrder,
   StopOrder,
@@ -18,6 +19,7 @@
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import type { TaskExecutor } from '../../ports/TaskExecutor.js';
 import { NO_RESOURCES } from '../../request/dispatch/resources.js';
+import { roundSpeed } from '../roundSpeed.js';
 import type { LocalTask } from './localTask.js';
 import { UpstreamSession } from './UpstreamSession.js';
 import type { SessionBounds } from './UpstreamSession.js';
@@ -28,6 +30,10 @@
 const FORGET_UPSTREAM_MS = 5_000;
 /** Time on the way and in the agent's loop that is added to when an orphan is surely gone, ms. */
 const ORPHAN_MARGIN_MS = 60;
+/** Time without progress from which on an entry is told of it, ms. */
+const STALL_MS = 150;
+/** Share of the typical speed below which an entry is told of all progress; entries move tasks at less. */
+const CRAWL_SHARE = 0.7;
 
 /** Times the agent keeps to, ms. */
 export interface AgentBounds extends SessionBounds {
@@ -49,9 +55,19 @@
   /** Our time of the newest ping that the entry has echoed. */
   provenAt: number;
   startsSeen: number;
+  /** Typical speed of upstreams as the entry sees it. */
+  typicalSpeed: number;
+  /** What its link was last told; a new link has been told nothing. */
+  told: ToldRoom;
   readonly results: { readonly at: number; readonly result: AttemptResult }[];
 }
 
+/** Texts of what a link was last told. */
+interface ToldRoom {
+  readonly description: string;
+  readonly room: string;
+}
+
 /** Decides for one agent. */
 export class AgentCore {
   private readonly sessions = new Map<string, UpstreamSession>();
@@ -107,6 +123,7 @@
     const proof = this.findProof(entryLife, provenAt);
     proof.provenAt = Math.max(proof.provenAt, provenAt);
     proof.startsSeen = 0;
+    proof.told = NOTHING_TOLD;
   }
 
   /** An earlier life of an entry is over for sure. */
@@ -116,9 +133,10 @@
   }
 
   /** The entry has echoed a ping. */
-  noteEcho(entryLife: string, at: number): void {
+  noteEcho(entryLife: string, { at, typicalSpeed }: Pong): void {
     const proof = this.findProof(entryLife, at);
     proof.provenAt = Math.max(proof.provenAt, at);
+    proof.typicalSpeed = typicalSpeed;
   }
 
   /** Builds the first message of a link; `entryLife` is the life that was last met there. */
@@ -150,41 +168,56 @@
     }
   }
 
-  /** Builds a ping for one entry. */
+  /** Builds a ping for one entry: room and progress only as far as its link needs to be told. */
   buildPing(entryLife: string): Ping {
-    const now = this.clock.now();
-    const progress: AttemptProgress[] = [];
-    for (const session of this.sessions.values()) {
-      for (const task of session.listHeld(entryLife)) {
-        if (task.phase !== 'running') continue;
-        progress.push({
-          name: task.order.name,
-          percent: task.percent,
-          stalledMs: Math.round(now - task.percentAt),
-        });
-      }
-    }
-    return { type: 'ping', at: now, room: this.buildRoom(entryLife), progress };
+    const at = Math.floor(this.clock.now());
+    const progress = this.listProgress(entryLife);
+    const room = this.takeRoomChange(entryLife);
+    return { type: 'ping', at, room, progress: progress.length > 0 ? progress : undefined };
+  }
+
+  /** Returns the room if it is not what the entry's link was last told, and takes it for told. */
+  takeRoomChange(entryLife: string): RoomReport | undefined {
+    const proof = this.findProof(entryLife, -Infinity);
+    const { description, ...rest } = this.buildRoom(entryLife);
+    const told = { description: JSON.stringify(description), room: JSON.stringify(rest) };
+    const isNew = told.description !== proof.told.description;
+    if (!isNew && told.room === proof.told.room) return undefined;
+    proof.told = told;
+    return { description: isNew ? description : undefined, ...rest };
   }
 
-  /** Builds the room as one entry is told it. */
-  buildRoom(entryLife: string): RoomReport {
+  private buildRoom(entryLife: string): RoomReport {
     const startsSeen = this.proofs.get(entryLife)?.startsSeen ?? 0;
     const session = this.findSession();
     if (!session) return { ...ABSENT_ROOM, startsSeen };
+    const { id: upstream, service, labels, capacity, free } = session;
     return {
-      upstream: session.id,
-      service: session.service,
-      labels: session.labels,
+      description: { upstream, service, labels, capacity },
       state: this.leaving ? 'draining' : session.state,
       trust: session.readTrust(),
-      capacity: session.capacity,
-      free: session.free,
+      free,
       startsSeen,
-      speed: Number(session.readSpeed().toFixed(3)),
+      speed: roundSpeed(session.readSpeed()),
     };
   }
 
+  /** Attempts of an entry that stand still or crawl: only those may be moved. */
+  private listProgress(entryLife: string): AttemptProgress[] {
+    const now = this.clock.now();
+    const typicalSpeed = this.proofs.get(entryLife)?.typicalSpeed ?? 1;
+    const progress: AttemptProgress[] = [];
+    for (const session of this.sessions.values()) {
+      const crawls = session.readSpeed() < typicalSpeed * CRAWL_SHARE;
+      for (const { phase, order, percent, percentAt } of session.listHeld(entryLife)) {
+        const stalledMs = Math.round(now - percentAt);
+        if (phase !== 'running' || (!crawls && stalledMs < STALL_MS)) continue;
+        progress.push({ name: order.name, percent, stalledMs });
+      }
+    }
+    return progress;
+  }
+
   /** Does what time brings. */
   tick(): void {
     const now = this.clock.now();
@@ -254,7 +287,7 @@
 
   private findProof(entryLife: string, provenAt: number): EntryProof {
     let proof = this.proofs.get(entryLife);
-    if (!proof) this.proofs.set(entryLife, (proof = { provenAt, startsSeen: 0, results: [] }));
+    if (!proof) this.proofs.set(entryLife, (proof = createProof(provenAt)));
     return proof;
   }
 
@@ -282,13 +315,16 @@
 
 const STATE_ORDER = ['ready', 'silent', 'joining', 'draining', 'absent'] as const;
 
+const NOTHING_TOLD: ToldRoom = { description: '', room: '' };
+
 const ABSENT_ROOM: Omit<RoomReport, 'startsSeen'> = {
-  upstream: '',
-  service: '',
-  labels: [],
+  description: { upstream: '', service: '', labels: [], capacity: NO_RESOURCES },
   state: 'absent',
   trust: 'healthy',
-  capacity: NO_RESOURCES,
   free: NO_RESOURCES,
   speed: 1,
 };
+
+function createProof(provenAt: number): EntryProof {
+  return { provenAt, startsSeen: 0, typicalSpeed: 1, told: NOTHING_TOLD, results: [] };
+}
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -197,7 +197,7 @@
     if (message.type === 'members') return this.noteMembers(message.entries);
     if (message.type === 'configuration') return this.noteConfiguration(message.configuration);
     if (link.life === '') return;
-    if (message.type === 'pong') this.core.noteEcho(link.life, message.at);
+    if (message.type === 'pong') this.core.noteEcho(link.life, message);
     if (message.type === 'start') this.core.handleStart(link.life, message);
     if (message.type === 'stop') this.core.handleStop(link.life, message);
   }
@@ -236,9 +236,10 @@
   private scheduleRoom(): void {
     this.roomTimer ??= setTimeout(() => {
       this.roomTimer = undefined;
-      const at = this.clock.now();
+      const at = Math.floor(this.clock.now());
       for (const { channel, life } of this.links.values()) {
-        if (life !== '') channel.send({ type: 'room', at, room: this.core.buildRoom(life) });
+        const room = life === '' ? undefined : this.core.takeRoomChange(life);
+        if (room) channel.send({ type: 'room', at, room });
       }
     }, ROOM_DELAY_MS);
   }
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -328,7 +328,7 @@
       core.handleHello(message, entryLife, now);
     }
     if (message.type === 'ping') {
-      this.toAgent(link, { type: 'pong', at: message.at });
+      this.toAgent(link, { type: 'pong', at: message.at, typicalSpeed: core.typicalSpeed });
       core.handlePing(link.agentId, message, now);
     }
     if (message.type === 'room') core.handleRoom(link.agentId, message, now);
@@ -345,7 +345,7 @@
       core.noteWelcome(message.life, link.openedAt);
       this.toEntry(link, core.buildPing(message.life));
     }
-    if (message.type === 'pong') core.noteEcho(link.life, message.at);
+    if (message.type === 'pong') core.noteEcho(link.life, message);
     if (message.type === 'start') core.handleStart(link.life, message);
     if (message.type === 'stop') core.handleStop(link.life, message);
   }
