Tell entries of room less often while their echoes come late; let starts be longer on their way

Each start and each end at any agent was told to every entry, so what a dispatcher hears grows with all work of the fleet; once its processor or link falls behind by more than 250 ms, its picture of the agents' clocks is so old that every start arrives expired, and is placed again. A start may be on its way for 3.6 ping intervals (416 ms where callers keep 1.3 s, was 250 fixed); what bounds its safety is the age of the entry's echo, 4.5 intervals, as before. Ruled out: room told in full as the only cause (half the bytes did not help).

--- a/bench/dispatchDefects.ts
+++ b/bench/dispatchDefects.ts
@@ -18,7 +18,7 @@
   {
     name: 'a start that was long on its way does not expire',
     file: 'src/process/dispatcher/Dispatcher.js',
-    find: 'agent.estimateClock(now) + START_EXPIRY_MS',
+    find: 'agent.estimateClock(now) + this.options.pingMs * START_EXPIRY_PINGS',
     replace: 'agent.estimateClock(now) + 60_000',
   },
   {
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -32,8 +32,11 @@
 
 /** Age of a ping, in ping intervals, from which on an agent gets nothing new. */
 const STALE_PINGS = 2.6;
-/** How long a start may be on its way before the agent refuses it, ms. */
-const START_EXPIRY_MS = 250;
+/**
+ * How long a start may be on its way, and the agent's clock before it, in ping intervals, before the agent refuses it.
+ * Less than the age of an echo from which on the agent stops what the entry ordered (4.5), which bounds it anyway.
+ */
+const START_EXPIRY_PINGS = 3.6;
 /** Pause after an agent had no room, unless it tells its room before, ms. */
 const FULL_PAUSE_MS = 4;
 /** A deadline is answered so long before the caller stops waiting, ms. */
@@ -283,7 +286,7 @@
     agent.reserve(need.resources);
     const { id, spec, route } = job.submission;
     const name = buildAttemptName(task);
-    const expiresAt = agent.estimateClock(now) + START_EXPIRY_MS;
+    const expiresAt = agent.estimateClock(now) + this.options.pingMs * START_EXPIRY_PINGS;
     const { resources, estimateMs } = need;
     const rank = Math.round(job.rank - now);
     const order = { name, service: route.service, spec, resources, estimateMs, rank, expiresAt };
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -18,10 +18,9 @@
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
 import { ServedMetrics } from '../ServedMetrics.js';
 import { AgentCore } from './AgentCore.js';
+import { RoomPacer } from './RoomPacer.js';
 import { buildExecutorMetrics } from './executorMetrics.js';
 
-/** Room changes are told together after so long, ms. */
-const ROOM_DELAY_MS = 4;
 /** Between two looks at what has expired, ms. */
 const TICK_MS = 40;
 /** Between two messages about entries, ms. */
@@ -44,6 +43,8 @@
   readonly openedAt: number;
   /** Life of the entry; empty until it has said so. */
   life: string;
+  readonly pacer: RoomPacer;
+  roomTimer: NodeJS.Timeout | undefined;
 }
 
 /** An agent process. */
@@ -60,7 +61,6 @@
   /** Upstreams that have reported themselves to this life of the process. */
   private readonly reported = new Set<string>();
   private configuration: Configuration | undefined;
-  private roomTimer: NodeJS.Timeout | undefined;
   private leaving = false;
 
   constructor(
@@ -179,12 +179,15 @@
   }
 
   private open(address: string, channel: LineChannel): void {
-    this.links.set(address, { address, channel, openedAt: this.clock.now(), life: '' });
+    const openedAt = this.clock.now();
+    const pacer = new RoomPacer();
+    this.links.set(address, { address, channel, openedAt, life: '', pacer, roomTimer: undefined });
     channel.send(this.core.buildHello(this.lives.get(address) ?? ''));
   }
 
   private closeLink(address: string, reason: string): void {
     const link = this.links.get(address);
+    clearTimeout(link?.roomTimer);
     this.links.delete(address);
     this.logger.info('entry-unlinked', { address, life: link?.life, reason });
   }
@@ -197,7 +200,10 @@
     if (message.type === 'members') return this.noteMembers(message.entries);
     if (message.type === 'configuration') return this.noteConfiguration(message.configuration);
     if (link.life === '') return;
-    if (message.type === 'pong') this.core.noteEcho(link.life, message);
+    if (message.type === 'pong') {
+      link.pacer.noteEcho(this.clock.now() - message.at);
+      this.core.noteEcho(link.life, message);
+    }
     if (message.type === 'start') this.core.handleStart(link.life, message);
     if (message.type === 'stop') this.core.handleStop(link.life, message);
   }
@@ -234,14 +240,20 @@
   }
 
   private scheduleRoom(): void {
-    this.roomTimer ??= setTimeout(() => {
-      this.roomTimer = undefined;
-      const at = Math.floor(this.clock.now());
-      for (const { channel, life } of this.links.values()) {
-        const room = life === '' ? undefined : this.core.takeRoomChange(life);
-        if (room) channel.send({ type: 'room', at, room });
-      }
-    }, ROOM_DELAY_MS);
+    const now = this.clock.now();
+    for (const link of this.links.values()) {
+      if (link.life !== '')
+        link.roomTimer ??= setTimeout(() => this.tellRoom(link), link.pacer.findWait(now));
+    }
+  }
+
+  private tellRoom(link: EntryLink): void {
+    link.roomTimer = undefined;
+    const now = this.clock.now();
+    const room = this.core.takeRoomChange(link.life);
+    if (!room) return;
+    link.pacer.noteTold(now);
+    link.channel.send({ type: 'room', at: Math.floor(now), room });
   }
 
   private findLink(life: string): EntryLink | undefined {
