--- a/src/connection/http/readBody.ts
+++ b/src/connection/http/readBody.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
+import { collectBody } from './collectBody.js';
+
 /** A body, or why there is none. */
 export type BodyRead =
   | { readonly ok: true; readonly text: string; readonly bytes: Buffer }
@@ -13,19 +15,7 @@
  * @returns the text; `too-large` past the bound; `cut` when the connection broke
  */
 export async function readBody(request: IncomingMessage, maxBytes: number): Promise<BodyRead> {
-  const declared = Number(request.headers['content-length'] ?? 0);
-  if (declared > maxBytes) return { ok: false, reason: 'too-large' };
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request) {
-      size += (chunk as Buffer).length;
-      if (size > maxBytes) return { ok: false, reason: 'too-large' };
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return { ok: false, reason: 'cut' };
-  }
-  const bytes = Buffer.concat(chunks);
+  const bytes = await collectBody(request, maxBytes);
+  if (typeof bytes === 'string') return { ok: false, reason: bytes };
   return { ok: true, text: bytes.toString('utf8'), bytes };
 }
--- a/src/connection/peer/PeerDialer.ts
+++ b/src/connection/peer/PeerDialer.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 
+import { splitAddress } from '../splitAddress.js';
 import { LineChannel } from './LineChannel.js';
 import type { PeerMessage } from './peerMessages.js';
 
@@ -80,8 +81,7 @@
   }
 
   private dial(address: string, peer: DialedPeer): void {
-    const at = address.lastIndexOf(':');
-    const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
+    const socket = connect(splitAddress(address));
     peer.socket = socket;
     let settled = false;
     const settle = (): boolean => {
--- a/src/process/ServedMetrics.ts
+++ b/src/process/ServedMetrics.ts
@@ -8,6 +8,8 @@
 import type * as MetricsLibrary from 'prom-client';
 import type { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import { splitAddress } from '../connection/splitAddress.js';
+
 /** What a metric is. */
 export interface MetricDefinition {
   readonly kind: 'counter' | 'histogram' | 'gauge';
@@ -105,13 +107,13 @@
   }
 
   private listen(registry: Registry): void {
-    const at = this.address.lastIndexOf(':');
+    const { host, port } = splitAddress(this.address);
     this.server = createServer((_, response) => {
       void registry.metrics().then((text) => {
         response.writeHead(200, { 'content-type': registry.contentType }).end(text);
       });
     });
     this.server.on('error', () => undefined);
-    this.server.listen(Number(this.address.slice(at + 1)), this.address.slice(0, at));
+    this.server.listen(port, host);
   }
 }
