--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -67,26 +67,34 @@
   readonly orphanMs: number;
 }
 
+/** Where an entry takes links. */
+export interface EntryPlace {
+  /** `host:port`. */
+  readonly address: string;
+  readonly failureDomain: string;
+}
+
 /** First message of an entry on a link that an agent dialed. */
 export interface EntryWelcome {
   readonly type: 'entry-welcome';
   readonly entry: string;
   readonly life: string;
-  /** `host:port` for links. */
-  readonly address: string;
+  readonly place: EntryPlace;
 }
 
 /** First message of an entry that dials another one to make itself known. */
 export interface EntryHello {
   readonly type: 'entry-hello';
   readonly entry: string;
-  readonly address: string;
+  readonly place: EntryPlace;
 }
 
 /** Regular sign of life of an agent. */
 export interface Ping {
   readonly type: 'ping';
   readonly at: number;
+  /** Newest configuration that the agent holds; -1 for none. */
+  readonly version: number;
   /** Undefined while it is what the link was last told. */
   readonly room: RoomReport | undefined;
   /** Attempts that stand still or crawl; undefined for none. */
@@ -97,6 +105,8 @@
 export interface Pong {
   readonly type: 'pong';
   readonly at: number;
+  /** Newest configuration that the entry holds; -1 for none. */
+  readonly version: number;
   /** Typical speed of the upstreams as the entry sees it, against which an upstream crawls. */
   readonly typicalSpeed: number;
 }
@@ -139,30 +149,37 @@
   readonly reason: string;
 }
 
+/** Asks for the newest configuration the peer knows, which is newer than the sender's. */
+export interface ConfigurationRequest {
+  readonly type: 'configuration-request';
+}
+
 /** Newest configuration the sender knows. */
 export interface ConfigurationNotice {
   readonly type: 'configuration';
   readonly configuration: Configuration;
 }
 
-/** Addresses of entries the sender has a working link to, or is. */
+/** Entries the sender has a working link to, or is. */
 export interface MembersNotice {
   readonly type: 'members';
-  readonly entries: readonly string[];
-}
-
-/** The agent takes nothing new any more. */
-export interface AgentLeaving {
-  readonly type: 'agent-leaving';
+  readonly entries: readonly EntryPlace[];
 }
 
 /** Messages of agents. */
 export type AgentMessage =
-  AgentHello | Ping | RoomChange | AttemptResult | ConfigurationNotice | MembersNotice | AgentLeaving;
+  AgentHello | Ping | RoomChange | AttemptResult | ConfigurationRequest | ConfigurationNotice | MembersNotice;
 
 /** Messages of entries. */
 export type EntryMessage =
-  EntryWelcome | EntryHello | Pong | StartOrder | StopOrder | ConfigurationNotice | MembersNotice;
+  | EntryWelcome
+  | EntryHello
+  | Pong
+  | StartOrder
+  | StopOrder
+  | ConfigurationRequest
+  | ConfigurationNotice
+  | MembersNotice;
 
 /** Any message of a link. */
 export type PeerMessage = AgentMessage | EntryMessage;
--- a/src/process/MemberTable.ts
+++ b/src/process/MemberTable.ts
@@ -1,29 +1,47 @@
 /**
- * Addresses of the entries, as a process knows them: from its settings, and from peers that have a working link to
+ * The other entries, as an entry knows them: from its settings, and from peers that have a working link to
  * them. Only a working link counts as a sign of life, so that a gone entry fades from every table.
  */
+import type { EntryPlace } from '../connection/peer/peerMessages.js';
 
 /** How long a reported address is kept without a new report, ms. */
 const KEEP_MS = 15_000;
 
+interface Member {
+  readonly place: EntryPlace;
+  readonly heardAt: number;
+}
+
 /** Known entries. */
 export class MemberTable {
-  private readonly heardAt = new Map<string, number>();
+  private readonly members = new Map<string, Member>();
+
+  private turn = 0;
 
   /**
-   * Takes addresses that a peer reports.
+   * Takes entries that a peer reports.
    *
    * @returns those that were not known
    */
-  note(addresses: readonly string[], now: number): string[] {
-    const fresh = addresses.filter((address) => !this.heardAt.has(address));
-    for (const address of addresses) this.heardAt.set(address, now);
+  note(places: readonly EntryPlace[], now: number): EntryPlace[] {
+    const fresh = places.filter(({ address }) => !this.members.has(address));
+    for (const place of places) this.members.set(place.address, { place, heardAt: now });
     return fresh;
   }
 
-  /** Addresses that were reported of late. */
-  list(now: number): string[] {
-    for (const [address, at] of this.heardAt) if (now - at > KEEP_MS) this.heardAt.delete(address);
-    return [...this.heardAt.keys()];
+  /** Entries that were reported of late. */
+  list(now: number): EntryPlace[] {
+    for (const [address, { heardAt }] of this.members)
+      if (now - heardAt > KEEP_MS) this.members.delete(address);
+    return [...this.members.values()].map(({ place }) => place);
+  }
+
+  /** Some of the entries that were reported of late, others with each call. */
+  takeTurn(count: number, now: number): EntryPlace[] {
+    const places = this.list(now);
+    if (places.length <= count) return places;
+    const start = this.turn % places.length;
+    this.turn = start + count;
+    return [...places, ...places].slice(start, start + count);
   }
 }
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -41,6 +41,8 @@
   /** Starts that the newest room does not count yet, oldest first. */
   private readonly unseen: { readonly number: number; readonly need: Resources }[] = [];
   private reserved: Resources = NO_RESOURCES;
+  /** What attempts took that have ended since the room was last told. */
+  private released: Resources = NO_RESOURCES;
 
   constructor(hello: AgentHello, now: number) {
     this.id = buildAgentId(hello);
@@ -52,7 +54,8 @@
 
   /** What can be sent there now. */
   get free(): Resources {
-    return subtractResources(this.room?.free ?? NO_RESOURCES, this.reserved);
+    const told = addResources(this.room?.free ?? NO_RESOURCES, this.released);
+    return subtractResources(told, this.reserved);
   }
 
   /** Starts that are on their way. */
@@ -67,6 +70,7 @@
     this.starts = 0;
     this.unseen.length = 0;
     this.reserved = NO_RESOURCES;
+    this.released = NO_RESOURCES;
   }
 
   /** Takes a ping; pings prove that the agent lived, and carry its clock. */
@@ -88,6 +92,7 @@
     if (!description) return;
     const { upstream, service, labels, capacity } = description;
     this.room = { upstream, service, labels, capacity, ...rest };
+    this.released = NO_RESOURCES;
     while (this.unseen[0] && this.unseen[0].number <= room.startsSeen) {
       const seen = this.unseen.shift();
       if (seen) this.reserved = subtractResources(this.reserved, seen.need);
@@ -101,6 +106,11 @@
     this.reserved = addResources(this.reserved, need);
   }
 
+  /** Takes the room of an attempt that has ended for free; the agent tells its room again after a result. */
+  release(need: Resources): void {
+    this.released = addResources(this.released, need);
+  }
+
   /** The agent's clock now; behind it by the time its last message took. */
   estimateClock(now: number): number {
     return this.agentClock + (now - this.clockAt);
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -43,7 +43,7 @@
   readonly sent: { agent: string; message: EntryMessage }[] = [];
   readonly caller = new FakeCaller();
   readonly dispatcher = new Dispatcher(
-    { pingMs: PING_MS, placement: new SpeedPlacement(), nextRandom: () => 0.5 },
+    { pingMs: PING_MS, placement: new SpeedPlacement(1.5), nextRandom: () => 0.5 },
     {
       send: (agent, message) => this.sent.push({ agent, message }),
       log: () => undefined,
@@ -72,7 +72,7 @@
       speed: 1,
       ...change,
     };
-    this.dispatcher.handlePing(id, { type: 'ping', at: now, room, progress: [] }, now);
+    this.dispatcher.handlePing(id, { type: 'ping', version: 1, at: now, room, progress: [] }, now);
   }
 
   submit(now: number, change: Partial<JobSubmission> = {}): void {
@@ -275,4 +275,22 @@
     bench.submit(10, { steps: [{ ...STEP, count: 6 }] });
     expect(bench.starts.length).to.equal(4);
   });
+
+  it('takes the room of an attempt that has ended for free before it is told so', () => {
+    bench.ping('a@1', 5, { startsSeen: 0 });
+    bench.submit(10, { steps: [{ ...STEP, count: 6 }] });
+    bench.end(0, 'done', 20);
+    expect(bench.starts.length).to.equal(5);
+    bench.ping('a@1', 30, { startsSeen: 5, free: { cpuMilli: 0, memoryMb: 0, gpus: 0 } });
+    bench.dispatcher.place(30);
+    expect(bench.starts.length).to.equal(5);
+  });
+
+  it('waits to be told the room after an attempt that was not run', () => {
+    bench.ping('a@1', 5, { startsSeen: 0 });
+    bench.submit(10, { steps: [{ ...STEP, count: 6 }] });
+    bench.end(0, 'not-run', 20);
+    bench.dispatcher.place(60);
+    expect(bench.starts.length).to.equal(4);
+  });
 });
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -87,8 +87,7 @@
   /** Jobs submitted again while tasks of the earlier submission may still run. */
   private readonly successors = new Map<string, Submission>();
   private readonly backlog = new Backlog();
-  /** Typical work per ms of the upstreams, in ms of estimates. */
-  typicalSpeed = 1;
+  private median = 1;
   /** Attempts of all jobs: a job may be submitted again while results of its earlier attempts are on their way. */
   private attempts = 0;
 
@@ -97,6 +96,11 @@
     private readonly effects: DispatchEffects,
   ) {}
 
+  /** Typical work per ms of the upstreams, in ms of estimates. */
+  get typicalSpeed(): number {
+    return this.median;
+  }
+
   /** Jobs whose caller waits. */
   get openJobs(): number {
     let open = this.successors.size;
@@ -199,7 +203,6 @@
     if (!agent) return;
     agent.notePing(ping, now);
     this.expireEarlierLives(agent, now);
-    this.typicalSpeed = findMedianSpeed(this.agents.values());
     for (const progress of ping.progress ?? []) this.reviewProgress(agent, progress, now);
   }
 
@@ -215,11 +218,10 @@
   handleResult(agentId: string, { name, end, reason }: AttemptResult, now: number): void {
     const task = this.findNamed(name);
     if (!task || task.attempt !== name.attempt || task.agent !== agentId || !isOut(task)) return;
+    const agent = this.agents.get(agentId);
+    if (agent && end === 'not-run') agent.pausedUntil = now + FULL_PAUSE_MS;
+    if (agent && end !== 'not-run') agent.release(task.need.resources);
     this.settle(task, end, reason, now);
-    if (end === 'not-run') {
-      const agent = this.agents.get(agentId);
-      if (agent) agent.pausedUntil = now + FULL_PAUSE_MS;
-    }
   }
 
   /** Sends waiting tasks to agents with room. */
@@ -245,6 +247,7 @@
 
   /** Does what time brings. */
   tick(now: number): void {
+    this.median = findMedianSpeed(this.agents.values());
     for (const agent of [...this.agents.values()]) this.expireAgent(agent, now);
     for (const job of [...this.jobs.values()]) if (!job.answered) this.judge(job, now);
     for (const [id, { deadlineAt, caller }] of [...this.successors]) {
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -6,11 +6,13 @@
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
-import type { PeerMessage } from '../../connection/peer/peerMessages.js';
+import type { EntryPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
+import { splitAddress } from '../../connection/splitAddress.js';
 import type { Caller, CallerGateway, JobDesk, JobState } from '../../ports/CallerGateway.js';
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
 import type { Configuration } from '../../version/configuration.js';
+import { ConfigurationExchange } from '../ConfigurationExchange.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
 import { LogBudget } from '../LogBudget.js';
@@ -30,8 +32,9 @@
 
 /** Between two looks at deadlines and silent agents, ms. */
 const TICK_MS = 40;
-/** Between two messages about members to every peer, ms. */
+/** Between two messages about members to every peer, ms, and how many others are told in each. */
 const MEMBERS_MS = 4_000;
+const MEMBERS_TOLD = 12;
 /** How long a leaving entry still takes jobs, until the balancer has noticed, ms. */
 const NOTICE_MS = 2_500;
 /** Time kept from the grace period to answer what is left and end, ms. */
@@ -48,16 +51,16 @@
 
 /** An entry process. */
 export class DispatcherDaemon implements JobDesk {
-  configuration: Configuration | undefined;
   private readonly clock = new SteadyClock();
   private readonly life: string;
-  private readonly address: string;
+  private readonly place: EntryPlace;
   private readonly logger: ProcessLogger;
   private readonly metrics: ServedMetrics;
   private readonly dispatcher: Dispatcher;
   private readonly listener: PeerListener;
   private readonly dialer: PeerDialer;
   private readonly members = new MemberTable();
+  private readonly exchange = new ConfigurationExchange();
   private readonly pauseGuard: PauseGuard;
   private readonly channels = new Map<string, LineChannel>();
   private readonly agentIds = new Map<LineChannel, string>();
@@ -72,12 +75,14 @@
   ) {
     const peer = createIncarnation(settings.id, Date.now());
     this.life = peer;
-    this.address = `${settings.address}:${settings.linkPort}`;
+    const { address, advertisedAddress, linkPort, failureDomain } = settings;
+    const host = advertisedAddress === '' ? address : advertisedAddress;
+    this.place = { address: `${host}:${linkPort}`, failureDomain };
     this.logger = createLogger(peer, settings.logLevel, createLogSink());
     const nextRandom = createRandom(Date.now() % 1_000_000);
     const { pingMs, orphanAfterMs } = deriveDispatchTimes(settings);
     this.dispatcher = new Dispatcher(
-      { pingMs, placement: new SpeedPlacement(), nextRandom },
+      { pingMs, placement: new SpeedPlacement(settings.farFactor), nextRandom },
       {
         send: (agent, message) => this.channels.get(agent)?.send(message),
         log: (event, fields) => this.logDecision(event, fields),
@@ -88,7 +93,7 @@
       readOpenJobs: () => this.dispatcher.openJobs,
       readWaitingTasks: () => this.dispatcher.waitingTasks,
       readAgents: () => this.channels.size,
-      readConfigurationVersion: () => this.configuration?.version ?? -1,
+      readConfigurationVersion: () => this.exchange.version,
     };
     this.metrics = new ServedMetrics(settings.metricsAddress, buildDispatcherMetrics(gauges));
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
@@ -110,6 +115,10 @@
     );
   }
 
+  get configuration(): Configuration | undefined {
+    return this.exchange.configuration;
+  }
+
   get isReady(): boolean {
     if (this.leavingAt !== undefined || !this.configuration) return false;
     return this.dispatcher.hasAgents(this.clock.now());
@@ -121,7 +130,7 @@
 
   /** Starts to listen, to dial other entries and to follow the configuration. */
   async start(): Promise<void> {
-    this.logger.info('started', { address: this.address, failureDomain: this.settings.failureDomain });
+    this.logger.info('started', { ...this.place });
     await this.listener.start(this.settings.address, this.settings.linkPort);
     await this.ports.gateway.start(this);
     this.ports.source.start({
@@ -131,7 +140,7 @@
     this.dialSeeds();
     this.metrics.start();
     setInterval(() => this.turn((now) => this.dispatcher.tick(now)), TICK_MS);
-    setInterval(() => this.tellMembers(), MEMBERS_MS);
+    setInterval(() => this.tellSomeMembers(), MEMBERS_MS);
   }
 
   /** Takes changed settings: other seeds are dialed; all else needs a restart. */
@@ -175,7 +184,7 @@
 
   noteRejected(jobId: string, status: number, reason: string): void {
     this.metrics.increment('dispatcher_answers', { outcome: 'rejected', reason });
-    this.logger.info('reject', { job: jobId, status, reason, version: this.configuration?.version });
+    this.logger.info('reject', { job: jobId, status, reason, version: this.exchange.version });
   }
 
   abandon(jobId: string, caller: Caller): void {
@@ -218,15 +227,18 @@
     this.pauseGuard.look(now);
     if (message.type === 'ping') {
       const typicalSpeed = roundSpeed(this.dispatcher.typicalSpeed);
-      channel.send({ type: 'pong', at: message.at, typicalSpeed });
+      const { version } = this.exchange;
+      channel.send({ type: 'pong', at: message.at, version, typicalSpeed });
+      this.exchange.compareVersion(message.version, channel, now);
     }
     this.handle(channel, message, now);
-    this.schedulePlacing();
+    if (this.dispatcher.waitingTasks > 0) this.schedulePlacing();
   }
 
   private handle(channel: LineChannel, message: PeerMessage, now: number): void {
     if (message.type === 'agent-hello') return this.welcomeAgent(channel, message, now);
-    if (message.type === 'entry-hello') return this.welcomeEntry(channel, message.address, now);
+    if (message.type === 'entry-hello') return this.welcomeEntry(channel, message.place, now);
+    if (message.type === 'configuration-request') return this.exchange.tell(channel);
     if (message.type === 'configuration') return this.adoptConfiguration(message.configuration, 'peer');
     if (message.type === 'members') return this.noteMembers(message.entries, now);
     const agent = this.agentIds.get(channel);
@@ -246,21 +258,16 @@
     this.channels.set(id, channel);
     this.agentIds.set(channel, id);
     before?.close('replaced');
-    const { address, life } = this;
-    channel.send({ type: 'entry-welcome', entry: this.settings.id, life, address });
-    channel.send({ type: 'members', entries: this.listMembers() });
-    this.sendConfiguration(channel);
+    const { place, life } = this;
+    channel.send({ type: 'entry-welcome', entry: this.settings.id, life, place });
+    channel.send({ type: 'members', entries: [this.place, ...this.members.list(now)] });
     this.dispatcher.handleHello(hello, this.life, now);
   }
 
-  private welcomeEntry(channel: LineChannel, address: string, now: number): void {
+  private welcomeEntry(channel: LineChannel, place: EntryPlace, now: number): void {
     this.entryChannels.add(channel);
-    this.noteMembers([address], now);
-    this.sendConfiguration(channel);
-  }
-
-  private sendConfiguration(channel: LineChannel): void {
-    if (this.configuration) channel.send({ type: 'configuration', configuration: this.configuration });
+    this.noteMembers([place], now);
+    this.exchange.tell(channel);
   }
 
   private closeChannel(channel: LineChannel, reason: string): void {
@@ -273,8 +280,8 @@
   }
 
   private greetEntry(channel: LineChannel): void {
-    channel.send({ type: 'entry-hello', entry: this.settings.id, address: this.address });
-    this.sendConfiguration(channel);
+    channel.send({ type: 'entry-hello', entry: this.settings.id, place: this.place });
+    this.exchange.tell(channel);
   }
 
   private receiveFromEntry(message: PeerMessage): void {
@@ -283,41 +290,36 @@
   }
 
   private adoptConfiguration(configuration: Configuration, from: string): void {
-    const before = this.configuration?.version ?? -1;
-    if (configuration.version <= before) return;
-    this.configuration = configuration;
+    const before = this.exchange.version;
+    if (!this.exchange.adopt(configuration)) return;
     this.ports.gateway.applyConfiguration(configuration);
     this.logger.info('configuration', { version: configuration.version, before, from });
-    for (const channel of this.listChannels()) channel.send({ type: 'configuration', configuration });
+    for (const channel of this.entryChannels) this.exchange.tell(channel);
   }
 
-  private noteMembers(addresses: readonly string[], now: number): void {
-    const others = addresses.filter((address) => address !== this.address);
+  private noteMembers(places: readonly EntryPlace[], now: number): void {
+    const others = places.filter(({ address }) => address !== this.place.address);
     const fresh = this.members.note(others, now);
     if (fresh.length === 0) return;
-    this.logger.info('members', { fresh });
-    this.tellMembers();
+    this.logger.info('members', { fresh: fresh.map(({ address }) => address) });
+    this.tellMembers(fresh);
   }
 
-  private listMembers(): string[] {
-    return [this.address, ...this.members.list(this.clock.now())];
+  /** Some members in turn: a message must not grow with the fleet. */
+  private tellSomeMembers(): void {
+    this.tellMembers([this.place, ...this.members.takeTurn(MEMBERS_TOLD, this.clock.now())]);
   }
 
-  /** Agents are told of entries; entries learn from agents, which know only those they have a working link to. */
-  private tellMembers(): void {
-    const entries = this.listMembers();
+  /** Agents are told of entries; entries learn from agents, which tell only of those that answer them. */
+  private tellMembers(entries: readonly EntryPlace[]): void {
     for (const channel of this.channels.values()) channel.send({ type: 'members', entries });
   }
 
-  private listChannels(): LineChannel[] {
-    return [...this.channels.values(), ...this.entryChannels];
-  }
-
   /** Other entries that the settings name get to know this one; agents learn of it from them. */
   private dialSeeds(): void {
     for (const seed of this.settings.seeds) {
-      const address = `${seed.slice(0, seed.lastIndexOf(':'))}:${this.settings.linkPort}`;
-      if (address !== this.address) this.dialer.keep(address);
+      const address = `${splitAddress(seed).host}:${this.settings.linkPort}`;
+      if (address !== this.place.address) this.dialer.keep(address);
     }
   }
 
@@ -337,7 +339,7 @@
     this.logger.info('answer', {
       job: job.id,
       queue: submission.route.name,
-      version: this.configuration?.version,
+      version: this.exchange.version,
       ...outcome,
       tasks: tasks.length,
       tookMs: Math.round(now - arrivedAt),
--- /dev/null
+++ b/src/process/dispatcher/Placement.test.ts
@@ -0,0 +1,81 @@
+import { expect } from 'chai';
+
+import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
+import type { RoomReport } from '../../connection/peer/peerMessages.js';
+import { createRandom } from '../../_lib/createRandom.js';
+import { AgentView } from './AgentView.js';
+import { createDispatchJob } from './dispatchJob.js';
+import type { DispatchTask } from './dispatchJob.js';
+import { SpeedPlacement } from './Placement.js';
+
+const FAR_FACTOR = 3;
+const CAPACITY = { cpuMilli: 16_000, memoryMb: 1_000, gpus: 0 };
+const CONTEXT = { now: 0, typicalSpeed: 1, staleMs: 300 };
+
+function createAgent(agent: string, rack: string, change: Partial<RoomReport> = {}): AgentView {
+  const hello = { type: 'agent-hello', agent, life: '1', failureDomain: 'x', orphanMs: 1_000 } as const;
+  const view = new AgentView({ ...hello, holding: [], results: [], entryLife: '' }, 0);
+  const description = { upstream: agent, service: 'service', labels: [rack], capacity: CAPACITY };
+  const rest = { state: 'ready', trust: 'healthy', free: CAPACITY, startsSeen: 0, speed: 1 } as const;
+  view.noteRoom({ description, ...rest, ...change });
+  return view;
+}
+
+function createTask(preferredRack: string): DispatchTask {
+  const resources = { cpuMilli: 1_000, memoryMb: 10, gpus: 0 };
+  const step = { count: 1, resources, estimateMs: 100, after: [], requiredLabel: '', preferredRack };
+  const route = {
+    name: 'queue',
+    host: 'a.example',
+    pathPrefix: '/q/',
+    service: 'service',
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 1.6,
+    targetLatencyMs: 60,
+    needsAdvice: false,
+  };
+  const submission = { id: 'job', route, spec: '', steps: [step], patienceMs: 2_000 };
+  const timing = { now: 0, typicalSpeed: 1, priorityStepMs: 100 };
+  const task = createDispatchJob(submission, new FakeCaller(), timing).tasks[0];
+  if (!task) throw new Error('there is no task');
+  return task;
+}
+
+describe('SpeedPlacement', () => {
+  const placement = new SpeedPlacement(FAR_FACTOR);
+  const nextRandom = createRandom(1);
+
+  it('has entries that see the same room spread their choices', () => {
+    const agents = Array.from({ length: 35 }, (_, at) => createAgent(`a${at}`, 'r1'));
+    const chosen = new Set<string>();
+    for (let entry = 0; entry < 200; entry += 1)
+      chosen.add(placement.choose(createTask(''), agents, { ...CONTEXT, nextRandom })?.id ?? '');
+    expect(chosen.size).to.be.greaterThan(30);
+  });
+
+  it('prefers the less loaded of those it compares', () => {
+    const full = { cpuMilli: 1_000, memoryMb: 1_000, gpus: 0 };
+    const agents = [createAgent('full', 'r1', { free: full }), createAgent('idle', 'r1')];
+    for (let entry = 0; entry < 50; entry += 1) {
+      const chosen = placement.choose(createTask(''), agents, { ...CONTEXT, nextRandom });
+      expect(chosen?.agent).to.equal('idle');
+    }
+  });
+
+  it('finds the rack that holds the data among many', () => {
+    const agents = Array.from({ length: 35 }, (_, at) => createAgent(`a${at}`, at === 17 ? 'data' : 'r1'));
+    for (let entry = 0; entry < 50; entry += 1) {
+      const chosen = placement.choose(createTask('data'), agents, { ...CONTEXT, nextRandom });
+      expect(chosen?.agent).to.equal('a17');
+    }
+  });
+
+  it('finds the only agent with room among many', () => {
+    const none = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+    const agents = Array.from({ length: 35 }, (_, at) =>
+      createAgent(`a${at}`, 'r1', at === 3 ? {} : { free: none }),
+    );
+    expect(placement.choose(createTask(''), agents, { ...CONTEXT, nextRandom })?.agent).to.equal('a3');
+  });
+});
--- a/src/process/dispatcher/Placement.ts
+++ b/src/process/dispatcher/Placement.ts
@@ -5,10 +5,10 @@
 
 /** Share of the typical speed below which an upstream is left alone. */
 export const SLOW_SHARE = 0.4;
-/** How much longer a task takes away from its data, where nothing else is known. */
-const FAR_FACTOR = 1.5;
 /** Weight of an agent's load against its speed. */
 const LOAD_WEIGHT = 0.25;
+/** Agents that are compared where there are more: the best of a few, so that entries do not all choose the same one. */
+const MAX_COMPARED = 8;
 /** Spread of choices between entries that see the same room. */
 const JITTER = 0.1;
 
@@ -31,22 +31,45 @@
   ): AgentView | undefined;
 }
 
-/** The agent where the task will probably end first: fast, near its data, with room. */
+/** The agent where the task will probably end first, of some that have room: fast, near its data, with little load. */
 export class SpeedPlacement extends Placement {
+  /** @param farFactor - how much longer a task takes away from its data */
+  constructor(private readonly farFactor: number) {
+    super();
+  }
+
   override choose(
     task: DispatchTask,
     agents: Iterable<AgentView>,
     context: PlacementContext,
   ): AgentView | undefined {
+    const all = [...agents];
+    // Data are in few places: those must not be passed over.
+    const mostCompared = task.need.preferredRack === '' ? MAX_COMPARED : all.length;
+    const start = Math.floor(context.nextRandom() * all.length);
     let best: AgentView | undefined;
     let bestCost = Infinity;
-    for (const agent of agents) {
-      if (!isUsable(task, agent, context)) continue;
-      const cost = measureCost(task, agent, context);
+    let compared = 0;
+    for (let step = 0; step < all.length && compared < mostCompared; step += 1) {
+      const agent = all[(start + step) % all.length];
+      if (!agent || !isUsable(task, agent, context)) continue;
+      compared += 1;
+      const cost = this.measureCost(task, agent, context);
       if (cost < bestCost) [best, bestCost] = [agent, cost];
     }
     return best;
   }
+
+  private measureCost(task: DispatchTask, agent: AgentView, context: PlacementContext): number {
+    const { room } = agent;
+    if (!room) return Infinity;
+    const slowness = context.typicalSpeed / Math.max(room.speed, context.typicalSpeed * 0.1);
+    const { preferredRack } = task.need;
+    const far = preferredRack !== '' && !room.labels.includes(preferredRack) ? this.farFactor : 1;
+    const load = 1 - agent.free.cpuMilli / Math.max(1, room.capacity.cpuMilli);
+    const again = task.avoid.has(agent.id) ? 2 : 1;
+    return slowness * far * again + LOAD_WEIGHT * load + JITTER * context.nextRandom();
+  }
 }
 
 function isUsable(
@@ -67,14 +90,3 @@
 function isIdle({ room, unseenStarts }: AgentView): boolean {
   return room !== undefined && unseenStarts === 0 && room.free.cpuMilli >= room.capacity.cpuMilli;
 }
-
-function measureCost(task: DispatchTask, agent: AgentView, context: PlacementContext): number {
-  const { room } = agent;
-  if (!room) return Infinity;
-  const slowness = context.typicalSpeed / Math.max(room.speed, context.typicalSpeed * 0.1);
-  const { preferredRack } = task.need;
-  const far = preferredRack !== '' && !room.labels.includes(preferredRack) ? FAR_FACTOR : 1;
-  const load = 1 - agent.free.cpuMilli / Math.max(1, room.capacity.cpuMilli);
-  const again = task.avoid.has(agent.id) ? 2 : 1;
-  return slowness * far * again + LOAD_WEIGHT * load + JITTER * context.nextRandom();
-}
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -5,6 +5,7 @@
 import type { StartOrder } from '../../connection/peer/peerMessages.js';
 import { AgentCore } from './AgentCore.js';
 
+const VERSION = 7;
 const ENTRY = 'entry@1';
 const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
 
@@ -47,11 +48,12 @@
   afterEach(() => core.close());
 
   it('tells a link its room once, and what has changed of it', async () => {
-    const first = core.buildPing(ENTRY).room;
+    const first = core.buildPing(ENTRY, VERSION).room;
     expect(first?.description?.capacity).to.deep.equal(CAPACITY);
-    expect(core.buildPing(ENTRY)).to.deep.equal({
+    expect(core.buildPing(ENTRY, VERSION)).to.deep.equal({
       type: 'ping',
       at: clock.now(),
+      version: VERSION,
       room: undefined,
       progress: undefined,
     });
@@ -63,15 +65,37 @@
   });
 
   it('tells a new link everything', () => {
-    core.buildPing(ENTRY);
+    core.buildPing(ENTRY, VERSION);
     core.noteWelcome(ENTRY, clock.now());
-    expect(core.buildPing(ENTRY).room?.description?.labels).to.deep.equal(['rack']);
+    expect(core.buildPing(ENTRY, VERSION).room?.description?.labels).to.deep.equal(['rack']);
   });
 
   it('tells each entry its room on its own', () => {
-    core.buildPing(ENTRY);
+    core.buildPing(ENTRY, VERSION);
     core.noteWelcome('other@1', clock.now());
-    expect(core.buildPing('other@1').room?.description?.upstream).to.equal('u1');
+    expect(core.buildPing('other@1', VERSION).room?.description?.upstream).to.equal('u1');
+  });
+
+  it('tells the room again after a result, even if it is as before', async () => {
+    upstream.taskMs = 40;
+    core.handleStart(ENTRY, ORDER);
+    expect(core.takeRoomChange(ENTRY)?.free.cpuMilli).to.equal(3_000);
+    core.noteWelcome('other@1', clock.now());
+    await clock.advance(200);
+    core.handleStart('other@1', { ...ORDER, name: { ...ORDER.name, job: 'another' } });
+    const again = core.takeRoomChange(ENTRY);
+    expect([again?.free.cpuMilli, again?.startsSeen]).to.deep.equal([3_000, 1]);
+  });
+
+  it('takes no new work from an entry whose link it gives up, and still runs what it holds', async () => {
+    upstream.taskMs = 400;
+    core.handleStart(ENTRY, ORDER);
+    await clock.advance(20);
+    core.setRetiring(ENTRY, true);
+    expect(core.takeRoomChange(ENTRY)?.state).to.equal('draining');
+    expect(core.countHeld(ENTRY)).to.equal(1);
+    core.setRetiring(ENTRY, false);
+    expect(core.takeRoomChange(ENTRY)?.state).to.equal('ready');
   });
 
   it('tells progress only of what stands still or crawls', async () => {
@@ -79,14 +103,14 @@
     core.handleStart(ENTRY, ORDER);
     for (let ms = 0; ms < 300; ms += 20) {
       await clock.advance(20);
-      core.noteEcho(ENTRY, { type: 'pong', at: clock.now(), typicalSpeed: 1 });
+      core.noteEcho(ENTRY, { type: 'pong', version: VERSION, at: clock.now(), typicalSpeed: 1 });
     }
-    expect(core.buildPing(ENTRY).progress?.length ?? 0).to.equal(0);
-    core.noteEcho(ENTRY, { type: 'pong', at: clock.now(), typicalSpeed: 4 });
-    expect(core.buildPing(ENTRY).progress?.map(({ name }) => name)).to.deep.equal([ORDER.name]);
+    expect(core.buildPing(ENTRY, VERSION).progress?.length ?? 0).to.equal(0);
+    core.noteEcho(ENTRY, { type: 'pong', version: VERSION, at: clock.now(), typicalSpeed: 4 });
+    expect(core.buildPing(ENTRY, VERSION).progress?.map(({ name }) => name)).to.deep.equal([ORDER.name]);
     upstream.hangs = true;
     await clock.advance(300);
-    core.noteEcho(ENTRY, { type: 'pong', at: clock.now(), typicalSpeed: 0.1 });
-    expect(core.buildPing(ENTRY).progress?.[0]?.stalledMs).to.be.greaterThan(160);
+    core.noteEcho(ENTRY, { type: 'pong', version: VERSION, at: clock.now(), typicalSpeed: 0.1 });
+    expect(core.buildPing(ENTRY, VERSION).progress?.[0]?.stalledMs).to.be.greaterThan(160);
   });
 });
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -15,6 +15,7 @@
   RoomReport,
   StartOrder,
   StopOrder,
+  UpstreamDescription,
 } from '../../connection/peer/peerMessages.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import type { TaskExecutor } from '../../ports/TaskExecutor.js';
@@ -59,12 +60,15 @@
   typicalSpeed: number;
   /** What its link was last told; a new link has been told nothing. */
   told: ToldRoom;
+  /** Whether its link is to be given up, so that it must order nothing new. */
+  isRetiring: boolean;
   readonly results: { readonly at: number; readonly result: AttemptResult }[];
 }
 
-/** Texts of what a link was last told. */
+/** What a link was last told. */
 interface ToldRoom {
-  readonly description: string;
+  readonly description: UpstreamDescription | undefined;
+  /** The rest as text; empty if it has to be told in any case. */
   readonly room: string;
 }
 
@@ -124,6 +128,19 @@
     proof.provenAt = Math.max(proof.provenAt, provenAt);
     proof.startsSeen = 0;
     proof.told = NOTHING_TOLD;
+    proof.isRetiring = false;
+  }
+
+  /** The link to an entry is to be given up once it has nothing here, or kept after all. */
+  setRetiring(entryLife: string, isRetiring: boolean): void {
+    this.findProof(entryLife, -Infinity).isRetiring = isRetiring;
+  }
+
+  /** Attempts that are held for an entry. */
+  countHeld(entryLife: string): number {
+    let held = 0;
+    for (const session of this.sessions.values()) held += session.listHeld(entryLife).length;
+    return held;
   }
 
   /** An earlier life of an entry is over for sure. */
@@ -169,32 +186,32 @@
   }
 
   /** Builds a ping for one entry: room and progress only as far as its link needs to be told. */
-  buildPing(entryLife: string): Ping {
+  buildPing(entryLife: string, version: number): Ping {
     const at = Math.floor(this.clock.now());
     const progress = this.listProgress(entryLife);
     const room = this.takeRoomChange(entryLife);
-    return { type: 'ping', at, room, progress: progress.length > 0 ? progress : undefined };
+    return { type: 'ping', at, version, room, progress: progress.length > 0 ? progress : undefined };
   }
 
   /** Returns the room if it is not what the entry's link was last told, and takes it for told. */
   takeRoomChange(entryLife: string): RoomReport | undefined {
     const proof = this.findProof(entryLife, -Infinity);
     const { description, ...rest } = this.buildRoom(entryLife);
-    const told = { description: JSON.stringify(description), room: JSON.stringify(rest) };
-    const isNew = told.description !== proof.told.description;
+    const told = { description, room: JSON.stringify(rest) };
+    const isNew = description !== proof.told.description;
     if (!isNew && told.room === proof.told.room) return undefined;
     proof.told = told;
     return { description: isNew ? description : undefined, ...rest };
   }
 
-  private buildRoom(entryLife: string): RoomReport {
-    const startsSeen = this.proofs.get(entryLife)?.startsSeen ?? 0;
+  private buildRoom(entryLife: string): RoomReport & { readonly description: UpstreamDescription } {
+    const { startsSeen, isRetiring } = this.findProof(entryLife, -Infinity);
     const session = this.findSession();
     if (!session) return { ...ABSENT_ROOM, startsSeen };
-    const { id: upstream, service, labels, capacity, free } = session;
+    const { description, free } = session;
     return {
-      description: { upstream, service, labels, capacity },
-      state: this.leaving ? 'draining' : session.state,
+      description,
+      state: this.leaving || isRetiring ? 'draining' : session.state,
       trust: session.readTrust(),
       free,
       startsSeen,
@@ -303,7 +320,10 @@
 
   private tellResult(entryLife: string, result: AttemptResult): void {
     const now = this.clock.now();
-    const { results } = this.findProof(entryLife, -Infinity);
+    const proof = this.findProof(entryLife, -Infinity);
+    const { results } = proof;
+    // The entry takes the room of an attempt that has ended for free, until it is told the room again.
+    proof.told = { ...proof.told, room: '' };
     while (results[0] && now - results[0].at > KEEP_RESULTS_MS) results.shift();
     results.push({ at: now, result });
     this.effects.sendResult(entryLife, result);
@@ -315,16 +335,30 @@
 
 const STATE_ORDER = ['ready', 'silent', 'joining', 'draining', 'absent'] as const;
 
-const NOTHING_TOLD: ToldRoom = { description: '', room: '' };
+const NOTHING_TOLD: ToldRoom = { description: undefined, room: '' };
+
+const ABSENT_DESCRIPTION: UpstreamDescription = {
+  upstream: '',
+  service: '',
+  labels: [],
+  capacity: NO_RESOURCES,
+};
 
-const ABSENT_ROOM: Omit<RoomReport, 'startsSeen'> = {
-  description: { upstream: '', service: '', labels: [], capacity: NO_RESOURCES },
+const ABSENT_ROOM = {
+  description: ABSENT_DESCRIPTION,
   state: 'absent',
   trust: 'healthy',
   free: NO_RESOURCES,
   speed: 1,
-};
+} as const;
 
 function createProof(provenAt: number): EntryProof {
-  return { provenAt, startsSeen: 0, typicalSpeed: 1, told: NOTHING_TOLD, results: [] };
+  return {
+    provenAt,
+    startsSeen: 0,
+    typicalSpeed: 1,
+    told: NOTHING_TOLD,
+    isRetiring: false,
+    results: [],
+  };
 }
--- /dev/null
+++ b/src/process/executor/EntryDirectory.test.ts
@@ -0,0 +1,85 @@
+import { expect } from 'chai';
+
+import { EntryDirectory } from './EntryDirectory.js';
+
+const MAX_LINKS = 6;
+
+const PLACES = Array.from({ length: 12 }, (_, at) => ({
+  address: `10.0.0.${at}:1`,
+  failureDomain: `d${at % 3}`,
+}));
+
+function keepAlive(directory: EntryDirectory, addresses: Iterable<string>, now: number): void {
+  for (const address of addresses) directory.noteAlive(address, now);
+}
+
+describe('EntryDirectory', () => {
+  let directory: EntryDirectory;
+
+  beforeEach(() => {
+    directory = new EntryDirectory('agent-1', MAX_LINKS);
+    directory.noteSeeds(['10.0.0.0:1', '10.0.0.1:1'], 0);
+  });
+
+  it('links to the seeds while it knows no other entry', () => {
+    expect([...directory.chooseLinks(0)]).to.have.members(['10.0.0.0:1', '10.0.0.1:1']);
+  });
+
+  it('links to as many as it may, evenly over the failure domains', () => {
+    directory.noteMembers(PLACES, 0);
+    const wanted = directory.chooseLinks(0);
+    const domains = PLACES.filter(({ address }) => wanted.has(address)).map((place) => place.failureDomain);
+    expect(domains.sort()).to.deep.equal(['d0', 'd0', 'd1', 'd1', 'd2', 'd2']);
+  });
+
+  it('gives every entry about as many agents', () => {
+    const counts = new Map<string, number>();
+    for (let agent = 0; agent < 70; agent += 1) {
+      const one = new EntryDirectory(`agent-${agent}`, MAX_LINKS);
+      one.noteMembers(PLACES, 0);
+      for (const address of one.chooseLinks(0)) counts.set(address, (counts.get(address) ?? 0) + 1);
+    }
+    expect(counts.size).to.equal(12);
+    for (const count of counts.values()) expect(count).to.be.within(24, 46);
+  });
+
+  it('takes another entry in the place of one that is silent, and gives it back', () => {
+    directory.noteMembers(PLACES, 0);
+    const before = directory.chooseLinks(0);
+    const [silent = '', ...others] = before;
+    keepAlive(directory, before, 10);
+    keepAlive(directory, others, 1_100);
+    const during = directory.chooseLinks(1_100);
+    expect([...during]).to.include.members([...before]);
+    expect(during.size).to.equal(MAX_LINKS + 1);
+    keepAlive(
+      directory,
+      [...during].filter((address) => address !== silent),
+      1_500,
+    );
+    directory.noteAlive(silent, 1_600);
+    expect([...directory.chooseLinks(1_600)]).to.have.members([...before]);
+  });
+
+  it('takes the silence of a pause of its own for nothing', () => {
+    directory.noteMembers(PLACES, 0);
+    const before = directory.chooseLinks(0);
+    keepAlive(directory, before, 10);
+    directory.notePause(5_000);
+    expect([...directory.chooseLinks(5_010)]).to.have.members([...before]);
+  });
+
+  it('tells only of entries that answer, and forgets those that nobody reports', () => {
+    directory.noteMembers(PLACES, 0);
+    directory.chooseLinks(0);
+    directory.noteAlive('10.0.0.5:1', 10);
+    expect(directory.listAlive(500).map(({ address }) => address)).to.deep.equal(['10.0.0.5:1']);
+    expect(directory.listAlive(1_500)).to.deep.equal([]);
+    expect([...directory.chooseLinks(21_000)]).to.have.members(['10.0.0.0:1', '10.0.0.1:1']);
+  });
+
+  it('keeps links to all entries where there are few', () => {
+    directory.noteMembers(PLACES.slice(0, 5), 0);
+    expect(directory.chooseLinks(0).size).to.equal(5);
+  });
+});
--- /dev/null
+++ b/src/process/executor/EntryDirectory.ts
@@ -0,0 +1,130 @@
+/**
+ * The entries that an agent knows, and which of them it keeps links to: by rendezvous, evenly over the failure domains,
+ * and others in the place of those that give no sign of life. With all agents linked to all entries, messages would
+ * grow with the product of both.
+ */
+import { chooseEvenly } from '../../_lib/chooseEvenly.js';
+import { digestToWeight } from '../../_lib/digestToWeight.js';
+import type { EntryPlace } from '../../connection/peer/peerMessages.js';
+
+/** An entry that should be linked counts as silent after so long without a sign of life, ms. */
+const SILENT_MS = 1_000;
+/** How long a silent entry is not chosen in another's place, ms. */
+const REST_MS = 5_000;
+/** An entry that no peer reports is forgotten after so long without a sign of life, ms. */
+const FORGET_MS = 20_000;
+
+interface KnownEntry {
+  place: EntryPlace;
+  readonly weight: number;
+  /** Whether the settings name it. */
+  isSeed: boolean;
+  /** When a peer last reported it. */
+  reportedAt: number;
+  /** When it last answered us. */
+  aliveAt: number;
+  /** Since when a link to it is wanted; undefined while none is. */
+  wantedSince: number | undefined;
+  /** Not chosen in another's place before this. */
+  restUntil: number;
+}
+
+/** Entries as one agent knows them. */
+export class EntryDirectory {
+  private readonly entries = new Map<string, KnownEntry>();
+
+  /**
+   * @param agent - process id of the agent
+   * @param maxLinks - links that are kept while the chosen entries live
+   */
+  constructor(
+    private readonly agent: string,
+    private readonly maxLinks: number,
+  ) {}
+
+  /** Takes the addresses that the settings name, in place of earlier ones. */
+  noteSeeds(addresses: readonly string[], now: number): void {
+    for (const entry of this.entries.values()) entry.isSeed = false;
+    for (const address of addresses) this.findOrAdd({ address, failureDomain: '' }, now).isSeed = true;
+  }
+
+  /** Takes entries that a peer has a working link to, or is. */
+  noteMembers(places: readonly EntryPlace[], now: number): void {
+    for (const place of places) {
+      const entry = this.findOrAdd(place, now);
+      entry.place = place;
+      entry.reportedAt = now;
+    }
+  }
+
+  /** An entry has answered us. */
+  noteAlive(address: string, now: number): void {
+    const entry = this.entries.get(address);
+    if (!entry) return;
+    entry.aliveAt = now;
+    entry.restUntil = -Infinity;
+  }
+
+  /** This process stood still: the silence of others in that time tells nothing. */
+  notePause(now: number): void {
+    for (const entry of this.entries.values()) {
+      if (entry.wantedSince !== undefined) entry.wantedSince = now;
+    }
+  }
+
+  /** How long an entry has given no sign of life while a link to it was wanted, ms. */
+  findSilence(address: string, now: number): number {
+    const entry = this.entries.get(address);
+    if (entry?.wantedSince === undefined) return 0;
+    return now - Math.max(entry.aliveAt, entry.wantedSince);
+  }
+
+  /** Entries that answer us. */
+  listAlive(now: number): EntryPlace[] {
+    const alive = [...this.entries.values()].filter(({ aliveAt }) => now - aliveAt <= SILENT_MS);
+    return alive.map(({ place }) => place);
+  }
+
+  /**
+   * Chooses the entries to link to: the preferred ones, whether they answer or not, and as many that may answer.
+   *
+   * @param now - monotonic time, ms
+   * @returns their addresses
+   */
+  chooseLinks(now: number): Set<string> {
+    for (const [address, entry] of this.entries) this.review(address, entry, now);
+    const candidates = [...this.entries.values()].map((entry) => {
+      const { place, weight } = entry;
+      return { entry, weight, failureDomain: place.failureDomain };
+    });
+    const rested = candidates.filter(({ entry }) => now >= entry.restUntil);
+    const chosen = [...chooseEvenly(candidates, this.maxLinks), ...chooseEvenly(rested, this.maxLinks)];
+    const wanted = new Set(chosen.map(({ entry }) => entry.place.address));
+    for (const [address, entry] of this.entries) {
+      entry.wantedSince = wanted.has(address) ? (entry.wantedSince ?? now) : undefined;
+    }
+    return wanted;
+  }
+
+  private review(address: string, entry: KnownEntry, now: number): void {
+    if (this.findSilence(address, now) > SILENT_MS) entry.restUntil = now + REST_MS;
+    const isForgotten = !entry.isSeed && now - Math.max(entry.reportedAt, entry.aliveAt) > FORGET_MS;
+    if (isForgotten) this.entries.delete(address);
+  }
+
+  private findOrAdd(place: EntryPlace, now: number): KnownEntry {
+    const known = this.entries.get(place.address);
+    if (known) return known;
+    const entry: KnownEntry = {
+      place,
+      weight: digestToWeight(`${this.agent}/${place.address}`),
+      isSeed: false,
+      reportedAt: now,
+      aliveAt: -Infinity,
+      wantedSince: undefined,
+      restUntil: -Infinity,
+    };
+    this.entries.set(place.address, entry);
+    return entry;
+  }
+}
--- /dev/null
+++ b/src/process/executor/EntryLinks.ts
@@ -0,0 +1,238 @@
+/**
+ * An agent's links to entries: dials those that the directory chooses, answers what comes on a link, paces what is told
+ * on it, and gives up links that are not wanted any more or say nothing.
+ */
+import type { Clock } from '../../_lib/Clock.js';
+import type { LineChannel } from '../../connection/peer/LineChannel.js';
+import { PeerDialer } from '../../connection/peer/PeerDialer.js';
+import type { AttemptResult, EntryWelcome, PeerMessage } from '../../connection/peer/peerMessages.js';
+import { splitAddress } from '../../connection/splitAddress.js';
+import { ConfigurationExchange } from '../ConfigurationExchange.js';
+import type { ProcessLogger } from '../logger.js';
+import type { AgentCore } from './AgentCore.js';
+import { EntryDirectory } from './EntryDirectory.js';
+import { RoomPacer } from './RoomPacer.js';
+
+/** How long a link that is not wanted any more is kept at least, so that its entry has heard of it, ms. */
+const RETIRE_MS = 600;
+/**
+ * Age of the newest ping, in ping intervals, from which on one is due; less than 1, as looks at it are some ms apart.
+ */
+const PING_DUE = 0.9;
+/** A link that has been without an echo for so long is dialed anew, ms: its peer may be gone without a word. */
+const SILENT_LINK_MS = 6_000;
+
+/** Parameters of the links. */
+export interface EntryLinksOptions {
+  /** Process id of the agent. */
+  readonly agent: string;
+  readonly maxLinks: number;
+  /** Port of the links between daemons, the same on every machine. */
+  readonly linkPort: number;
+  /** Time between two pings of a link, ms. */
+  readonly pingMs: number;
+}
+
+interface EntryLink {
+  readonly address: string;
+  readonly channel: LineChannel;
+  /** When our hello was sent. */
+  readonly openedAt: number;
+  /** Life of the entry; empty until it has said so. */
+  life: string;
+  readonly pacer: RoomPacer;
+  roomTimer: NodeJS.Timeout | undefined;
+  /** Whether the room is told at the end of this turn. */
+  isRoomDue: boolean;
+  pingedAt: number;
+  /** Since when the link is not wanted; undefined while it is. */
+  retiringSince: number | undefined;
+}
+
+/** Links of one agent. */
+export class EntryLinks {
+  private readonly directory: EntryDirectory;
+  private readonly dialer: PeerDialer;
+  private readonly exchange = new ConfigurationExchange();
+  private readonly links = new Map<string, EntryLink>();
+  /** Life of the entry last met at each address. */
+  private readonly lives = new Map<string, string>();
+
+  constructor(
+    private readonly options: EntryLinksOptions,
+    private readonly core: AgentCore,
+    private readonly clock: Clock,
+    private readonly logger: ProcessLogger,
+    nextRandom: () => number,
+  ) {
+    this.directory = new EntryDirectory(options.agent, options.maxLinks);
+    const events = {
+      open: (address: string, channel: LineChannel) => this.open(address, channel),
+      receive: (address: string, message: PeerMessage) => this.receive(address, message),
+      close: (address: string, reason: string) => this.closeLink(address, reason),
+    };
+    this.dialer = new PeerDialer(events, nextRandom, () => clock.now());
+  }
+
+  /** Takes the machines that the settings name, `host:port`; only the host is used. */
+  noteSeeds(seeds: readonly string[]): void {
+    const { linkPort } = this.options;
+    const addresses = seeds.map((seed) => `${splitAddress(seed).host}:${linkPort}`);
+    this.directory.noteSeeds(addresses, this.clock.now());
+    this.keep();
+  }
+
+  /** This process stood still. */
+  notePause(): void {
+    this.directory.notePause(this.clock.now());
+  }
+
+  /** Dials what is wanted, and gives up what is not wanted any more or says nothing. */
+  keep(): void {
+    const now = this.clock.now();
+    const wanted = this.directory.chooseLinks(now);
+    for (const address of wanted) this.dialer.keep(address);
+    for (const address of this.dialer.addresses) this.review(address, wanted.has(address), now);
+  }
+
+  /** Pings the entries whose newest ping is old. */
+  ping(): void {
+    const now = this.clock.now();
+    for (const link of this.links.values()) if (this.isPingDue(link, now)) this.sendPing(link, now);
+  }
+
+  /** Sends a result to the entry's link, if it has one, and the room with all results of this turn. */
+  sendResult(life: string, result: AttemptResult): void {
+    for (const link of this.links.values()) {
+      if (link.life !== life) continue;
+      link.channel.send(result);
+      if (link.isRoomDue) return;
+      link.isRoomDue = true;
+      process.nextTick(() => this.tellRoom(link));
+    }
+  }
+
+  /** Room has changed: tells it on each link in its pace. */
+  scheduleRoom(): void {
+    const now = this.clock.now();
+    for (const link of this.links.values()) {
+      if (link.life === '') continue;
+      link.roomTimer ??= setTimeout(() => this.tellRoom(link), link.pacer.findWait(now, this.links.size));
+    }
+  }
+
+  /** Tells every entry which ones this agent has a working link to. */
+  tellMembers(): void {
+    const entries = this.directory.listAlive(this.clock.now());
+    for (const { channel } of this.links.values()) channel.send({ type: 'members', entries });
+  }
+
+  /** Ends all links. */
+  stop(): void {
+    this.dialer.stop();
+  }
+
+  private review(address: string, isWanted: boolean, now: number): void {
+    const link = this.links.get(address);
+    if (!link) {
+      if (!isWanted) this.dialer.forget(address);
+      return;
+    }
+    if (isWanted) return this.reviewWanted(link, now);
+    if (link.retiringSince === undefined) return this.setRetiring(link, now);
+    if (now - link.retiringSince < RETIRE_MS || this.core.countHeld(link.life) > 0) return;
+    this.dialer.forget(address);
+  }
+
+  private reviewWanted(link: EntryLink, now: number): void {
+    if (link.retiringSince !== undefined) this.setRetiring(link, undefined);
+    if (now - link.openedAt < SILENT_LINK_MS) return;
+    if (this.directory.findSilence(link.address, now) > SILENT_LINK_MS) link.channel.close('silent');
+  }
+
+  private setRetiring(link: EntryLink, since: number | undefined): void {
+    link.retiringSince = since;
+    this.logger.info('entry-retiring', { address: link.address, retiring: since !== undefined });
+    if (link.life === '') return;
+    this.core.setRetiring(link.life, since !== undefined);
+    this.scheduleRoom();
+  }
+
+  private open(address: string, channel: LineChannel): void {
+    this.links.set(address, {
+      address,
+      channel,
+      openedAt: this.clock.now(),
+      life: '',
+      pacer: new RoomPacer(),
+      roomTimer: undefined,
+      isRoomDue: false,
+      pingedAt: -Infinity,
+      retiringSince: undefined,
+    });
+    channel.send(this.core.buildHello(this.lives.get(address) ?? ''));
+  }
+
+  private closeLink(address: string, reason: string): void {
+    const link = this.links.get(address);
+    clearTimeout(link?.roomTimer);
+    this.links.delete(address);
+    this.logger.info('entry-unlinked', { address, life: link?.life, reason });
+  }
+
+  private receive(address: string, message: PeerMessage): void {
+    const link = this.links.get(address);
+    if (!link) return;
+    const now = this.clock.now();
+    if (message.type === 'entry-welcome') return this.noteWelcome(link, message, now);
+    if (message.type === 'members') return this.directory.noteMembers(message.entries, now);
+    if (message.type === 'configuration') return void this.exchange.adopt(message.configuration);
+    if (message.type === 'configuration-request') return this.exchange.tell(link.channel);
+    if (link.life === '') return;
+    if (message.type === 'start') return this.core.handleStart(link.life, message);
+    if (message.type === 'stop') return this.core.handleStop(link.life, message);
+    if (message.type !== 'pong') return;
+    this.directory.noteAlive(address, now);
+    link.pacer.noteEcho(now - message.at);
+    this.core.noteEcho(link.life, message);
+    this.exchange.compareVersion(message.version, link.channel, now);
+  }
+
+  private noteWelcome(link: EntryLink, { life, place }: EntryWelcome, now: number): void {
+    const { address } = link;
+    const before = this.lives.get(address);
+    if (before !== undefined && before !== life) this.core.noteEntryReplaced(before);
+    this.lives.set(address, life);
+    link.life = life;
+    this.logger.info('entry-linked', { address, life, before });
+    this.directory.noteMembers([{ ...place, address }], now);
+    this.directory.noteAlive(address, now);
+    this.core.noteWelcome(life, link.openedAt);
+    if (link.retiringSince !== undefined) this.core.setRetiring(life, true);
+    this.sendPing(link, now);
+    this.tellMembers();
+  }
+
+  private tellRoom(link: EntryLink): void {
+    clearTimeout(link.roomTimer);
+    link.roomTimer = undefined;
+    link.isRoomDue = false;
+    const now = this.clock.now();
+    if (this.isPingDue(link, now)) return this.sendPing(link, now);
+    const room = this.core.takeRoomChange(link.life);
+    if (!room) return;
+    link.pacer.noteTold(now);
+    link.channel.send({ type: 'room', at: Math.floor(now), room });
+  }
+
+  private isPingDue({ life, pingedAt }: EntryLink, now: number): boolean {
+    return life !== '' && now - pingedAt >= this.options.pingMs * PING_DUE;
+  }
+
+  /** A ping tells the room as well, so that it stands for a change of room that is due. */
+  private sendPing(link: EntryLink, now: number): void {
+    link.pingedAt = now;
+    link.pacer.noteTold(now);
+    link.channel.send(this.core.buildPing(link.life, this.exchange.version));
+  }
+}
--- a/src/process/executor/RoomPacer.ts
+++ b/src/process/executor/RoomPacer.ts
@@ -1,26 +1,30 @@
 /**
  * Paces the changes of room that an entry is told. Their number rises with all work of the agent, whoever ordered it;
- * where an entry's processor or link is short of that, its echoes come late, and it is told less often: half as often
- * with each late echo, a tenth more often with each other one.
+ * so the time between two of them grows with the number of links, and where an entry's processor or link is short of
+ * that, its echoes come late, and it is told less often: half as often with each late echo, a tenth more often with
+ * each other one.
  */
 
-/** Shortest and longest time between two changes that are told, ms; pings tell the room as well. */
-const MIN_INTERVAL_MS = 4;
+/** Shortest time before a change is told, and what each link adds to the time between two of them, ms. */
+const GATHER_MS = 4;
+const INTERVAL_PER_LINK_MS = 10;
+/** Longest time between two changes that are told, ms; pings tell the room as well. */
 const MAX_INTERVAL_MS = 120;
 /** Time from a ping to its echo from which on the entry counts as congested, ms. */
 const CONGESTED_MS = 50;
 const SLOWDOWN = 2;
 const SPEEDUP = 0.9;
+const MAX_FACTOR = MAX_INTERVAL_MS / INTERVAL_PER_LINK_MS;
 
 /** Pace of one link. */
 export class RoomPacer {
-  private intervalMs = MIN_INTERVAL_MS;
+  private factor = 1;
   private toldAt = -Infinity;
 
   /** Notes how long an echo took. */
   noteEcho(roundTripMs: number): void {
-    const next = this.intervalMs * (roundTripMs > CONGESTED_MS ? SLOWDOWN : SPEEDUP);
-    this.intervalMs = Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, next));
+    const next = this.factor * (roundTripMs > CONGESTED_MS ? SLOWDOWN : SPEEDUP);
+    this.factor = Math.min(MAX_FACTOR, Math.max(1, next));
   }
 
   /** Notes that a change was told. */
@@ -28,8 +32,15 @@
     this.toldAt = now;
   }
 
-  /** Time after which a change may be told, ms; changes of the shortest interval are told together. */
-  findWait(now: number): number {
-    return Math.max(MIN_INTERVAL_MS, this.toldAt + this.intervalMs - now);
+  /**
+   * Finds when a change that has just come may be told, together with those that come until then.
+   *
+   * @param now - monotonic time, ms
+   * @param links - links of the agent
+   * @returns the time to wait, ms
+   */
+  findWait(now: number, links: number): number {
+    const intervalMs = Math.min(MAX_INTERVAL_MS, INTERVAL_PER_LINK_MS * links * this.factor);
+    return Math.max(GATHER_MS, this.toldAt + intervalMs - now);
   }
 }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -9,7 +9,12 @@
 import type { Clock } from '../../_lib/Clock.js';
 import { stepMachine } from '../../_lib/compileMachine.js';
 import { buildTaskKey } from '../../connection/peer/peerMessages.js';
-import type { AttemptEnd, StartOrder, UpstreamState } from '../../connection/peer/peerMessages.js';
+import type {
+  AttemptEnd,
+  StartOrder,
+  UpstreamDescription,
+  UpstreamState,
+} from '../../connection/peer/peerMessages.js';
 import type {
   EndedRun,
   LeaseAnswer,
@@ -71,6 +76,7 @@
   private readonly waiting: LocalTask[] = [];
   private readonly calls: UpstreamCalls;
   private readonly speedMeter: SpeedMeter;
+  private described: UpstreamDescription;
   private readonly trustMeter = new TrustMeter();
   private readonly runs = new RunHistory();
   private used: Resources = NO_RESOURCES;
@@ -96,6 +102,7 @@
       raiseToken: (from, to) => this.events.log('token-raised', { upstream: this.id, from, to }),
     });
     this.speedMeter = new SpeedMeter(now);
+    this.described = describeReport(report);
   }
 
   get id(): string {
@@ -106,8 +113,9 @@
     return this.report.service;
   }
 
-  get labels(): readonly string[] {
-    return this.report.labels;
+  /** What entries are told of the upstream; another object only when it has changed. */
+  get description(): UpstreamDescription {
+    return this.described;
   }
 
   get address(): string {
@@ -118,10 +126,6 @@
     return this.reachable;
   }
 
-  get capacity(): Resources {
-    return this.report.capacity;
-  }
-
   /** Whether this life of the upstream is over for the agent. */
   get isClosed(): boolean {
     return this.closed;
@@ -155,6 +159,8 @@
     if (report.sequence < this.report.sequence) return;
     const before = this.state;
     this.report = report;
+    const described = describeReport(report);
+    if (JSON.stringify(described) !== JSON.stringify(this.described)) this.described = described;
     if (this.state !== before) {
       this.events.log('upstream-state', { upstream: this.id, state: this.state });
       if (this.state === 'draining') this.dropWaiting('draining');
@@ -493,3 +499,7 @@
     task.phase = stepMachine(LOCAL_TASK_TABLE, task.phase, event);
   }
 }
+
+function describeReport({ id, service, labels, capacity }: UpstreamReport): UpstreamDescription {
+  return { upstream: id, service, labels, capacity };
+}
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -13,8 +13,10 @@
     id: { type: 'string', minLength: 1, maxLength: 64, pattern: '^[A-Za-z0-9._-]+$' },
     failureDomain: { type: 'string', minLength: 1, default: 'default' },
     address: { type: 'string', minLength: 1 },
+    advertisedAddress: { type: 'string', default: '' },
     linkPort: PORT,
     seeds: { type: 'array', items: ADDRESS, default: [] },
+    maxLinks: { type: 'integer', minimum: 1, default: 6 },
     callerAddress: OPTIONAL_ADDRESS,
     readyAddress: OPTIONAL_ADDRESS,
     controlAddress: OPTIONAL_ADDRESS,
@@ -30,6 +32,7 @@
     graceSeconds: { type: 'number', minimum: 1, default: 6 },
     maxLeaseMs: { type: 'number', minimum: 1, default: 1_000 },
     stopMs: { type: 'number', minimum: 0, default: 50 },
+    farFactor: { type: 'number', minimum: 1, default: 1.5 },
     resubmitMs: { type: 'number', minimum: 1, default: 1_300 },
   },
 } as const;
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -7,10 +7,14 @@
   readonly failureDomain: string;
   /** IP address of the machine. */
   readonly address: string;
+  /** IP address under which other daemons reach a dispatcher, where that is not `address`; empty if it is. */
+  readonly advertisedAddress: string;
   /** Port of the links between daemons, the same on every machine. */
   readonly linkPort: number;
   /** Machines of some entries, `host:port`; only the host is used. Some may be gone. */
   readonly seeds: readonly string[];
+  /** Links of an executor to dispatchers while those that it has chosen live. */
+  readonly maxLinks: number;
   /** Where callers connect, `host:port`; only for the dispatcher. */
   readonly callerAddress: string;
   /** Where the balancer asks whether the process is ready, `host:port`; only for the dispatcher. */
@@ -34,4 +38,6 @@
   readonly stopMs: number;
   /** Shortest time after which a caller that was cut off submits its job elsewhere, ms. */
   readonly resubmitMs: number;
+  /** How much longer a task takes away from the rack that holds its data; 1 for no longer. */
+  readonly farFactor: number;
 }
--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -4,6 +4,7 @@
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { splitAddress } from '../../src/connection/splitAddress.js';
 import { writeJson } from '../../src/connection/http/writeJson.js';
 import {
   BEAT_PREFIX,
@@ -42,6 +43,8 @@
   /** `host:port` of the agent on its machine. */
   readonly control: string;
   readonly cpu: number;
+  /** Gives the address to report for the one it listens at, both `host:port`; that itself by default. */
+  readonly advertise?: (address: string) => Promise<string>;
 }
 
 /** What every runner of a test tells of starts and ends. */
@@ -79,7 +82,8 @@
 
   override async start(host: string, port: number): Promise<string> {
     const url = await super.start(host, port);
-    this.address = url.slice('http://'.length);
+    const address = url.slice('http://'.length);
+    this.address = (await this.identity.advertise?.(address)) ?? address;
     this.beatTimer = setInterval(() => this.beat(), BEAT_MS);
     this.lapseTimer = setInterval(() => this.work(), LOOK_MS);
     this.beat();
@@ -184,7 +188,7 @@
       clock_ms: this.clockMs,
       call_seq: this.beats,
     });
-    const [host = '', port = ''] = control.split(':');
+    const { host, port } = splitAddress(control);
     const headers = { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)) };
     const outgoing = sendRequest({ host, port, method: 'POST', path: `${BEAT_PREFIX}${id}`, headers });
     outgoing.on('response', (incoming) => incoming.resume());
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -26,6 +26,8 @@
 const TICK_MS = 40;
 const REDIAL_MS = 60;
 const REPORT_MS = 500;
+/** Configurations play no part here. */
+const VERSION = 1;
 const RESTART_MS = 300;
 const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
 const TIMES = deriveDispatchTimes({
@@ -301,7 +303,8 @@
     this.lastPingAt = now;
     for (const link of this.links.values()) {
       const { gate, core } = link.agent;
-      if (link.life !== '' && !gate.isFrozen && !gate.dead) this.toEntry(link, core.buildPing(link.life));
+      if (link.life !== '' && !gate.isFrozen && !gate.dead)
+        this.toEntry(link, core.buildPing(link.life, VERSION));
     }
   }
 
@@ -324,11 +327,13 @@
     const entryLife = `entry-${index}@${life}`;
     if (message.type === 'agent-hello') {
       link.agentId = buildAgentId(message);
-      this.toAgent(link, { type: 'entry-welcome', entry: `entry-${index}`, life: entryLife, address: '' });
+      const place = { address: `entry-${index}`, failureDomain: 'x' };
+      this.toAgent(link, { type: 'entry-welcome', entry: place.address, life: entryLife, place });
       core.handleHello(message, entryLife, now);
     }
     if (message.type === 'ping') {
-      this.toAgent(link, { type: 'pong', at: message.at, typicalSpeed: core.typicalSpeed });
+      const { typicalSpeed } = core;
+      this.toAgent(link, { type: 'pong', at: message.at, version: VERSION, typicalSpeed });
       core.handlePing(link.agentId, message, now);
     }
     if (message.type === 'room') core.handleRoom(link.agentId, message, now);
@@ -343,7 +348,7 @@
       lastLives.set(link.entry.index, message.life);
       link.life = message.life;
       core.noteWelcome(message.life, link.openedAt);
-      this.toEntry(link, core.buildPing(message.life));
+      this.toEntry(link, core.buildPing(message.life, VERSION));
     }
     if (message.type === 'pong') core.noteEcho(link.life, message);
     if (message.type === 'start') core.handleStart(link.life, message);
@@ -398,7 +403,7 @@
       gate,
       lastTurnAt: this.clock.now(),
       core: new Dispatcher(
-        { pingMs: TIMES.pingMs, placement: new SpeedPlacement(), nextRandom: this.nextRandom },
+        { pingMs: TIMES.pingMs, placement: new SpeedPlacement(1.5), nextRandom: this.nextRandom },
         {
           send: (agentId, message) => {
             for (const link of this.links.values()) {
