--- a/src/bin/marblehall.ts
+++ b/src/bin/marblehall.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
 /** The one binary: every daemon, stand-in and tool is a command of it. */
+import './surviveHangUp.js';
+
 import { cac } from 'cac';
 
 import { addCheckCommand } from './commands/check.js';
