Soak real processes under faults from outside: signals, proxied links, store and runners

Change: LoopbackProxy delays, holds up (either way) and resets; FaultSoak draws faults that overlap while callers submit and come again; advertisedAddress of a dispatcher lets links pass a proxy.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -4,6 +4,7 @@
 
 import { FakeWorld } from '../test/fakes/FakeWorld.js';
 import { runDispatchWorld } from '../test/fakes/runDispatchWorld.js';
+import { runProcessSoak } from './runProcessSoak.js';
 import { RUN_AGENTS, RUN_ENTRIES, worldCommands } from '../test/fakes/worldCommands.js';
 
 /** Runs between two lines of progress. */
@@ -51,8 +52,17 @@
   }
 }
 
+async function runCore(core: string, seed: number): Promise<void> {
+  if (core === 'processes') return console.log(JSON.stringify(await runProcessSoak(seed)));
+  if (core === 'dispatch') return console.log(JSON.stringify(await runDispatchWorld(seed, BATCH, true)));
+  runBatch(seed);
+  console.log(JSON.stringify({ seed, ...totals, reasons: Object.fromEntries(reasons) }));
+}
+
+const CORES = 'registrar (own interface), dispatch (platform) or processes (real ones, platform)';
+
 const cli = cac('soak');
-cli.option('--core <name>', 'registrar (own interface) or dispatch (platform)', { default: 'registrar' });
+cli.option('--core <name>', CORES, { default: 'registrar' });
 cli.option('--seed <number>', 'first seed', { default: 1 });
 cli.option('--minutes <number>', 'how long to run', { default: 5 });
 cli.help();
@@ -61,14 +71,13 @@
 let seed = Number(options['seed']);
 while (Date.now() < until) {
   try {
-    if (options['core'] === 'dispatch')
-      console.log(JSON.stringify(await runDispatchWorld(seed, BATCH, true)));
-    else runBatch(seed);
+    await runCore(String(options['core']), seed);
   } catch (error) {
     console.error(`seed ${seed}: ${String(error instanceof Error ? error.message : error)}`);
     if (error instanceof Error && error.cause instanceof Error) console.error(error.cause.stack);
     process.exit(1);
   }
-  console.log(JSON.stringify({ seed, ...totals, reasons: Object.fromEntries(reasons) }));
   seed += 1;
 }
+// Sockets of the last run may still be open.
+process.exit(0);
--- /dev/null
+++ b/test/fakes/FaultSoak.ts
@@ -0,0 +1,157 @@
+/**
+ * Real dispatchers and executors as processes, with faults from outside in series that overlap: signals, restarts,
+ * links that are delayed, held up in one or both directions or reset by proxies, a store and runners that misbehave.
+ * The promises are checked from what callers and runners see.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { createRandom } from '../../src/_lib/createRandom.js';
+import { PlatformBench } from './PlatformBench.js';
+import type { CallerAnswer } from './PlatformBench.js';
+import { drawFault } from './soakFaults.js';
+
+/** Time that a caller keeps before it submits a job again elsewhere, ms. */
+const RESUBMIT_MS = 1_300;
+const PATIENCE_MS = 2_500;
+/** Times that a caller submits a job at most. */
+const SUBMISSIONS = 3;
+/** Between two jobs, and two faults, at the most, ms. */
+const JOB_GAP_MS = 60;
+const FAULT_GAP_MS = 500;
+/** How long everything has to come back once nothing is disturbed any more, ms. */
+const RECOVERY_MS = 8_000;
+const TARGET_LATENCY_MS = 1_500;
+const MAX_TASKS = 6;
+const MAX_TASK_MS = 400;
+
+/** Sizes of a run. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly entries: number;
+  readonly agents: number;
+  /** Time in which faults are drawn, ms. */
+  readonly faultMs: number;
+}
+
+/** What a run has seen. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly jobs: number;
+  readonly completed: number;
+  readonly faults: readonly string[];
+  /** Promises that were broken; empty for a good run. */
+  readonly broken: readonly string[];
+}
+
+interface SoakJob {
+  readonly id: string;
+  readonly answers: CallerAnswer[];
+}
+
+/** One run. */
+export class FaultSoak {
+  readonly bench: PlatformBench;
+  private readonly nextRandom: () => number;
+  private readonly jobs: SoakJob[] = [];
+  private readonly faults: string[] = [];
+  private readonly broken: string[] = [];
+  private readonly pending: Promise<void>[] = [];
+
+  constructor(private readonly options: SoakOptions) {
+    this.bench = new PlatformBench(options.entries, options.agents, TARGET_LATENCY_MS, true);
+    this.nextRandom = createRandom(options.seed);
+  }
+
+  /** Plays the run; ends only processes that it started. */
+  async run(): Promise<SoakReport> {
+    await this.bench.start();
+    try {
+      const until = performance.now() + this.options.faultMs;
+      await Promise.all([this.submitUntil(until), this.disturbUntil(until)]);
+      await Promise.all(this.pending);
+      await this.checkRecovery();
+      this.checkAnswers();
+      if (this.broken.length > 0) this.faults.push(`logs: ${await this.bench.keepLogs()}`);
+    } finally {
+      await this.bench.stop();
+    }
+    const { doubled, beyondRoom } = this.bench;
+    for (const task of doubled) this.broken.push(`${task} ran twice at once`);
+    for (const task of beyondRoom) this.broken.push(`${task} was started beyond the room`);
+    return this.report();
+  }
+
+  private async submitUntil(until: number): Promise<void> {
+    while (performance.now() < until) {
+      const job: SoakJob = { id: `job${this.jobs.length}`, answers: [] };
+      this.jobs.push(job);
+      this.pending.push(this.pursue(job));
+      await sleep(this.nextRandom() * JOB_GAP_MS);
+    }
+  }
+
+  /** Submits a job, and again elsewhere after no answer, 502 or 504, as callers of the platform do. */
+  private async pursue(job: SoakJob): Promise<void> {
+    const tasks = 1 + Math.floor(this.nextRandom() * MAX_TASKS);
+    const taskMs = 20 + Math.floor(this.nextRandom() * MAX_TASK_MS);
+    let at = Math.floor(this.nextRandom() * this.options.entries);
+    for (let submission = 0; submission < SUBMISSIONS; submission += 1) {
+      const leave = AbortSignal.timeout(PATIENCE_MS);
+      const entry = `entry-${1 + (at % this.options.entries)}`;
+      const answer = await this.bench.submit(entry, job.id, tasks, taskMs, PATIENCE_MS, leave);
+      job.answers.push(answer);
+      if (answer.status !== 0 && answer.status !== 502 && answer.status !== 504) return;
+      await sleep(RESUBMIT_MS);
+      at += 1;
+    }
+  }
+
+  private async disturbUntil(until: number): Promise<void> {
+    const healed: Promise<void>[] = [];
+    while (performance.now() < until) {
+      const fault = drawFault(this.bench, this.options, this.nextRandom);
+      this.faults.push(fault.name);
+      healed.push(fault.play());
+      await sleep(this.nextRandom() * FAULT_GAP_MS);
+    }
+    await Promise.all(healed);
+  }
+
+  /** Once nothing is disturbed any more, every entry serves, and nothing runs that nobody waits for. */
+  private async checkRecovery(): Promise<void> {
+    const until = performance.now() + RECOVERY_MS;
+    for (let number = 1; number <= this.options.entries; number += 1) {
+      let served = false;
+      for (let attempt = 0; !served && performance.now() < until; attempt += 1) {
+        const id = `after${number}x${attempt}`;
+        served = (await this.bench.submit(`entry-${number}`, id, 2, 20, PATIENCE_MS)).status === 200;
+        if (!served) await sleep(100);
+      }
+      if (!served) this.broken.push(`entry-${number} does not serve ${RECOVERY_MS} ms after the last fault`);
+    }
+    const running = [...this.bench.atWork.values()].filter((count) => count > 0).length;
+    if (running > 0) this.broken.push(`${running} tasks run on that nobody waits for`);
+  }
+
+  private checkAnswers(): void {
+    for (const { id, answers } of this.jobs) {
+      for (const { status, body } of answers) this.checkAnswer(id, status, body);
+      const isRefused = answers.every(({ status }) => status === 503 || status === 429);
+      const hasRun = [...this.bench.starts.keys()].some((task) => task.startsWith(`${id}.`));
+      if (isRefused && hasRun) this.broken.push(`${id} has run though every submission was refused`);
+    }
+  }
+
+  private checkAnswer(id: string, status: number, body: string): void {
+    const isKnown = [0, 200, 502, 503, 504].includes(status);
+    if (!isKnown) this.broken.push(`${id} was answered ${status}`);
+    if (status === 200 && body !== '{"state":"completed"}' && body !== '{"state":"failed"}')
+      this.broken.push(`${id} was answered with ${body}`);
+  }
+
+  private report(): SoakReport {
+    const completed = this.jobs.filter(({ answers }) => answers.at(-1)?.status === 200).length;
+    const { seed } = this.options;
+    return { seed, jobs: this.jobs.length, completed, faults: this.faults, broken: this.broken };
+  }
+}
--- /dev/null
+++ b/test/fakes/LoopbackProxy.ts
@@ -0,0 +1,126 @@
+/** A TCP proxy on loopback that delays, holds up, or resets what passes, in either direction. */
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
+
+/** What happens to bytes of one direction. `hold`: they wait until the direction passes again, as behind a cut. */
+export type DirectionMode = 'pass' | 'hold';
+
+/** A direction: from who dials to who listens, or back. */
+export type Direction = 'forth' | 'back';
+
+/** Runs what passes one direction of a connection in order, each at its time. */
+class DelayLine {
+  private readonly waiting: { readonly at: number; readonly run: () => void }[] = [];
+  private timer: NodeJS.Timeout | undefined;
+
+  add(delayMs: number, run: () => void): void {
+    if (delayMs === 0 && this.waiting.length === 0) return run();
+    const last = this.waiting.at(-1)?.at ?? 0;
+    this.waiting.push({ at: Math.max(last, performance.now() + delayMs), run });
+    this.schedule();
+  }
+
+  private schedule(): void {
+    const next = this.waiting[0];
+    if (!next || this.timer) return;
+    this.timer = setTimeout(() => this.drain(), Math.max(0, next.at - performance.now()));
+  }
+
+  private drain(): void {
+    this.timer = undefined;
+    while (this.waiting[0] && this.waiting[0].at <= performance.now()) this.waiting.shift()?.run();
+    this.schedule();
+  }
+}
+
+interface Pair {
+  readonly near: Socket;
+  readonly far: Socket;
+}
+
+/** Proxy in front of one listener. */
+export class LoopbackProxy {
+  private readonly modes: Record<Direction, DirectionMode> = { forth: 'pass', back: 'pass' };
+  private delayMs = 0;
+  private readonly pairs = new Set<Pair>();
+  private server: Server | undefined;
+
+  /**
+   * @param host - address to listen at
+   * @param port - port to listen at, and that of the target
+   * @param targetHost - address of the listener behind
+   */
+  constructor(
+    private readonly host: string,
+    private readonly port: number,
+    private readonly targetHost: string,
+    private readonly targetPort = port,
+  ) {}
+
+  /** Starts to listen and returns the port. */
+  start(): Promise<number> {
+    const server = createServer((near) => this.accept(near));
+    this.server = server;
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(this.port, this.host, () => resolve((server.address() as { port: number }).port));
+    });
+  }
+
+  /** Holds up a direction, or lets it pass again. */
+  setMode(direction: Direction, mode: DirectionMode): void {
+    this.modes[direction] = mode;
+    for (const { near, far } of this.pairs) {
+      const source = direction === 'forth' ? near : far;
+      if (mode === 'hold') source.pause();
+      else source.resume();
+    }
+  }
+
+  /** Delays all bytes; 0 for no delay. */
+  setDelay(ms: number): void {
+    this.delayMs = ms;
+  }
+
+  /** Resets all connections; what was held up on them is lost. */
+  resetAll(): void {
+    for (const { near, far } of [...this.pairs]) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+  }
+
+  /** Ends everything. */
+  stop(): void {
+    this.server?.close();
+    for (const { near, far } of this.pairs) {
+      near.destroy();
+      far.destroy();
+    }
+  }
+
+  private accept(near: Socket): void {
+    const far = connect({ host: this.targetHost, port: this.targetPort });
+    const pair = { near, far };
+    this.pairs.add(pair);
+    this.pipe(near, far, 'forth', pair);
+    this.pipe(far, near, 'back', pair);
+  }
+
+  private pipe(source: Socket, sink: Socket, direction: Direction, pair: Pair): void {
+    source.setNoDelay(true);
+    if (this.modes[direction] === 'hold') source.pause();
+    const line = new DelayLine();
+    source.on('data', (bytes: Buffer) => {
+      line.add(this.delayMs, () => {
+        if (!sink.destroyed) sink.write(bytes);
+      });
+    });
+    source.on('error', () => undefined);
+    source.on('close', () => {
+      this.pairs.delete(pair);
+      line.add(this.delayMs, () => sink.destroy());
+    });
+  }
+}
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -10,6 +10,8 @@
 import { fileURLToPath } from 'node:url';
 
 import { DEADLINE_HEADER, READY_PATH } from '../../platform/names.js';
+import { splitAddress } from '../../src/connection/splitAddress.js';
+import { LoopbackProxy } from './LoopbackProxy.js';
 import { RunnerStandin } from '../../standins/protocol/RunnerStandin.js';
 import { StoreStandin } from '../../standins/protocol/StoreStandin.js';
 
@@ -19,6 +21,9 @@
 const SERVICE = 'service';
 const HOST = 'a.example';
 const TARGET_LATENCY_MS = 60;
+/** Thousandths of a core that a task takes, and tasks that fit a runner. */
+const TASK_CPU = 1_000;
+const RUNNER_TASKS = 4;
 
 /** Answer to a caller; status 0 when the connection broke. */
 export interface CallerAnswer {
@@ -42,6 +47,14 @@
   readonly starts = new Map<string, number>();
   /** Tasks that ran twice at once. */
   readonly doubled: string[] = [];
+  /** Tasks that were started beyond their runner's room. */
+  readonly beyondRoom: string[] = [];
+  /** Daemons that are being started again. */
+  readonly restarting = new Set<string>();
+  /** Tasks at work by runner. */
+  private readonly loads = new Map<string, number>();
+  /** Proxies in front of links, runners and the store, by what is behind them; none unless they are asked for. */
+  readonly proxies = new Map<string, LoopbackProxy>();
   private readonly daemons = new Map<string, Daemon>();
   private directory = '';
   private storeAddress = '';
@@ -53,16 +66,23 @@
     private readonly agents: number,
     /** Time that queues allow beyond the work, ms. */
     private readonly targetLatencyMs = TARGET_LATENCY_MS,
+    /** Whether links to entries, orders to runners and calls to the store pass proxies. */
+    private readonly isProxied = false,
   ) {}
 
   /** Starts everything and waits until the entries take jobs. */
   async start(): Promise<void> {
     this.directory = await mkdtemp(path.join(tmpdir(), 'marblehall-'));
     this.storeAddress = (await this.store.start('127.0.0.1', 0)).slice('http://'.length);
+    if (this.isProxied) this.storeAddress = await this.addProxy('store', this.storeAddress, 0);
     const [link = 0, front = 0, ready = 0, control = 0] = await findPorts(4);
     this.ports = { link, front, ready, control };
     this.putConfiguration(['/q/']);
-    for (let number = 1; number <= this.entries; number += 1) await this.startDaemon(`entry-${number}`);
+    for (let number = 1; number <= this.entries; number += 1) {
+      const id = `entry-${number}`;
+      if (this.isProxied) await this.addProxy(id, `${findIp(id)}:${link}`, link);
+      await this.startDaemon(id);
+    }
     for (let number = 1; number <= this.agents; number += 1) {
       await this.startDaemon(`agent-${number}`);
       await this.startRunner(number);
@@ -74,6 +94,7 @@
   async stop(): Promise<void> {
     for (const { child } of this.daemons.values()) child.kill('SIGKILL');
     for (const runner of this.runners) await runner.stop();
+    for (const proxy of this.proxies.values()) proxy.stop();
     await this.store.stop();
   }
 
@@ -98,10 +119,15 @@
     const ip = findIp(id);
     const { link, front, ready, control } = this.ports;
     const settings = path.join(this.directory, `${id}.json`);
-    const seeds = Array.from({ length: this.entries }, (_, at) => `${findIp(`entry-${at + 1}`)}:${control}`);
+    const findSeed = (entry: string): string => (this.isProxied ? findProxyIp(entry) : findIp(entry));
+    const seeds = Array.from(
+      { length: this.entries },
+      (_, at) => `${findSeed(`entry-${at + 1}`)}:${control}`,
+    );
     const value = {
       id,
       address: ip,
+      advertisedAddress: this.isProxied ? findProxyIp(id) : '',
       linkPort: link,
       seeds,
       callerAddress: `${ip}:${front}`,
@@ -142,6 +168,16 @@
     return this.findDaemon(id).output;
   }
 
+  /** Writes what every daemon has logged, and how it ended, into a directory of its own, and returns that. */
+  async keepLogs(): Promise<string> {
+    const directory = await mkdtemp(path.join(tmpdir(), 'marblehall-logs-'));
+    for (const [id, { child, output }] of this.daemons) {
+      const end = `exit ${child.exitCode} ${child.signalCode}\n`;
+      await writeFile(path.join(directory, `${id}.log`), output + end);
+    }
+    return directory;
+  }
+
   /** Waits until an entry calls itself ready. */
   async waitUntilReady(id: string): Promise<void> {
     const { ready } = this.ports;
@@ -157,7 +193,7 @@
     patienceMs = 20_000,
     signal?: AbortSignal,
   ): Promise<CallerAnswer> {
-    const step = { count: tasks, cpu: 1_000, mem_mb: 10, estimate_ms: workMs };
+    const step = { count: tasks, cpu: TASK_CPU, mem_mb: 10, estimate_ms: workMs };
     const body = { spec: String(workMs), steps: [step], best_effort: true };
     return this.post(id, `/q/${job}`, body, patienceMs, signal);
   }
@@ -191,22 +227,38 @@
   private async startRunner(number: number): Promise<void> {
     const ip = findIp(`agent-${number}`);
     const control = `${ip}:${this.ports.control}`;
+    const advertise = async (address: string): Promise<string> =>
+      this.isProxied ? this.addProxy(`runner-${number}`, address, 0) : address;
     const runner = new RunnerStandin(
-      { id: `i-${number}`, service: SERVICE, control, cpu: 4_000 },
+      { id: `i-${number}`, service: SERVICE, control, cpu: RUNNER_TASKS * TASK_CPU, advertise },
       {
-        noteStart: (task) => {
+        noteStart: (task, id) => {
+          const load = (this.loads.get(id) ?? 0) + 1;
+          this.loads.set(id, load);
+          if (load > RUNNER_TASKS) this.beyondRoom.push(task);
           this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
           const atWork = (this.atWork.get(task) ?? 0) + 1;
           this.atWork.set(task, atWork);
           if (atWork > 1) this.doubled.push(task);
         },
-        noteEnd: (task) => this.atWork.set(task, (this.atWork.get(task) ?? 1) - 1),
+        noteEnd: (task, id) => {
+          this.loads.set(id, (this.loads.get(id) ?? 1) - 1);
+          this.atWork.set(task, (this.atWork.get(task) ?? 1) - 1);
+        },
       },
     );
     this.runners.push(runner);
     await runner.start(ip, 0);
   }
 
+  /** Puts a proxy in front of an address, and returns where it listens. */
+  private async addProxy(id: string, target: string, port: number): Promise<string> {
+    const { host, port: targetPort } = splitAddress(target);
+    const proxy = new LoopbackProxy(findProxyIp(id), port, host, targetPort);
+    this.proxies.set(id, proxy);
+    return `${findProxyIp(id)}:${await proxy.start()}`;
+  }
+
   private findDaemon(id: string): Daemon {
     const daemon = this.daemons.get(id);
     if (!daemon) throw new Error(`there is no ${id}`);
@@ -220,6 +272,14 @@
   return `127.${role === 'entry' ? 10 : 20}.0.${number}`;
 }
 
+/** Proxies have loopback addresses of their own. */
+function findProxyIp(id: string): string {
+  const [role = '', number = '1'] = id.split('-');
+  return `127.${PROXY_NETS[role] ?? 33}.0.${number}`;
+}
+
+const PROXY_NETS: Readonly<Record<string, number>> = { entry: 30, agent: 31, runner: 32, store: 33 };
+
 async function findPorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
   const ports = await Promise.all(
