--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -1,7 +1,7 @@
 /** Dispatchers and executors as separate processes on loopback, with stand-ins for store, runners and callers. */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { mkdtemp, writeFile } from 'node:fs/promises';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { request as sendRequest } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -96,6 +96,7 @@
     for (const runner of this.runners) await runner.stop();
     for (const proxy of this.proxies.values()) proxy.stop();
     await this.store.stop();
+    await rm(this.directory, { recursive: true, force: true });
   }
 
   /** Writes a configuration with a queue for each path prefix. */
