Check all that comes from outside; bound what a job and all open jobs may take

Change: jobs, configurations, reports, answers of upstreams and of the store, messages of links and settings are checked by schemas; Ajv's code for them is generated and committed, so that nothing is compiled at start, and a test compares it with the schemas. A body's findings stand with their pointers in the 400. One wrong route no longer loses the others of a configuration. JobBounds refuses jobs that are too large (413) or for which there is no room (503). Failures of one request, report, message or timer are logged and answered; only a broken invariant ends the process. Slow headers and bodies are closed within a second of the limits. An unkept or unread memory of an upstream is logged, no longer swallowed. The queue fixture of the tests stands once (dispatchFixtures).

--- a/src/connection/peer/LineChannel.ts
+++ b/src/connection/peer/LineChannel.ts
@@ -1,6 +1,8 @@
 /** One TCP connection that carries a JSON message a line, written together once a turn. */
 import type { Socket } from 'node:net';
 
+import { InvariantError } from '../../_lib/errors.js';
+import { parsePeerMessage } from './parsePeerMessage.js';
 import type { PeerMessage } from './peerMessages.js';
 
 /** Longest line that is read, characters. */
@@ -67,18 +69,19 @@
     if (this.rest.length > MAX_LINE) return this.close('line too long');
     for (const line of lines) {
       if (this.closed) return;
-      const message = parseMessage(line);
-      if (!message) return this.close('not a message');
-      this.events.receive(message);
+      const { message, problem } = parsePeerMessage(line);
+      if (message) this.deliver(message);
+      else if (problem !== '') return this.close(problem);
     }
   }
-}
 
-function parseMessage(line: string): PeerMessage | undefined {
-  try {
-    const value = JSON.parse(line) as PeerMessage | null;
-    return typeof value === 'object' && value !== null && typeof value.type === 'string' ? value : undefined;
-  } catch {
-    return undefined;
+  /** What one peer sends must not end the process; only a broken invariant does. */
+  private deliver(message: PeerMessage): void {
+    try {
+      this.events.receive(message);
+    } catch (error) {
+      if (error instanceof InvariantError) throw error;
+      this.close(`failed to take a ${message.type}: ${String(error)}`);
+    }
   }
 }
--- /dev/null
+++ b/src/connection/peer/peerSchemas.ts
@@ -0,0 +1,106 @@
+/**
+ * Shapes of the messages between dispatchers and executors, as JSON schemas by type. Fields that are not named here are
+ * ignored, so that a newer version may add some. Checked by generated code, see `bench/generateValidators.ts`.
+ */
+
+const TEXT = { type: 'string' } as const;
+const COUNT = { type: 'integer', minimum: 0 } as const;
+const AMOUNT = { type: 'integer', minimum: -1_000_000_000_000, maximum: 1_000_000_000_000 } as const;
+const NEED = { type: 'integer', minimum: 0, maximum: 1_000_000_000 } as const;
+const FINITE = { type: 'number' } as const;
+
+type Properties = Readonly<Record<string, unknown>>;
+
+/** An object whose fields must all be there, but for those of `optional`. */
+function buildObject(properties: Properties, optional: Properties = {}): object {
+  return { type: 'object', required: Object.keys(properties), properties: { ...properties, ...optional } };
+}
+
+function buildResources(amount: object): object {
+  return buildObject({ cpuMilli: amount, memoryMb: amount, gpus: amount });
+}
+
+function buildList(items: object): object {
+  return { type: 'array', items };
+}
+
+const NAME = buildObject({ job: TEXT, step: COUNT, index: COUNT, attempt: COUNT });
+const PLACE = buildObject({
+  address: { type: 'string', pattern: '^[0-9A-Za-z.\\-]+:[0-9]{1,5}$' },
+  failureDomain: TEXT,
+});
+const RESULT = buildObject({
+  type: { const: 'result' },
+  name: NAME,
+  end: { enum: ['done', 'failed', 'stopped', 'lost', 'not-run'] },
+  reason: TEXT,
+});
+const DESCRIPTION = buildObject({
+  upstream: TEXT,
+  service: TEXT,
+  labels: buildList(TEXT),
+  capacity: buildResources(NEED),
+});
+const ROOM = buildObject(
+  {
+    state: { enum: ['absent', 'joining', 'ready', 'silent', 'draining'] },
+    trust: { enum: ['healthy', 'probation', 'suspect'] },
+    free: buildResources(AMOUNT),
+    startsSeen: COUNT,
+    speed: { type: 'number', minimum: 0 },
+  },
+  { description: DESCRIPTION },
+);
+const PROGRESS = buildObject({
+  name: NAME,
+  percent: { type: 'number', minimum: 0, maximum: 100 },
+  stalledMs: FINITE,
+});
+const ROUTE = buildObject({
+  name: TEXT,
+  host: TEXT,
+  pathPrefix: TEXT,
+  service: TEXT,
+  priority: COUNT,
+  maxAttempts: COUNT,
+  stretch: FINITE,
+  targetLatencyMs: FINITE,
+  needsAdvice: { type: 'boolean' },
+});
+const CONFIGURATION = buildObject({
+  version: COUNT,
+  routes: buildList(ROUTE),
+  limits: buildObject({ maxBodyBytes: COUNT, headerTimeoutMs: COUNT, idleTimeoutMs: COUNT }),
+});
+
+/** Schema of each type of message. */
+export const PEER_SCHEMAS: Readonly<Record<string, object>> = {
+  'agent-hello': buildObject({
+    agent: TEXT,
+    life: TEXT,
+    failureDomain: TEXT,
+    holding: buildList(NAME),
+    entryLife: TEXT,
+    results: buildList(RESULT),
+    orphanMs: { type: 'number', minimum: 0 },
+  }),
+  'entry-welcome': buildObject({ entry: TEXT, life: TEXT, place: PLACE }),
+  'entry-hello': buildObject({ entry: TEXT, place: PLACE }),
+  ping: buildObject({ at: FINITE, version: FINITE }, { room: ROOM, progress: buildList(PROGRESS) }),
+  pong: buildObject({ at: FINITE, version: FINITE, typicalSpeed: { type: 'number', minimum: 0 } }),
+  room: buildObject({ at: FINITE, room: ROOM }),
+  start: buildObject({
+    name: NAME,
+    service: TEXT,
+    spec: TEXT,
+    resources: buildResources(NEED),
+    estimateMs: { type: 'number', minimum: 0 },
+    rank: FINITE,
+    expiresAt: FINITE,
+  }),
+  stop: buildObject({ name: NAME }),
+  result: RESULT,
+  'configuration-request': buildObject({}),
+  configuration: buildObject({ configuration: CONFIGURATION }),
+  members: buildObject({ entries: buildList(PLACE) }),
+};
--- a/src/ports/CallerGateway.ts
+++ b/src/ports/CallerGateway.ts
@@ -21,6 +21,8 @@
   submit(submission: JobSubmission, caller: Caller): void;
   /** The front door has turned a job away; for log and metrics. */
   noteRejected(jobId: string, status: number, reason: string): void;
+  /** Taking a call has failed; it was answered with an error. */
+  noteFailure(call: string, error: unknown): void;
   /** The caller's connection is gone. */
   abandon(jobId: string, caller: Caller): void;
   findState(jobId: string): JobState | undefined;
--- a/src/ports/UpstreamMemory.ts
+++ b/src/ports/UpstreamMemory.ts
@@ -3,9 +3,9 @@
 
 /** Keeps the newest report of each agent's upstream, as far as it can be reached. */
 export abstract class UpstreamMemory {
-  /** Keeps a report; a loss only makes the next start slower. */
-  abstract remember(agent: string, report: UpstreamReport): void;
-  /** Returns what was kept, or undefined; never rejects and never waits for long. */
+  /** Keeps a report. Rejects when that failed after several tries; a loss only makes the next start slower. */
+  abstract remember(agent: string, report: UpstreamReport): Promise<void>;
+  /** Returns what was kept, or undefined if nothing was. Rejects soon when it cannot be read. */
   abstract recall(agent: string): Promise<UpstreamReport | undefined>;
   abstract stop(): void;
 }
--- a/src/ports/UpstreamRegistry.ts
+++ b/src/ports/UpstreamRegistry.ts
@@ -22,6 +22,10 @@
 export interface UpstreamListener {
   report(report: UpstreamReport): void;
   leave(upstreamId: string): void;
+  /** A report could not be read. */
+  noteRejected(call: string, reason: string): void;
+  /** Taking a call has failed; it was answered with an error. */
+  noteFailure(call: string, error: unknown): void;
 }
 
 /** Where upstreams report. */
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 
+import { ROUTE, STEP as ONE_TASK, WIDE_LIMITS } from '../../../test/fakes/dispatchFixtures.js';
 import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
 import type {
   AgentHello,
@@ -8,30 +9,12 @@
   RoomReport,
   StartOrder,
 } from '../../connection/peer/peerMessages.js';
+import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import type { JobSubmission, StepNeed } from '../../request/dispatch/submission.js';
-import type { QueueRoute } from '../../version/configuration.js';
 import { Dispatcher } from './Dispatcher.js';
 import { SpeedPlacement } from './Placement.js';
 
-const ROUTE: QueueRoute = {
-  name: 'quotes',
-  host: 'a.example',
-  pathPrefix: '/q/',
-  service: 'service',
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 1.6,
-  targetLatencyMs: 60,
-  needsAdvice: false,
-};
-const STEP: StepNeed = {
-  count: 2,
-  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
-  estimateMs: 100,
-  after: [],
-  requiredLabel: '',
-  preferredRack: '',
-};
+const STEP: StepNeed = { ...ONE_TASK, count: 2 };
 const PING_MS = 100;
 const ORPHAN_MS = 1_000;
 
@@ -43,7 +26,12 @@
   readonly sent: { agent: string; message: EntryMessage }[] = [];
   readonly caller = new FakeCaller();
   readonly dispatcher = new Dispatcher(
-    { pingMs: PING_MS, placement: new SpeedPlacement(1.5), nextRandom: () => 0.5 },
+    {
+      pingMs: PING_MS,
+      bounds: new JobBounds(WIDE_LIMITS),
+      placement: new SpeedPlacement(1.5),
+      nextRandom: () => 0.5,
+    },
     {
       send: (agent, message) => this.sent.push({ agent, message }),
       log: () => undefined,
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -15,6 +15,7 @@
   RoomChange,
 } from '../../connection/peer/peerMessages.js';
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
+import type { JobBounds } from '../../request/dispatch/JobBounds.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
 import { AgentView, buildAgentId } from './AgentView.js';
 import { Backlog } from './Backlog.js';
@@ -71,6 +72,8 @@
 export interface DispatchOptions {
   readonly pingMs: number;
   readonly placement: Placement;
+  /** Bounds of what is held at once. */
+  readonly bounds: JobBounds;
   readonly nextRandom: () => number;
 }
 
@@ -123,6 +126,11 @@
 
   /** Takes a job; its answer comes through the caller. */
   submit(submission: JobSubmission, caller: Caller, now: number): void {
+    const findings = this.options.bounds.findExcess(submission);
+    if (findings.length > 0) {
+      this.effects.log('reject', { job: submission.id, findings });
+      return caller.answer({ kind: 'rejected', reason: 'too-large', findings });
+    }
     const known = this.jobs.get(submission.id);
     if (!known) return this.admit({ submission, caller, deadlineAt: now + submission.patienceMs }, now);
     this.effects.log('job-again', { job: submission.id, answered: known.answered });
@@ -272,6 +280,11 @@
   private admit({ submission, caller, deadlineAt }: Submission, now: number): void {
     const timing = { now, typicalSpeed: this.typicalSpeed, priorityStepMs: PRIORITY_STEP_MS };
     const patienceMs = deadlineAt - now;
+    if (!this.options.bounds.take(submission)) {
+      const { openJobs, openBytes } = this.options.bounds;
+      this.effects.log('refuse', { job: submission.id, reason: 'full', openJobs, openBytes });
+      return caller.answer({ kind: 'refused', reason: 'full', retryAfterMs: RETRY_AFTER_MS });
+    }
     const job = createDispatchJob({ ...submission, patienceMs }, caller, timing);
     this.jobs.set(job.id, job);
     for (const task of job.tasks) if (task.phase === 'waiting') this.backlog.add(task);
@@ -380,6 +393,7 @@
   private forgetIfOver(job: DispatchJob, now: number): void {
     if (job.out > 0) return;
     this.jobs.delete(job.id);
+    this.options.bounds.release(job.submission);
     const successor = this.successors.get(job.id);
     if (!successor) return;
     this.successors.delete(job.id);
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -20,10 +20,13 @@
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
 import { MemberTable } from '../MemberTable.js';
+import { describeError, rethrowInvariant } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import { ServedMetrics } from '../ServedMetrics.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { startTimer } from '../startTimer.js';
 import { roundSpeed } from '../roundSpeed.js';
+import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildAgentId } from './AgentView.js';
 import { Dispatcher } from './Dispatcher.js';
 import type { DispatchJob } from './dispatchJob.js';
@@ -81,8 +84,9 @@
     this.logger = createLogger(peer, settings.logLevel, createLogSink());
     const nextRandom = createRandom(Date.now() % 1_000_000);
     const { pingMs, orphanAfterMs } = deriveDispatchTimes(settings);
+    const bounds = new JobBounds(settings);
     this.dispatcher = new Dispatcher(
-      { pingMs, placement: new SpeedPlacement(settings.farFactor), nextRandom },
+      { pingMs, bounds, placement: new SpeedPlacement(settings.farFactor), nextRandom },
       {
         send: (agent, message) => this.channels.get(agent)?.send(message),
         log: (event, fields) => this.logDecision(event, fields),
@@ -135,12 +139,15 @@
     await this.ports.gateway.start(this);
     this.ports.source.start({
       adopt: (configuration) => this.adoptConfiguration(configuration, 'store'),
+      noteFindings: (findings) => {
+        this.logger.warn('configuration-rejected', { findings, version: this.exchange.version });
+      },
       note: (state, detail) => this.logger.warn('store', { state, detail }),
     });
     this.dialSeeds();
     this.metrics.start();
-    setInterval(() => this.turn((now) => this.dispatcher.tick(now)), TICK_MS);
-    setInterval(() => this.tellSomeMembers(), MEMBERS_MS);
+    startTimer(this.logger, 'tick', TICK_MS, () => this.turn((now) => this.dispatcher.tick(now)));
+    startTimer(this.logger, 'members', MEMBERS_MS, () => this.tellSomeMembers());
   }
 
   /** Takes changed settings: other seeds are dialed; all else needs a restart. */
@@ -187,6 +194,12 @@
     this.logger.info('reject', { job: jobId, status, reason, version: this.exchange.version });
   }
 
+  noteFailure(call: string, error: unknown): void {
+    rethrowInvariant(error);
+    this.metrics.increment('dispatcher_answers', { outcome: 'failed', reason: 'error' });
+    this.logger.error('call-failed', { call, error: describeError(error) });
+  }
+
   abandon(jobId: string, caller: Caller): void {
     this.turn((now) => this.dispatcher.abandon(jobId, caller, now));
   }
@@ -274,6 +287,7 @@
     this.entryChannels.delete(channel);
     const id = this.agentIds.get(channel);
     this.agentIds.delete(channel);
+    if (id === undefined) this.logger.info('link-closed', { reason });
     if (id === undefined || this.channels.get(id) !== channel) return;
     this.channels.delete(id);
     this.dispatcher.handleClose(id, reason, this.clock.now());
--- a/src/process/dispatcher/Placement.test.ts
+++ b/src/process/dispatcher/Placement.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 
+import { ROUTE, STEP } from '../../../test/fakes/dispatchFixtures.js';
 import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
 import type { RoomReport } from '../../connection/peer/peerMessages.js';
 import { createRandom } from '../../_lib/createRandom.js';
@@ -22,20 +23,8 @@
 }
 
 function createTask(preferredRack: string): DispatchTask {
-  const resources = { cpuMilli: 1_000, memoryMb: 10, gpus: 0 };
-  const step = { count: 1, resources, estimateMs: 100, after: [], requiredLabel: '', preferredRack };
-  const route = {
-    name: 'queue',
-    host: 'a.example',
-    pathPrefix: '/q/',
-    service: 'service',
-    priority: 0,
-    maxAttempts: 2,
-    stretch: 1.6,
-    targetLatencyMs: 60,
-    needsAdvice: false,
-  };
-  const submission = { id: 'job', route, spec: '', steps: [step], patienceMs: 2_000 };
+  const steps = [{ ...STEP, preferredRack }];
+  const submission = { id: 'job', route: ROUTE, spec: '', steps, patienceMs: 2_000 };
   const timing = { now: 0, typicalSpeed: 1, priorityStepMs: 100 };
   const task = createDispatchJob(submission, new FakeCaller(), timing).tasks[0];
   if (!task) throw new Error('there is no task');
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -10,8 +10,10 @@
 import { createLogSink } from '../createLogSink.js';
 import { createLogger } from '../logger.js';
 import type { ProcessLogger } from '../logger.js';
+import { describeError, rethrowInvariant } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { startTimer } from '../startTimer.js';
 import { ServedMetrics } from '../ServedMetrics.js';
 import { AgentCore } from './AgentCore.js';
 import { EntryLinks } from './EntryLinks.js';
@@ -89,12 +91,17 @@
     await this.ports.registry.start({
       report: (report) => this.takeReport(report),
       leave: (upstreamId) => this.core.noteLeave(upstreamId),
+      noteRejected: (call, reason) => this.logger.warn('report-rejected', { call, reason }),
+      noteFailure: (call, error) => {
+        rethrowInvariant(error);
+        this.logger.error('call-failed', { call, error: describeError(error) });
+      },
     });
     this.links.noteSeeds(this.settings.seeds);
     void this.recallUpstream();
     this.metrics.start();
-    setInterval(() => this.tick(), TICK_MS);
-    setInterval(() => this.links.tellMembers(), MEMBERS_MS);
+    startTimer(this.logger, 'tick', TICK_MS, () => this.tick());
+    startTimer(this.logger, 'members', MEMBERS_MS, () => this.links.tellMembers());
   }
 
   /** Takes changed settings: other seeds are dialed; all else needs a restart. */
@@ -129,12 +136,18 @@
     this.core.noteReport(report);
     if (!isNew) return;
     this.reported.add(report.id);
-    if (!report.isDraining) this.ports.memory.remember(this.settings.id, report);
+    if (report.isDraining) return;
+    this.ports.memory.remember(this.settings.id, report).catch((error: unknown) => {
+      this.logger.warn('upstream-not-remembered', { upstream: report.id, error: describeError(error) });
+    });
   }
 
   /** Finds the upstream of an earlier life, whose next report may be more than a second away. */
   private async recallUpstream(): Promise<void> {
-    const report = await this.ports.memory.recall(this.settings.id);
+    const report = await this.ports.memory.recall(this.settings.id).catch((error: unknown) => {
+      this.logger.warn('upstream-not-recalled', { error: describeError(error) });
+      return undefined;
+    });
     if (!report || this.reported.size > 0 || this.leaving) return;
     this.logger.info('upstream-recalled', { upstream: report.id });
     this.core.noteReport({ ...report, clockMs: 0, sequence: -1 });
--- a/src/process/settings/checkSettings.ts
+++ b/src/process/settings/checkSettings.ts
@@ -1,8 +1,8 @@
 import { Ajv } from 'ajv';
 import type { ValidateFunction } from 'ajv';
 
-import { listFindings } from './finding.js';
-import type { Finding } from './finding.js';
+import { listFindings } from '../../_lib/finding.js';
+import type { Finding } from '../../_lib/finding.js';
 import { AGENT_SCHEMA, ENTRY_SCHEMA, PLATFORM_SCHEMA, UPSTREAM_SCHEMA } from './schema.js';
 import type { Role, SettingsByRole } from './settings.js';
 
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -1,4 +1,7 @@
-/** Schema of the settings of dispatcher and executor. Every default stands here. */
+/**
+ * Schema of the settings of dispatcher and executor. Every default stands here. Checked by generated code, see
+ * `bench/generateValidators.ts`; lengths are checked by patterns, which need no code of Ajv at run time.
+ */
 
 const PORT = { type: 'integer', minimum: 1, maximum: 65_535 } as const;
 const ADDRESS = { type: 'string', pattern: '^[0-9A-Za-z.\\-]+:[0-9]+$' } as const;
@@ -10,9 +13,9 @@
   additionalProperties: false,
   required: ['id', 'address', 'linkPort'],
   properties: {
-    id: { type: 'string', minLength: 1, maxLength: 64, pattern: '^[A-Za-z0-9._-]+$' },
-    failureDomain: { type: 'string', minLength: 1, default: 'default' },
-    address: { type: 'string', minLength: 1 },
+    id: { type: 'string', pattern: '^[A-Za-z0-9._-]{1,64}$' },
+    failureDomain: { type: 'string', pattern: '.', default: 'default' },
+    address: { type: 'string', pattern: '.' },
     advertisedAddress: { type: 'string', default: '' },
     linkPort: PORT,
     seeds: { type: 'array', items: ADDRESS, default: [] },
@@ -34,5 +37,10 @@
     stopMs: { type: 'number', minimum: 0, default: 50 },
     farFactor: { type: 'number', minimum: 1, default: 1.5 },
     resubmitMs: { type: 'number', minimum: 1, default: 1_300 },
+    maxConnections: { type: 'integer', minimum: 1, default: 3_000 },
+    maxOpenJobs: { type: 'integer', minimum: 1, default: 4_000 },
+    maxOpenBytes: { type: 'integer', minimum: 1, default: 33_554_432 },
+    maxJobTasks: { type: 'integer', minimum: 1, default: 2_000 },
+    maxJobSteps: { type: 'integer', minimum: 1, default: 200 },
   },
 } as const;
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -40,4 +40,17 @@
   readonly resubmitMs: number;
   /** How much longer a task takes away from the rack that holds its data; 1 for no longer. */
   readonly farFactor: number;
+  /**
+   * Connections of callers at once; further ones are closed. The default leaves a quarter of the 4,100 descriptors of
+   * the smallest entry VM to links, the store and metrics.
+   */
+  readonly maxConnections: number;
+  /** Jobs open at a dispatcher; further ones are refused. The default is what callers submit to one in 5 s at 840/s. */
+  readonly maxOpenJobs: number;
+  /** Bytes that open jobs may take, by estimate; the default is a fifth of the smallest dispatcher's heap of 160 MB. */
+  readonly maxOpenBytes: number;
+  /** Tasks of a job; the users' largest job has 1,800. */
+  readonly maxJobTasks: number;
+  /** Steps of a job; jobs of the users have a few. */
+  readonly maxJobSteps: number;
 }
--- a/src/process/settings/readDispatchSettings.ts
+++ b/src/process/settings/readDispatchSettings.ts
@@ -1,16 +1,10 @@
 import { readFileSync } from 'node:fs';
 
-import { Ajv } from 'ajv';
-
 import { SettingsError } from '../../_lib/errors.js';
 import type { DispatchSettings } from './dispatchSettings.js';
-import { DISPATCH_SCHEMA } from './dispatchSchema.js';
-import { listFindings } from './finding.js';
-import type { Finding } from './finding.js';
-
-// The schema is ours and tested: checking it against the meta schema at every start takes 95 ms (docs/MEASUREMENTS.md).
-const ajv = new Ajv({ allErrors: true, useDefaults: true, validateSchema: false, meta: false });
-const validate = ajv.compile(DISPATCH_SCHEMA);
+import { validateDispatchSettings } from './dispatchValidator.generated.js';
+import { listFindings } from '../../_lib/finding.js';
+import type { Finding } from '../../_lib/finding.js';
 
 /** Settings, or everything that is wrong with them. */
 export type DispatchSettingsCheck =
@@ -27,8 +21,10 @@
  */
 export function checkDispatchSettings(input: unknown): DispatchSettingsCheck {
   const copy: unknown = structuredClone(input);
-  if (!validate(copy)) return { ok: false, findings: listFindings(validate.errors) };
-  const settings = copy as DispatchSettings;
+  if (!validateDispatchSettings(copy)) {
+    return { ok: false, findings: listFindings(validateDispatchSettings.errors) };
+  }
+  const settings = copy as unknown as DispatchSettings;
   const findings = findContradictions(settings);
   return findings.length > 0 ? { ok: false, findings } : { ok: true, settings };
 }
--- a/src/request/checkJobRequest.ts
+++ b/src/request/checkJobRequest.ts
@@ -1,8 +1,8 @@
 import { Ajv } from 'ajv';
 import { validate as isUuid, version as readUuidVersion } from 'uuid';
 
-import { listFindings } from '../process/settings/finding.js';
-import type { Finding } from '../process/settings/finding.js';
+import { listFindings } from '../_lib/finding.js';
+import type { Finding } from '../_lib/finding.js';
 import type { ConfigState } from '../version/configState.js';
 import type { JobRequest } from './job.js';
 
--- /dev/null
+++ b/src/request/dispatch/JobBounds.test.ts
@@ -0,0 +1,36 @@
+import { expect } from 'chai';
+
+import { ROUTE, STEP } from '../../../test/fakes/dispatchFixtures.js';
+import { JobBounds } from './JobBounds.js';
+import type { JobSubmission, StepNeed } from './submission.js';
+
+const LIMITS = { maxOpenJobs: 2, maxOpenBytes: 10_000, maxJobTasks: 8, maxJobSteps: 2 };
+function buildJob(steps: readonly StepNeed[], spec = ''): JobSubmission {
+  return { id: 'job', route: ROUTE, spec, steps, patienceMs: 1_000 };
+}
+
+describe('JobBounds', () => {
+  it('finds a job with too many steps or tasks, and none in a job at the bounds', () => {
+    const bounds = new JobBounds(LIMITS);
+    expect(bounds.findExcess(buildJob([STEP, STEP, STEP]))).to.have.length(1);
+    expect(bounds.findExcess(buildJob([{ ...STEP, count: 9 }]))).to.have.length(1);
+    expect(
+      bounds.findExcess(
+        buildJob([
+          { ...STEP, count: 4 },
+          { ...STEP, count: 4 },
+        ]),
+      ),
+    ).to.deep.equal([]);
+  });
+
+  it('takes jobs up to their number and up to their bytes, and more once one is let go', () => {
+    const bounds = new JobBounds(LIMITS);
+    expect(bounds.take(buildJob([STEP]))).to.equal(true);
+    expect(bounds.take(buildJob([STEP], 'x'.repeat(10_000)))).to.equal(false);
+    expect(bounds.take(buildJob([STEP]))).to.equal(true);
+    expect(bounds.take(buildJob([STEP]))).to.equal(false);
+    bounds.release(buildJob([STEP]));
+    expect(bounds.take(buildJob([STEP]))).to.equal(true);
+  });
+});
--- a/src/request/dispatch/submission.ts
+++ b/src/request/dispatch/submission.ts
@@ -1,4 +1,5 @@
 /** What a caller asks for: a job that lives as long as its caller's connection. */
+import type { Finding } from '../../_lib/finding.js';
 import type { QueueRoute } from '../../version/configuration.js';
 
 /** What one task takes of an upstream while it runs. */
@@ -42,5 +43,7 @@
   | { readonly kind: 'failed'; readonly reason: string }
   /** The job is given up and parts of it may have run; submitted again it may run anew. */
   | { readonly kind: 'interrupted'; readonly reason: string }
+  /** The job is larger than any that is taken; nothing of it has run, and it is not to be submitted again. */
+  | { readonly kind: 'rejected'; readonly reason: string; readonly findings: readonly Finding[] }
   /** Nothing of the job has run or ever will under this submission. */
   | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number };
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -5,6 +5,8 @@
  */
 import { createRandom } from '../../src/_lib/createRandom.js';
 import type { AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
+import { JobBounds } from '../../src/request/dispatch/JobBounds.js';
+import { ROUTE, STEP, WIDE_LIMITS } from './dispatchFixtures.js';
 import type { JobOutcome, JobSubmission } from '../../src/request/dispatch/submission.js';
 import type { UpstreamReport } from '../../src/ports/UpstreamRegistry.js';
 import { AgentCore } from '../../src/process/executor/AgentCore.js';
@@ -86,7 +88,7 @@
   readonly clock = new FakeClock();
   readonly jobs: WorldJob[] = [];
   /** Counts for reports. */
-  readonly counts = { submitted: 0, completed: 0, interrupted: 0, refused: 0, failed: 0 };
+  readonly counts = { submitted: 0, completed: 0, interrupted: 0, refused: 0, rejected: 0, failed: 0 };
   private readonly nextRandom: () => number;
   private readonly entries: WorldEntry[];
   private readonly agents: WorldAgent[];
@@ -403,7 +405,12 @@
       gate,
       lastTurnAt: this.clock.now(),
       core: new Dispatcher(
-        { pingMs: TIMES.pingMs, placement: new SpeedPlacement(1.5), nextRandom: this.nextRandom },
+        {
+          pingMs: TIMES.pingMs,
+          bounds: new JobBounds(WIDE_LIMITS),
+          placement: new SpeedPlacement(1.5),
+          nextRandom: this.nextRandom,
+        },
         {
           send: (agentId, message) => {
             for (const link of this.links.values()) {
@@ -496,24 +503,3 @@
     return item;
   }
 }
-
-const ROUTE = {
-  name: 'queue',
-  host: 'a.example',
-  pathPrefix: '/q/',
-  service: 'service',
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 1.6,
-  targetLatencyMs: 60,
-  needsAdvice: false,
-};
-
-const STEP = {
-  count: 1,
-  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
-  estimateMs: 50,
-  after: [],
-  requiredLabel: '',
-  preferredRack: '',
-};
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -3,7 +3,8 @@
 import type { ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { request as sendRequest } from 'node:http';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
+import type { Socket } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -100,7 +101,7 @@
   }
 
   /** Writes a configuration with a queue for each path prefix. */
-  putConfiguration(prefixes: readonly string[]): void {
+  putConfiguration(prefixes: readonly string[], limits: Readonly<Record<string, number>> = {}): void {
     this.version += 3;
     const routes = prefixes.map((prefix, at) => ({
       name: `queue-${at}`,
@@ -112,7 +113,7 @@
       stretch: 1.6,
       target_latency_ms: this.targetLatencyMs,
     }));
-    this.store.putConfiguration({ version: this.version, routes, limits: {} });
+    this.store.putConfiguration({ version: this.version, routes, limits });
   }
 
   /** Starts a daemon, or starts it again. */
@@ -216,6 +217,13 @@
     return send(findIp(id), this.ports.front, 'GET', url, '', { host: HOST });
   }
 
+  /** Opens a caller's connection and writes raw bytes on it. */
+  openCaller(id: string, text: string): Socket {
+    const socket = connect(this.ports.front, findIp(id));
+    socket.write(text);
+    return socket;
+  }
+
   /** Waits until something holds; fails after a time that only a broken program takes. */
   async waitFor(holds: () => boolean | Promise<boolean>): Promise<void> {
     for (let waited = 0; waited < WAIT_MS; waited += LOOK_MS) {
--- /dev/null
+++ b/test/fakes/dispatchFixtures.ts
@@ -0,0 +1,35 @@
+/** A queue, a step and limits for tests of the dispatcher, each to be changed where a test needs it. */
+import type { JobLimits } from '../../src/request/dispatch/JobBounds.js';
+import type { StepNeed } from '../../src/request/dispatch/submission.js';
+import type { QueueRoute } from '../../src/version/configuration.js';
+
+/** A queue. */
+export const ROUTE: QueueRoute = {
+  name: 'queue',
+  host: 'a.example',
+  pathPrefix: '/q/',
+  service: 'service',
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 1.6,
+  targetLatencyMs: 60,
+  needsAdvice: false,
+};
+
+/** A step of one task. */
+export const STEP: StepNeed = {
+  count: 1,
+  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
+  estimateMs: 100,
+  after: [],
+  requiredLabel: '',
+  preferredRack: '',
+};
+
+/** Limits that no test meets by accident. */
+export const WIDE_LIMITS: JobLimits = {
+  maxOpenJobs: 100_000,
+  maxOpenBytes: 1_000_000_000,
+  maxJobTasks: 10_000,
+  maxJobSteps: 1_000,
+};
--- /dev/null
+++ b/test/hostileCallers.test.ts
@@ -0,0 +1,136 @@
+/** What callers may send to a real dispatcher without harm to it or to the jobs of others. */
+import type { Socket } from 'node:net';
+
+import { expect } from 'chai';
+
+import { PlatformBench } from './fakes/PlatformBench.js';
+
+const TARGET_LATENCY_MS = 20_000;
+/** Work of the job that is open meanwhile, ms. */
+const VICTIM_MS = 600;
+
+interface HostileBody {
+  readonly title: string;
+  readonly body: unknown;
+  readonly status: number;
+  /** Pointer of a finding in the answer. */
+  readonly pointer: string;
+}
+
+const STEP = { count: 1, cpu: 1_000, mem_mb: 10, estimate_ms: 30 };
+
+const BODIES: readonly HostileBody[] = [
+  { title: 'a step that is null', body: { steps: [null] }, status: 400, pointer: '/steps/0' },
+  {
+    title: 'fifty million tasks',
+    body: { steps: [{ count: 5e7, cpu: 100 }] },
+    status: 413,
+    pointer: '/steps',
+  },
+  {
+    title: 'more steps than are taken',
+    body: { steps: Array.from({ length: 300 }, () => STEP) },
+    status: 413,
+    pointer: '/steps',
+  },
+  {
+    title: 'an amount that is text',
+    body: { steps: [{ ...STEP, cpu: 'y' }] },
+    status: 400,
+    pointer: '/steps/0/cpu',
+  },
+  {
+    title: 'a step that waits for itself',
+    body: { steps: [{ ...STEP, after: [0] }] },
+    status: 400,
+    pointer: '/steps/0/after/0',
+  },
+  {
+    title: 'a text that is an object',
+    body: { spec: { a: 1 }, steps: [STEP] },
+    status: 400,
+    pointer: '/spec',
+  },
+  {
+    title: 'a text that is too long',
+    body: { spec: 'x'.repeat(4_001), steps: [STEP] },
+    status: 400,
+    pointer: '/spec',
+  },
+  {
+    title: 'a number in place of a list',
+    body: { steps: [{ ...STEP, after: 3 }] },
+    status: 400,
+    pointer: '/steps/0/after',
+  },
+  {
+    title: 'less than nothing of an amount',
+    body: { steps: [{ ...STEP, cpu: -500_000 }] },
+    status: 400,
+    pointer: '/steps/0/cpu',
+  },
+  {
+    title: 'less than no tasks',
+    body: { steps: [{ ...STEP, count: -1 }] },
+    status: 400,
+    pointer: '/steps/0/count',
+  },
+  {
+    title: 'half a task',
+    body: { steps: [{ ...STEP, count: 1.5 }] },
+    status: 400,
+    pointer: '/steps/0/count',
+  },
+];
+
+describe('a dispatcher with hostile callers', function () {
+  this.timeout(120_000);
+  let bench: PlatformBench;
+
+  before(async () => {
+    bench = new PlatformBench(1, 3, TARGET_LATENCY_MS);
+    await bench.start();
+  });
+
+  after(async () => {
+    await bench.stop();
+  });
+
+  for (const { title, body, status, pointer } of BODIES) {
+    it(`refuses ${title}, says where it is wrong, and serves the others`, async () => {
+      const victim = bench.submit('entry-1', `victim-${title.length}-${pointer.length}`, 1, VICTIM_MS);
+      const whole = { best_effort: true, ...(body as object) };
+      const answer = await bench.post('entry-1', '/q/hostile', whole, 3_000);
+      expect(answer.status, answer.body).to.equal(status);
+      const findings = (JSON.parse(answer.body) as { findings: { pointer: string }[] }).findings;
+      expect(findings.map((finding) => finding.pointer)).to.include(pointer);
+      expect((await bench.get('entry-1', '/q/')).status).to.equal(200);
+      expect((await victim).body).to.equal('{"state":"completed"}');
+      expect(bench.isRunning('entry-1')).to.equal(true);
+    });
+  }
+
+  it('closes a connection whose header never ends, and one whose body never does', async () => {
+    bench.putConfiguration(['/q/'], { header_timeout_ms: 400, idle_timeout_ms: 400 });
+    await bench.waitFor(async () => {
+      const slow = [
+        bench.openCaller('entry-1', 'POST /q/slow HTTP/1.1\r\nhost: a.example\r\n'),
+        bench.openCaller(
+          'entry-1',
+          'POST /q/slow HTTP/1.1\r\nhost: a.example\r\ncontent-length: 90\r\n\r\n{',
+        ),
+      ];
+      await Promise.all(slow.map((socket) => waitForClose(socket)));
+      return true;
+    });
+    expect((await bench.submit('entry-1', 'after-slow', 1, 30)).status).to.equal(200);
+  });
+});
+
+function waitForClose(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve());
+    socket.resume();
+  });
+}
