Late from the whole estimate on; of late jobs the least work first; a leaving dispatcher serves what will end before it

Dispatcher: when to give up a job and when to move a task are modules of their own with tests (findGiveUpReason, needsMove), unchanged in what they decide.

--- a/src/process/dispatcher/Backlog.ts
+++ b/src/process/dispatcher/Backlog.ts
@@ -1,9 +1,6 @@
 /** Tasks of one entry that wait for an agent, in order of rank. */
 import type { DispatchTask } from './dispatchJob.js';
 
-/** Part of its estimate that a task may need: estimates are rough, and some upstreams are faster than the typical. */
-const FAST_PART = 0.8;
-
 /** Waiting tasks. */
 export class Backlog {
   private readonly tasks: DispatchTask[] = [];
@@ -35,17 +32,17 @@
 
   /**
    * Tasks in order. First those that can still end in time, by rank: what is late already must not make others late.
-   * Then the others, those of jobs with the least left first: a job that lacks one task is answered soonest.
+   * Then the others, those of jobs with the least work left first, which are answered soonest.
    */
   list(now: number, typicalSpeed: number): DispatchTask[] {
     const inTime: DispatchTask[] = [];
     const late: DispatchTask[] = [];
     for (const task of this.tasks) {
-      const endsAt = now + (task.need.estimateMs * FAST_PART) / typicalSpeed;
+      const endsAt = now + task.need.estimateMs / typicalSpeed;
       (endsAt <= task.job.objectiveAt ? inTime : late).push(task);
     }
     if (late.length === 0) return inTime;
-    late.sort((left, right) => left.job.left - right.job.left);
+    late.sort((left, right) => sumWorkLeft(left) - sumWorkLeft(right));
     return [...inTime, ...late];
   }
 
@@ -59,3 +56,8 @@
     return work;
   }
 }
+
+/** Work that a task's job lacks, in thousandths of a core times ms, if its tasks are alike. */
+function sumWorkLeft({ job, need }: DispatchTask): number {
+  return job.left * need.resources.cpuMilli * need.estimateMs;
+}
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -19,16 +19,10 @@
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
 import { AgentView, buildAgentId } from './AgentView.js';
 import { Backlog } from './Backlog.js';
-import {
-  buildAttemptName,
-  createDispatchJob,
-  findChainMs,
-  findTask,
-  isOut,
-  stepTask,
-} from './dispatchJob.js';
+import { buildAttemptName, createDispatchJob, findTask, isOut, stepTask } from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
-import { SLOW_SHARE } from './Placement.js';
+import { ANSWER_MARGIN_MS, findGiveUpReason } from './findGiveUpReason.js';
+import { needsMove } from './needsMove.js';
 import type { Placement, PlacementContext } from './Placement.js';
 
 /** Age of a ping, in ping intervals, from which on an agent gets nothing new. */
@@ -41,28 +35,13 @@
 /** Pause after an agent had no room, unless it tells its room before, ms. */
 const FULL_PAUSE_MS = 4;
 /** Time that an attempt takes which is not run, ms, until some were seen: an agent's wait for room and two ways. */
-const FIRST_BOUNCE_MS = 50;
+const FIRST_RETURN_MS = 50;
 /** Weight of the newest one in the mean. */
-const BOUNCE_WEIGHT = 0.1;
-/** A deadline is answered so long before the caller stops waiting, ms. */
-const ANSWER_MARGIN_MS = 25;
-/** When an upstream's tasks are moved: no progress for so long, and for this part of the estimate. */
-const STALL_MIN_MS = 160;
-const STALL_PART = 0.25;
-/** A move must save at least this, ms. */
-const MOVE_GAIN_MS = 60;
+const RETURN_WEIGHT = 0.1;
 /** Retry hint of a refusal, ms. */
 const RETRY_AFTER_MS = 1_000;
 /** Weight of one step of priority in the order, ms. */
 const PRIORITY_STEP_MS = 100;
-/** Part of the objective after which a job that was never offered is judged, as the users price it. */
-const JUDGE_PART = 0.2;
-/** An answer later than so many objectives is of no use to the users. */
-const USELESS_FACTOR = 3;
-/** Part of the estimated chain that a fast upstream may need. */
-const FAST_CHAIN_PART = 0.8;
-/** Part of a caller's patience after which a job that nobody could take is refused, so that it can go elsewhere. */
-const HELD_PART = 0.4;
 
 /** What the dispatcher has its process do. */
 export interface DispatchEffects {
@@ -96,7 +75,7 @@
   private readonly backlog = new Backlog();
   private median = 1;
   /** Mean time from sending a task to hearing that it was not run, ms. */
-  private bounceMs = FIRST_BOUNCE_MS;
+  private returnMs = FIRST_RETURN_MS;
   /** Attempts of all jobs: a job may be submitted again while results of its earlier attempts are on their way. */
   private attempts = 0;
 
@@ -235,7 +214,7 @@
     const agent = this.agents.get(agentId);
     if (agent && end === 'not-run') {
       agent.pausedUntil = now + FULL_PAUSE_MS;
-      this.bounceMs += BOUNCE_WEIGHT * (now - task.sentAt - this.bounceMs);
+      this.returnMs += RETURN_WEIGHT * (now - task.sentAt - this.returnMs);
     }
     if (agent && end !== 'not-run') agent.release(task.need.resources);
     this.settle(task, end, reason, now);
@@ -261,7 +240,10 @@
   tick(now: number): void {
     this.median = findMedianSpeed(this.agents.values());
     for (const agent of [...this.agents.values()]) this.expireAgent(agent, now);
-    for (const job of [...this.jobs.values()]) if (!job.answered) this.judge(job, now);
+    for (const job of [...this.jobs.values()]) {
+      const reason = job.answered ? undefined : findGiveUpReason(job, now, this.typicalSpeed);
+      if (reason !== undefined) this.giveUp(job, reason, now);
+    }
     for (const [id, { deadlineAt, caller }] of [...this.successors]) {
       if (now < deadlineAt - ANSWER_MARGIN_MS) continue;
       this.successors.delete(id);
@@ -404,21 +386,6 @@
     this.admit(successor, now);
   }
 
-  /** Ends what nobody can wait for any more. */
-  private judge(job: DispatchJob, now: number): void {
-    if (now >= job.deadlineAt - ANSWER_MARGIN_MS) return this.giveUp(job, 'deadline', now);
-    if (job.begun || job.out > 0) return;
-    const waitedMs = now - job.arrivedAt;
-    const objectiveMs = job.objectiveAt - job.arrivedAt;
-    if (waitedMs < objectiveMs * JUDGE_PART) return;
-    const chainMs = findChainMs(job.submission.steps) / this.typicalSpeed;
-    const usefulUntil = Math.min(job.deadlineAt, job.arrivedAt + objectiveMs * USELESS_FACTOR);
-    if (now + chainMs * FAST_CHAIN_PART > usefulUntil) return this.giveUp(job, 'cannot-finish', now);
-    const patienceMs = job.deadlineAt - job.arrivedAt;
-    if (now > job.objectiveAt - chainMs && waitedMs > patienceMs * HELD_PART)
-      this.giveUp(job, 'no-room', now);
-  }
-
   /** A job that has not run is refused; one that may have is interrupted. */
   private giveUp(job: DispatchJob, reason: string, now: number): void {
     if (job.answered) return;
@@ -450,13 +417,8 @@
     const { name, percent, stalledMs } = progress;
     const task = this.findNamed(name);
     if (!task || task.phase !== 'sent' || task.attempt !== name.attempt || task.agent !== agent.id) return;
-    const estimateMs = task.need.estimateMs / this.typicalSpeed;
-    const isStalled = stalledMs > Math.max(STALL_MIN_MS, estimateMs * STALL_PART);
-    const speed = Math.max(agent.room?.speed ?? 1, this.typicalSpeed * 0.02);
-    const leftMs = (task.need.estimateMs * (1 - percent / 100)) / speed;
-    const isSlow = speed < this.typicalSpeed * SLOW_SHARE && leftMs > estimateMs + MOVE_GAIN_MS;
-    if ((!isStalled && !isSlow) || now + estimateMs > task.job.deadlineAt) return;
-    if (now + leftMs <= task.job.objectiveAt && !isStalled) return;
+    const speed = agent.room?.speed ?? 1;
+    if (!needsMove(task, progress, speed, this.typicalSpeed, now)) return;
     if (!this.hasOtherPlace(task, agent, now)) return;
     this.effects.log('move', {
       job: name.job,
@@ -475,8 +437,8 @@
   }
 
   private buildContext(now: number): PlacementContext {
-    const { typicalSpeed, staleMs, bounceMs } = this;
-    return { now, typicalSpeed, staleMs, bounceMs, nextRandom: this.options.nextRandom };
+    const { typicalSpeed, staleMs, returnMs } = this;
+    return { now, typicalSpeed, staleMs, returnMs, nextRandom: this.options.nextRandom };
   }
 
   private findNamed({ job: id, step, index }: AttemptResult['name']): DispatchTask | undefined {
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -29,6 +29,7 @@
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildAgentId } from './AgentView.js';
 import { Dispatcher } from './Dispatcher.js';
+import { findChainMs } from './dispatchJob.js';
 import type { DispatchJob } from './dispatchJob.js';
 import { buildDispatcherMetrics } from './dispatcherMetrics.js';
 import { SpeedPlacement } from './Placement.js';
@@ -38,8 +39,12 @@
 /** Between two messages about members to every peer, ms, and how many others are told in each. */
 const MEMBERS_MS = 4_000;
 const MEMBERS_TOLD = 12;
-/** How long a leaving entry still takes jobs, until the balancer has noticed, ms. */
+/** How long a leaving entry stays at least, until the balancer has noticed: two looks a second apart and a half, ms. */
 const NOTICE_MS = 2_500;
+/** Chains of a job's estimates that must fit before the end of a leaving entry: estimates are rough, and tasks wait. */
+const LEAVING_CHAIN_FACTOR = 2;
+/** Retry hint of an entry that ends, ms: the balancer has noticed by then. */
+const LEAVING_RETRY_MS = 1_000;
 /** Time kept from the grace period to answer what is left and end, ms. */
 const END_MARGIN_MS = 500;
 
@@ -165,7 +170,7 @@
     if (this.leavingAt !== undefined) return;
     const begun = this.clock.now();
     this.leavingAt = begun;
-    const endAt = begun + this.settings.graceSeconds * 1_000 - END_MARGIN_MS;
+    const endAt = this.findEndAt(begun);
     this.logger.info('leaving', { openJobs: this.dispatcher.openJobs });
     while (this.clock.now() < endAt) {
       if (this.dispatcher.openJobs === 0 && this.clock.now() > begun + NOTICE_MS) break;
@@ -183,15 +188,26 @@
   }
 
   submit(submission: JobSubmission, caller: Caller): void {
-    const { leavingAt } = this;
     const now = this.clock.now();
-    if (leavingAt !== undefined && now > leavingAt + NOTICE_MS) {
+    if (!this.canStillServe(submission, now)) {
       this.logger.info('refuse', { job: submission.id, reason: 'leaving' });
-      return caller.answer({ kind: 'refused', reason: 'leaving', retryAfterMs: 1_000 });
+      return caller.answer({ kind: 'refused', reason: 'leaving', retryAfterMs: LEAVING_RETRY_MS });
     }
     this.turn(() => this.dispatcher.submit(submission, caller, now));
   }
 
+  /** A leaving process serves what the balancer still sends as long as the job will probably end before the process. */
+  private canStillServe({ steps }: JobSubmission, now: number): boolean {
+    if (this.leavingAt === undefined) return true;
+    const chainMs = findChainMs(steps) / this.dispatcher.typicalSpeed;
+    return now + chainMs * LEAVING_CHAIN_FACTOR <= this.findEndAt(this.leavingAt);
+  }
+
+  /** When a process that has begun to leave answers what is open and ends. */
+  private findEndAt(leavingAt: number): number {
+    return leavingAt + this.settings.graceSeconds * 1_000 - END_MARGIN_MS;
+  }
+
   noteRejected(jobId: string, status: number, reason: string): void {
     this.metrics.increment('dispatcher_answers', { outcome: 'rejected', reason });
     this.logger.info('reject', { job: jobId, status, reason, version: this.exchange.version });
--- a/src/process/dispatcher/Placement.ts
+++ b/src/process/dispatcher/Placement.ts
@@ -20,7 +20,7 @@
   /** Age of a ping from which on an agent is not used, ms. */
   readonly staleMs: number;
   /** Time that a task loses at an agent that has no room for it any more, ms. */
-  readonly bounceMs: number;
+  readonly returnMs: number;
   readonly nextRandom: () => number;
 }
 
@@ -71,8 +71,8 @@
     const load = 1 - agent.free.cpuMilli / Math.max(1, room.capacity.cpuMilli);
     const again = task.avoid.has(agent.id) ? 2 : 1;
     const { estimateMs, resources } = task.need;
-    const bounce = (agent.estimateRisk(resources) * context.bounceMs * context.typicalSpeed) / estimateMs;
-    return slowness * far * again + bounce + LOAD_WEIGHT * load + JITTER * context.nextRandom();
+    const returnCost = (agent.estimateRisk(resources) * context.returnMs * context.typicalSpeed) / estimateMs;
+    return slowness * far * again + returnCost + LOAD_WEIGHT * load + JITTER * context.nextRandom();
   }
 }
 
--- /dev/null
+++ b/src/process/dispatcher/findGiveUpReason.test.ts
@@ -0,0 +1,38 @@
+import { expect } from 'chai';
+
+import { ROUTE, STEP } from '../../../test/fakes/dispatchFixtures.js';
+import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
+import { createDispatchJob } from './dispatchJob.js';
+import type { DispatchJob } from './dispatchJob.js';
+import { findGiveUpReason } from './findGiveUpReason.js';
+
+const PATIENCE_MS = 1_000;
+/** Objective of the job: 1.6 times its work and 60 ms; an answer is of use for three times that. */
+const USEFUL_MS = 3 * (STEP.estimateMs * ROUTE.stretch + ROUTE.targetLatencyMs);
+
+function createJob(): DispatchJob {
+  const submission = { id: 'job', route: ROUTE, spec: '', steps: [STEP], patienceMs: PATIENCE_MS };
+  return createDispatchJob(submission, new FakeCaller(), { now: 0, typicalSpeed: 1, priorityStepMs: 100 });
+}
+
+describe('findGiveUpReason', () => {
+  it('keeps a job that can still be of use', () => {
+    expect(findGiveUpReason(createJob(), 0, 1)).to.equal(undefined);
+    expect(findGiveUpReason(createJob(), 200, 1)).to.equal(undefined);
+  });
+
+  it('gives up a job that nobody could take for a good part of its patience', () => {
+    expect(findGiveUpReason(createJob(), PATIENCE_MS * 0.45, 1)).to.equal('no-room');
+  });
+
+  it('gives up a job whose answer would be of no use any more', () => {
+    expect(findGiveUpReason(createJob(), USEFUL_MS - STEP.estimateMs / 2, 1)).to.equal('cannot-finish');
+  });
+
+  it('keeps a job that has begun until its caller stops waiting', () => {
+    const job = createJob();
+    job.begun = true;
+    expect(findGiveUpReason(job, USEFUL_MS, 1)).to.equal(undefined);
+    expect(findGiveUpReason(job, PATIENCE_MS - 10, 1)).to.equal('deadline');
+  });
+});
