--- a/src/process/dispatcher/AgentView.test.ts
+++ b/src/process/dispatcher/AgentView.test.ts
@@ -11,7 +11,12 @@
 const CAPACITY = buildAmount(10_000);
 const NEED = buildAmount(1_000);
 
+const REPORT_MS = 100;
+let now = 0;
+
+/** Tells the room some time after it was told before. */
 function tellFree(view: AgentView, cpuMilli: number, startsSeen = 0, upstream = 'u1'): void {
+  now += REPORT_MS;
   const description = { upstream, service: 'service', labels: [], capacity: CAPACITY };
   const rest: Omit<RoomReport, 'description' | 'free'> = {
     state: 'ready',
@@ -19,7 +24,7 @@
     startsSeen,
     speed: 1,
   };
-  view.noteRoom({ description, free: buildAmount(cpuMilli), ...rest });
+  view.noteRoom({ description, free: buildAmount(cpuMilli), ...rest }, now);
 }
 
 describe('AgentView', () => {
@@ -34,15 +39,20 @@
   it('sees no risk where nobody else takes room', () => {
     view.reserve(NEED);
     tellFree(view, 9_000, 1);
-    expect(view.estimateRisk(NEED)).to.equal(0);
+    expect(view.estimateRisk(NEED, now + REPORT_MS)).to.equal(0);
   });
 
   it('sees a risk once others take room, the larger the less is left', () => {
     tellFree(view, 8_000);
-    const withMuch = view.estimateRisk(NEED);
+    const withMuch = view.estimateRisk(NEED, now + REPORT_MS);
     tellFree(view, 2_000);
     expect(withMuch).to.be.within(0, 0.5);
-    expect(view.estimateRisk(NEED)).to.be.greaterThan(withMuch);
+    expect(view.estimateRisk(NEED, now + REPORT_MS)).to.be.greaterThan(withMuch);
+  });
+
+  it('sees a larger risk the longer ago the room was told', () => {
+    tellFree(view, 8_000);
+    expect(view.estimateRisk(NEED, now + 1)).to.be.lessThan(view.estimateRisk(NEED, now + REPORT_MS));
   });
 
   it('does not take its own starts and ends for those of others', () => {
@@ -51,11 +61,11 @@
     tellFree(view, 8_000, 2);
     view.release(NEED);
     tellFree(view, 9_000, 2);
-    expect(view.estimateRisk(NEED)).to.equal(0);
+    expect(view.estimateRisk(NEED, now + REPORT_MS)).to.equal(0);
   });
 
   it('does not compare the rooms of two upstreams', () => {
     tellFree(view, 1_000, 0, 'u2');
-    expect(view.estimateRisk(NEED)).to.equal(0);
+    expect(view.estimateRisk(NEED, now + REPORT_MS)).to.equal(0);
   });
 });
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -18,8 +18,10 @@
   return `${agent}@${life}`;
 }
 
-/** Weight of the newest report in the mean of what others take between two reports. */
-const NEWEST_WEIGHT = 0.2;
+/** What is kept, with each report, of the earlier observations of what others take. */
+const KEPT_SHARE = 0.8;
+/** Time from sending a start until it takes room at the agent, ms: a way and a turn of the agent's loop. */
+const START_TRIP_MS = 3;
 
 /** An upstream and its room as last told. */
 export type AgentRoom = UpstreamDescription & Omit<RoomReport, 'description'>;
@@ -46,8 +48,11 @@
   private reserved: Resources = NO_RESOURCES;
   /** What attempts took that have ended since the room was last told. */
   private released: Resources = NO_RESOURCES;
-  /** Mean of the processor room that others have taken from one report to the next, thousandths of a core. */
-  private takenByOthers = 0;
+  /** Processor room that others took from one report to the next, thousandths of a core, and the time it took, ms. */
+  private taken = 0;
+  private observedMs = 0;
+  /** Our time of the newest report of room. */
+  private roomAt = 0;
 
   constructor(hello: AgentHello, now: number) {
     this.id = buildAgentId(hello);
@@ -82,7 +87,8 @@
   notePing(ping: Ping, now: number): void {
     this.heardAt = now;
     this.noteClock(ping.at, now);
-    if (ping.room) this.noteRoom(ping.room);
+    if (ping.room) this.noteRoom(ping.room, now);
+    else this.observe(0, now);
   }
 
   /** Takes the agent's clock from any message that has just come. */
@@ -92,7 +98,7 @@
   }
 
   /** Takes a room that is newer than the one known. */
-  noteRoom(room: RoomReport): void {
+  noteRoom(room: RoomReport, now: number): void {
     const { description = this.room, ...rest } = room;
     if (!description) return;
     const { upstream, service, labels, capacity } = description;
@@ -104,21 +110,28 @@
       const seen = this.unseen.shift();
       if (seen) this.reserved = subtractResources(this.reserved, seen.need);
     }
-    if (!isSame) return;
-    const taken = Math.max(0, freeBefore - this.free.cpuMilli);
-    this.takenByOthers += NEWEST_WEIGHT * (taken - this.takenByOthers);
+    if (isSame) this.observe(Math.max(0, freeBefore - this.free.cpuMilli), now);
+    this.roomAt = now;
+  }
+
+  private observe(taken: number, now: number): void {
+    this.taken = this.taken * KEPT_SHARE + taken;
+    this.observedMs = this.observedMs * KEPT_SHARE + (now - this.roomAt);
+    this.roomAt = now;
   }
 
   /**
    * Estimates how probable it is that others have taken the room meanwhile that a task needs: the less is left beyond
-   * the task, against what others take from one report to the next, the likelier.
+   * the task, against what others take in the time since the room was told, the likelier.
    *
    * @param need - of the task
+   * @param now - monotonic time, ms
    * @returns 0 to 1
    */
-  estimateRisk(need: Resources): number {
-    if (this.takenByOthers === 0) return 0;
-    return Math.exp(-Math.max(0, this.free.cpuMilli - need.cpuMilli) / this.takenByOthers);
+  estimateRisk(need: Resources, now: number): number {
+    if (this.taken === 0 || this.observedMs === 0) return 0;
+    const takenSince = (this.taken / this.observedMs) * (now - this.roomAt + START_TRIP_MS);
+    return Math.exp(-Math.max(0, this.free.cpuMilli - need.cpuMilli) / takenSince);
   }
 
   /** Takes room for a start that is sent now. */
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -128,6 +128,12 @@
     expect(bench.caller.answers).to.deep.equal([{ kind: 'failed', reason: 'attempts' }]);
   });
 
+  it('refuses at once, without a start, a job whose caller waits for less than its work takes', () => {
+    bench.submit(10, { patienceMs: 60 });
+    expect(bench.caller.answers.map(({ kind }) => kind)).to.deep.equal(['refused']);
+    expect(bench.starts).to.deep.equal([]);
+  });
+
   it('refuses at once a job that nobody has started and that cannot be done in time', () => {
     bench.ping('a@1', 0, { state: 'draining' });
     bench.submit(10, { patienceMs: 200, steps: [{ ...STEP, estimateMs: 190 }] });
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -204,7 +204,7 @@
     const agent = this.agents.get(agentId);
     if (!agent) return;
     agent.noteClock(at, now);
-    agent.noteRoom(room);
+    agent.noteRoom(room, now);
   }
 
   /** Takes the end of an attempt. */
@@ -240,10 +240,7 @@
   tick(now: number): void {
     this.median = findMedianSpeed(this.agents.values());
     for (const agent of [...this.agents.values()]) this.expireAgent(agent, now);
-    for (const job of [...this.jobs.values()]) {
-      const reason = job.answered ? undefined : findGiveUpReason(job, now, this.typicalSpeed);
-      if (reason !== undefined) this.giveUp(job, reason, now);
-    }
+    for (const job of [...this.jobs.values()]) this.reviewJob(job, now);
     for (const [id, { deadlineAt, caller }] of [...this.successors]) {
       if (now < deadlineAt - ANSWER_MARGIN_MS) continue;
       this.successors.delete(id);
@@ -274,7 +271,14 @@
     const job = createDispatchJob({ ...submission, patienceMs }, caller, timing);
     this.jobs.set(job.id, job);
     for (const task of job.tasks) if (task.phase === 'waiting') this.backlog.add(task);
-    if (job.left === 0) this.endJob(job, { kind: 'completed' }, now);
+    if (job.left === 0) return this.endJob(job, { kind: 'completed' }, now);
+    this.reviewJob(job, now);
+  }
+
+  /** Gives a job up if it cannot be served any more. */
+  private reviewJob(job: DispatchJob, now: number): void {
+    const reason = job.answered ? undefined : findGiveUpReason(job, now, this.typicalSpeed);
+    if (reason !== undefined) this.giveUp(job, reason, now);
   }
 
   private send(task: DispatchTask, agent: AgentView, now: number): void {
--- a/src/process/dispatcher/Placement.test.ts
+++ b/src/process/dispatcher/Placement.test.ts
@@ -18,7 +18,7 @@
   const view = new AgentView({ ...hello, holding: [], results: [], entryLife: '' }, 0);
   const description = { upstream: agent, service: 'service', labels: [rack], capacity: CAPACITY };
   const rest = { state: 'ready', trust: 'healthy', free: CAPACITY, startsSeen: 0, speed: 1 } as const;
-  view.noteRoom({ description, ...rest, ...change });
+  view.noteRoom({ description, ...rest, ...change }, 0);
   return view;
 }
 
--- a/src/process/dispatcher/Placement.ts
+++ b/src/process/dispatcher/Placement.ts
@@ -71,7 +71,8 @@
     const load = 1 - agent.free.cpuMilli / Math.max(1, room.capacity.cpuMilli);
     const again = task.avoid.has(agent.id) ? 2 : 1;
     const { estimateMs, resources } = task.need;
-    const returnCost = (agent.estimateRisk(resources) * context.returnMs * context.typicalSpeed) / estimateMs;
+    const returnCost =
+      (agent.estimateRisk(resources, context.now) * context.returnMs * context.typicalSpeed) / estimateMs;
     return slowness * far * again + returnCost + LOAD_WEIGHT * load + JITTER * context.nextRandom();
   }
 }
--- a/src/process/dispatcher/findGiveUpReason.test.ts
+++ b/src/process/dispatcher/findGiveUpReason.test.ts
@@ -32,7 +32,15 @@
   it('keeps a job that has begun until its caller stops waiting', () => {
     const job = createJob();
     job.begun = true;
-    expect(findGiveUpReason(job, USEFUL_MS, 1)).to.equal(undefined);
+    for (const task of job.tasks) task.phase = 'sent';
+    expect(findGiveUpReason(job, PATIENCE_MS - 50, 1)).to.equal(undefined);
     expect(findGiveUpReason(job, PATIENCE_MS - 10, 1)).to.equal('deadline');
   });
+
+  it('gives up a job, begun or not, of which a task waits that cannot end before its caller stops waiting', () => {
+    const job = createJob();
+    job.begun = true;
+    expect(findGiveUpReason(job, PATIENCE_MS - 120, 1)).to.equal(undefined);
+    expect(findGiveUpReason(job, PATIENCE_MS - 100, 1)).to.equal('cannot-finish');
+  });
 });
--- a/src/process/dispatcher/findGiveUpReason.ts
+++ b/src/process/dispatcher/findGiveUpReason.ts
@@ -16,8 +16,24 @@
 export type GiveUpReason = 'deadline' | 'cannot-finish' | 'no-room';
 
 /**
- * Finds whether a job is to be given up: because its caller stops waiting, or because nothing of it runs and its answer
- * would come too late to be of use.
+ * Tells whether the tasks that wait for an agent may still end by a time, at a fast upstream.
+ *
+ * @param job - the job
+ * @param until - monotonic time, ms
+ * @param now - monotonic time, ms
+ * @param typicalSpeed - work per ms of the upstreams, in ms of estimates
+ * @returns false if the job cannot be completed by then
+ */
+function canEndBefore(job: DispatchJob, until: number, now: number, typicalSpeed: number): boolean {
+  const fastSpeed = typicalSpeed / FAST_CHAIN_PART;
+  return job.tasks.every(
+    ({ phase, need }) => phase !== 'waiting' || now + need.estimateMs / fastSpeed <= until,
+  );
+}
+
+/**
+ * Finds whether a job is to be given up: because its caller stops waiting, now or before it can end, or because nothing
+ * of it runs and its answer would come too late to be of use.
  *
  * @param job - a job that was not answered
  * @param now - monotonic time, ms
@@ -29,15 +45,18 @@
   now: number,
   typicalSpeed: number,
 ): GiveUpReason | undefined {
-  const { arrivedAt, objectiveAt, deadlineAt } = job;
-  if (now >= deadlineAt - ANSWER_MARGIN_MS) return 'deadline';
+  const { arrivedAt, objectiveAt } = job;
+  const answerBy = job.deadlineAt - ANSWER_MARGIN_MS;
+  if (now >= answerBy) return 'deadline';
+  if (!canEndBefore(job, answerBy, now, typicalSpeed)) return 'cannot-finish';
   if (job.begun || job.out > 0) return undefined;
+  const chainMs = findChainMs(job.submission.steps) / typicalSpeed;
+  const endsAt = now + chainMs * FAST_CHAIN_PART;
+  if (endsAt > answerBy) return 'cannot-finish';
   const waitedMs = now - arrivedAt;
   const objectiveMs = objectiveAt - arrivedAt;
   if (waitedMs < objectiveMs * JUDGE_PART) return undefined;
-  const chainMs = findChainMs(job.submission.steps) / typicalSpeed;
-  const usefulUntil = Math.min(deadlineAt, arrivedAt + objectiveMs * USELESS_FACTOR);
-  if (now + chainMs * FAST_CHAIN_PART > usefulUntil) return 'cannot-finish';
+  if (endsAt > arrivedAt + objectiveMs * USELESS_FACTOR) return 'cannot-finish';
   const isLate = now > objectiveAt - chainMs;
-  return isLate && waitedMs > (deadlineAt - arrivedAt) * HELD_PART ? 'no-room' : undefined;
+  return isLate && waitedMs > (job.deadlineAt - arrivedAt) * HELD_PART ? 'no-room' : undefined;
 }
