--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -120,6 +120,20 @@
     expect(bench.session.free.cpuMilli).to.equal(1_000);
   });
 
+  it('asks an upstream that answers nothing to stop a task no more often than it takes to doubt it', async () => {
+    await bench.start();
+    bench.upstream.taskMs = 5_000;
+    bench.session.offer(buildOrder(0), 'entry');
+    await bench.clock.advance(50);
+    bench.upstream.silent = true;
+    bench.session.stopAll('test');
+    await bench.clock.advance(400);
+    expect(bench.upstream.stops).to.be.lessThan(4);
+    bench.upstream.silent = false;
+    await bench.clock.advance(400);
+    expect(bench.results).to.have.length(1);
+  });
+
   it('says that a withdrawn start has not run once the upstream has confirmed it', async () => {
     await bench.start();
     bench.upstream.fates.push('lost', 'lost', 'lost', 'lost');
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -41,6 +41,8 @@
 
 /** Pause before a stop that was accepted is sent again, as its end was not listed, ms. */
 const STOP_PAUSE_MS = 120;
+/** Pause between two looks whether a silent upstream answers again, ms: short against the lease of a task. */
+const ANSWER_LOOK_MS = 40;
 /** Pause before an order is repeated, ms. */
 const REPEAT_PAUSE_MS = 15;
 /** Pause between two looks at an upstream that is out of reach, ms. */
@@ -437,8 +439,13 @@
     void this.sendStop(task);
   }
 
+  /** Repeats a stop until its end is listed; an upstream that answers nothing is asked again once it answers. */
   private async sendStop(task: LocalTask): Promise<void> {
     while (task.phase === 'stopping' && !this.closed) {
+      if (!this.calls.isAnswering) {
+        await this.clock.sleep(ANSWER_LOOK_MS);
+        continue;
+      }
       try {
         const verdict = await this.calls.stop(buildRunName(task));
         if (verdict === 'accepted') task.stopAcceptedAt ??= this.clock.now();
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -34,6 +34,8 @@
   readonly ended: EndedRun[] = [];
   /** Starts that took effect. */
   starts = 0;
+  /** Calls to stop a task. */
+  stops = 0;
   /** Time that a task takes, ms. */
   taskMs = 100;
   /** Whether tasks make progress. */
@@ -98,6 +100,7 @@
     fencingToken: number,
     timeoutMs: number,
   ): Promise<OrderAnswer<StopVerdict>> {
+    this.stops += 1;
     const fate = await this.travel(timeoutMs);
     if (fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
     if (fate !== 'lost') this.applyStop(name);
