--- a/test/hostileCallers.test.ts
+++ b/test/hostileCallers.test.ts
@@ -110,10 +110,11 @@
     });
   }
 
-  it('closes a connection whose header never ends, and one whose body never does', async () => {
+  it('closes a connection that says nothing, one whose header never ends, and one whose body never does', async () => {
     bench.putConfiguration(['/q/'], { header_timeout_ms: 400, idle_timeout_ms: 400 });
     await bench.waitFor(async () => {
       const slow = [
+        bench.openCaller('entry-1', ''),
         bench.openCaller('entry-1', 'POST /q/slow HTTP/1.1\r\nhost: a.example\r\n'),
         bench.openCaller(
           'entry-1',
