--- /dev/null
+++ b/src/process/executor/EntryLinks.test.ts
@@ -0,0 +1,119 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { expect } from 'chai';
+
+import { SteadyClock } from '../../_lib/Clock.js';
+import type { LineChannel } from '../../connection/peer/LineChannel.js';
+import { PeerListener } from '../../connection/peer/PeerListener.js';
+import type { AgentHello, PeerMessage, Ping, RoomReport } from '../../connection/peer/peerMessages.js';
+import { NO_RESOURCES } from '../../request/dispatch/resources.js';
+import { createLogger } from '../logger.js';
+import type { AgentCore } from './AgentCore.js';
+import { EntryLinks } from './EntryLinks.js';
+
+const HOST = '127.0.0.1';
+/** So long that only the first ping of a link is ever due here. */
+const PING_MS = 600_000;
+/** Longer than a change of room is ever held back where it is told at all. */
+const QUIET_MS = 150;
+
+const ROOM: RoomReport = {
+  description: undefined,
+  state: 'ready',
+  trust: 'healthy',
+  free: NO_RESOURCES,
+  startsSeen: 0,
+  speed: 1,
+};
+const HELLO: AgentHello = {
+  type: 'agent-hello',
+  agent: 'a1',
+  life: '1',
+  failureDomain: 'x',
+  holding: [],
+  results: [],
+  entryLife: '',
+  orphanMs: 1_000,
+};
+const FIRST_PING: Ping = { type: 'ping', at: 0, version: -1, room: ROOM, progress: undefined };
+
+/** What the links ask of the agent's decisions. */
+function createCore(noteEcho: () => void): AgentCore {
+  const core = {
+    buildHello: () => HELLO,
+    buildPing: () => FIRST_PING,
+    noteWelcome: () => undefined,
+    noteEcho,
+    takeRoomChange: () => ROOM,
+  };
+  return core as unknown as AgentCore;
+}
+
+describe('EntryLinks', () => {
+  let listener: PeerListener;
+  let links: EntryLinks;
+  let entry: LineChannel;
+  let received: string[];
+  let wake: () => void;
+
+  function note(what: string): void {
+    received.push(what);
+    wake();
+  }
+
+  /** Waits until the entry has received a message of a type, or the agent an echo. */
+  async function waitFor(type: string): Promise<void> {
+    while (!received.includes(type)) await new Promise<void>((resolve) => (wake = resolve));
+  }
+
+  function receive(channel: LineChannel, { type }: PeerMessage): void {
+    entry = channel;
+    note(type);
+    if (type !== 'agent-hello') return;
+    const place = { address: `${HOST}:1`, failureDomain: 'x' };
+    channel.send({ type: 'entry-welcome', entry: 'e1', life: 'e1@1', place });
+  }
+
+  beforeEach(async () => {
+    received = [];
+    wake = () => undefined;
+    listener = new PeerListener({ receive, close: () => undefined });
+    const linkPort = await listener.start(HOST, 0);
+    const options = { agent: 'a1', maxLinks: 6, linkPort, pingMs: PING_MS };
+    const logger = createLogger('a1@1', 'silent', () => undefined);
+    const core = createCore(() => note('echo'));
+    links = new EntryLinks(options, core, new SteadyClock(), logger, () => 0.5);
+    links.noteSeeds([`${HOST}:1`]);
+    await waitFor('ping');
+  });
+
+  afterEach(async () => {
+    links.stop();
+    await listener.stop();
+  });
+
+  it('tells room at once to an entry at which tasks wait', async () => {
+    entry.send({ type: 'demand' });
+    await waitFor('room');
+    received.length = 0;
+    links.scheduleRoom();
+    await waitFor('room');
+  });
+
+  it('leaves room to the next ping where no tasks wait', async () => {
+    links.scheduleRoom();
+    await sleep(QUIET_MS);
+    expect(received).to.not.include('room');
+  });
+
+  it('learns from an echo that no tasks wait any more', async () => {
+    entry.send({ type: 'demand' });
+    await waitFor('room');
+    entry.send({ type: 'pong', at: 0, version: -1, typicalSpeed: 1, isWaiting: false });
+    await waitFor('echo');
+    received.length = 0;
+    links.scheduleRoom();
+    await sleep(QUIET_MS);
+    expect(received).to.not.include('room');
+  });
+});
