marblehall report: what dispatchers' logs show of a span of time, by queue and window

It reads lines as explain does (readLogFiles serves both); percentiles by hdr-histogram-js. A picture and the cause of each late job by parts are not there yet.

--- a/src/bin/commands/explain.ts
+++ b/src/bin/commands/explain.ts
@@ -1,9 +1,8 @@
-import { readFile } from 'node:fs/promises';
-
 import type { CAC } from 'cac';
 
-import { explainJob, parseLogLine } from '../../process/explain/explainJob.js';
+import { explainJob } from '../../process/explain/explainJob.js';
 import { EXIT_FAILED } from '../exitCodes.js';
+import { readLogFiles } from '../readLogFiles.js';
 
 /**
  * Adds `explain`.
@@ -14,9 +13,7 @@
   cli
     .command('explain <job> <...files>', 'Put the log lines of a job in order and name the cause of its end')
     .action(async (job: string, files: string[]) => {
-      const texts = await Promise.all(files.map((file) => readFile(file, 'utf8')));
-      const lines = texts.flatMap((text) => text.split('\n')).flatMap((text) => parseLogLine(text) ?? []);
-      const explanation = explainJob(String(job), lines);
+      const explanation = explainJob(String(job), await readLogFiles(files));
       for (const { time, process, event, fields } of explanation.lines) {
         console.log(`${time.toFixed(3)} ${process} ${event} ${JSON.stringify(fields)}`);
       }
