--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -104,12 +104,21 @@
     expect([...bench.starts.values()].filter((count) => count !== 1)).to.deep.equal([]);
   });
 
-  it('stop what a caller has left', async () => {
-    const left = bench.submit('entry-1', 'left', 4, 5_000, 400);
+  it('stop what a caller has left, though its work was expected to be done by then', async () => {
+    const step = { count: 4, cpu: 1_000, mem_mb: 10, estimate_ms: 10 };
+    const body = { spec: '60000', steps: [step], best_effort: true };
+    const left = bench.post('entry-1', '/q/left', body, 3_000);
+    await bench.waitFor(() => bench.starts.size === 4);
     expect((await left).status).to.equal(504);
     await bench.waitFor(() => [...bench.atWork.values()].every((count) => count === 0));
   });
 
+  it('refuse at once, and never start, what takes longer than its caller waits', async () => {
+    const refused = await bench.submit('entry-1', 'too-long', 4, 60_000, 3_000);
+    expect([refused.status, refused.retryAfter]).to.deep.equal([503, '1']);
+    expect(bench.starts.size).to.equal(0);
+  });
+
   it('give a restarted entry the configuration while the store is out', async () => {
     bench.store.fault = 'busy';
     bench.signal('entry-1', 'SIGKILL');
