--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -50,6 +50,8 @@
   readonly doubled: string[] = [];
   /** Tasks that were started beyond their runner's room. */
   readonly beyondRoom: string[] = [];
+  /** Settings of daemons that are not those of every test; to be set before the start. */
+  extraSettings: Readonly<Record<string, unknown>> = {};
   /** Daemons that are being started again. */
   readonly restarting = new Set<string>();
   /** Tasks at work by runner. */
@@ -136,6 +138,7 @@
       readyAddress: `${ip}:${ready}`,
       controlAddress: `${ip}:${control}`,
       storeAddress: this.storeAddress,
+      ...this.extraSettings,
     };
     await writeFile(settings, JSON.stringify(value));
     const role = id.startsWith('entry') ? 'dispatcher' : 'executor';
--- a/test/hostileCallers.test.ts
+++ b/test/hostileCallers.test.ts
@@ -6,6 +6,8 @@
 import { PlatformBench } from './fakes/PlatformBench.js';
 
 const TARGET_LATENCY_MS = 20_000;
+/** Callers that the dispatcher of the last tests takes at once. */
+const MAX_CONNECTIONS = 50;
 /** Work of the job that is open meanwhile, ms. */
 const VICTIM_MS = 600;
 
@@ -128,6 +130,44 @@
   });
 });
 
+describe('a dispatcher with more callers than it takes', function () {
+  this.timeout(120_000);
+  let bench: PlatformBench;
+
+  before(async () => {
+    bench = new PlatformBench(1, 1, TARGET_LATENCY_MS);
+    bench.extraSettings = { maxConnections: MAX_CONNECTIONS };
+    await bench.start();
+  });
+
+  after(async () => {
+    await bench.stop();
+  });
+
+  it('closes those beyond its bound at once, and serves again when the idle ones have timed out', async () => {
+    bench.putConfiguration(['/q/'], { header_timeout_ms: 400, idle_timeout_ms: 400 });
+    const open = Array.from({ length: 4 * MAX_CONNECTIONS }, () => bench.openCaller('entry-1', ''));
+    await Promise.all(open.map((socket) => waitForClose(socket)));
+    expect((await bench.submit('entry-1', 'later', 1, 30)).body).to.equal('{"state":"completed"}');
+  });
+
+  it('refuses a job beyond the bound of open ones, and says when to come again', async () => {
+    bench.signal('entry-1', 'SIGKILL');
+    await bench.waitForExit('entry-1');
+    bench.extraSettings = { maxOpenJobs: 1 };
+    await bench.startDaemon('entry-1');
+    await bench.waitUntilReady('entry-1');
+    const caller = new AbortController();
+    void bench.submit('entry-1', 'open', 1, 15_000, 20_000, caller.signal);
+    await bench.waitFor(() => bench.starts.size > 1);
+    const refused = await bench.submit('entry-1', 'beyond', 1, 30);
+    expect([refused.status, refused.retryAfter]).to.deep.equal([503, '1']);
+    caller.abort();
+    await bench.waitFor(() => [...bench.atWork.values()].every((count) => count === 0));
+    expect([...bench.starts.keys()].some((task) => task.startsWith('beyond'))).to.equal(false);
+  });
+});
+
 function waitForClose(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
     socket.on('error', () => undefined);
