--- a/src/connection/peer/PeerDialer.ts
+++ b/src/connection/peer/PeerDialer.ts
@@ -24,8 +24,6 @@
   socket: Socket | undefined;
   retryMs: number;
   timer: NodeJS.Timeout | undefined;
-  /** When dialing began to fail, ms of the monotonic clock; undefined while linked. */
-  failingSince: number | undefined;
 }
 
 /** Dials peers. */
@@ -36,7 +34,6 @@
   constructor(
     private readonly events: DialerEvents,
     private readonly nextRandom: () => number,
-    private readonly now: () => number,
   ) {}
 
   /** Addresses that are kept, linked or not. */
@@ -52,7 +49,6 @@
       socket: undefined,
       retryMs: FIRST_RETRY_MS,
       timer: undefined,
-      failingSince: this.now(),
     };
     this.peers.set(address, peer);
     this.dial(address, peer);
@@ -68,12 +64,6 @@
     peer.channel?.close('forgotten');
   }
 
-  /** How long an address could not be reached, ms; 0 while it is linked. */
-  findSilence(address: string): number {
-    const since = this.peers.get(address)?.failingSince;
-    return since === undefined ? 0 : this.now() - since;
-  }
-
   /** Ends all channels. */
   stop(): void {
     this.stopped = true;
@@ -110,14 +100,12 @@
       receive: (message) => this.events.receive(address, message),
       close: (reason) => {
         peer.channel = undefined;
-        peer.failingSince = this.now();
         this.events.close(address, reason);
         if (this.peers.get(address) === peer) this.scheduleDial(address, peer);
       },
     });
     peer.channel = channel;
     peer.retryMs = FIRST_RETRY_MS;
-    peer.failingSince = undefined;
     this.events.open(address, channel);
   }
 
--- a/src/process/ConfigurationExchange.ts
+++ b/src/process/ConfigurationExchange.ts
@@ -10,7 +10,7 @@
 const ASK_AGAIN_MS = 150;
 
 /** Version that a process without a configuration tells. */
-export const NO_VERSION = -1;
+const NO_VERSION = -1;
 
 /** Takes a message to one peer. */
 export interface PeerChannel {
--- a/src/process/dispatcher/AgentView.test.ts
+++ b/src/process/dispatcher/AgentView.test.ts
@@ -68,4 +68,19 @@
     tellFree(view, 1_000, 0, 'u2');
     expect(view.estimateRisk(NEED, now + REPORT_MS)).to.equal(0);
   });
+
+  it('counts what others take from when the agent was met, also if its first ping tells no room', () => {
+    const hello = { agent: 'a2', life: '1', failureDomain: 'x', entryLife: '', orphanMs: 1_000 };
+    const ping = { type: 'ping', at: 0, version: 1, room: undefined, progress: undefined } as const;
+    const risks = [0, 60_000].map((metAt) => {
+      const late = new AgentView({ type: 'agent-hello', holding: [], results: [], ...hello }, metAt);
+      now = metAt;
+      late.notePing(ping, now);
+      tellFree(late, 10_000);
+      tellFree(late, 4_000);
+      return late.estimateRisk(NEED, now + REPORT_MS);
+    });
+    expect(risks[0]).to.be.greaterThan(0);
+    expect(risks[1]).to.be.closeTo(risks[0] ?? 0, 0.001);
+  });
 });
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -54,8 +54,8 @@
   /** Processor room that others took from one report to the next, thousandths of a core, and the time it took, ms. */
   private taken = 0;
   private observedMs = 0;
-  /** Our time of the newest report of room. */
-  private roomAt = 0;
+  /** Our time of the newest report of room; at first, when the agent was met. */
+  private roomAt: number;
 
   constructor(hello: AgentHello, now: number) {
     this.id = buildAgentId(hello);
@@ -63,6 +63,7 @@
     this.failureDomain = hello.failureDomain;
     this.orphanMs = hello.orphanMs;
     this.heardAt = now;
+    this.roomAt = now;
   }
 
   /** What can be sent there now. */
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -123,7 +123,6 @@
         close: () => undefined,
       },
       nextRandom,
-      () => this.clock.now(),
     );
   }
 
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 
 import { SteadyClock } from '../../_lib/Clock.js';
+import type { Clock } from '../../_lib/Clock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
 import type { AgentHello, PeerMessage, Ping, RoomReport } from '../../connection/peer/peerMessages.js';
@@ -55,6 +56,8 @@
   let entry: LineChannel;
   let received: string[];
   let wake: () => void;
+  /** Time that the agent's clock is ahead of the steady one, ms. */
+  let skippedMs: number;
 
   function note(what: string): void {
     received.push(what);
@@ -76,13 +79,16 @@
 
   beforeEach(async () => {
     received = [];
+    skippedMs = 0;
     wake = () => undefined;
     listener = new PeerListener({ receive, close: () => undefined });
     const linkPort = await listener.start(HOST, 0);
     const options = { agent: 'a1', maxLinks: 6, linkPort, pingMs: PING_MS };
     const logger = createLogger('a1@1', 'silent', () => undefined);
     const core = createCore(() => note('echo'));
-    links = new EntryLinks(options, core, new SteadyClock(), logger, () => 0.5);
+    const steady = new SteadyClock();
+    const clock: Clock = { now: () => steady.now() + skippedMs, sleep: (ms) => steady.sleep(ms) };
+    links = new EntryLinks(options, core, clock, logger, () => 0.5);
     links.noteSeeds([`${HOST}:1`]);
     await waitFor('ping');
   });
@@ -116,4 +122,21 @@
     await sleep(QUIET_MS);
     expect(received).to.not.include('room');
   });
+
+  it('dials anew what has been silent on an open connection for longer than an echo ever takes', async () => {
+    received.length = 0;
+    skippedMs = 2_000;
+    links.keep();
+    await waitFor('agent-hello');
+  });
+
+  it('keeps a connection whose entry has answered of late', async () => {
+    skippedMs = 2_000;
+    entry.send({ type: 'pong', at: 0, version: -1, typicalSpeed: 1, isWaiting: false });
+    await waitFor('echo');
+    received.length = 0;
+    links.keep();
+    await sleep(QUIET_MS);
+    expect(received).to.not.include('agent-hello');
+  });
 });
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -19,8 +19,13 @@
  * Age of the newest ping, in ping intervals, from which on one is due; less than 1, as looks at it are some ms apart.
  */
 const PING_DUE = 0.9;
-/** A link that has been without an echo for so long is dialed anew, ms: its peer may be gone without a word. */
-const SILENT_LINK_MS = 6_000;
+/**
+ * A link that has been without an echo for so long is dialed anew, ms: its peer may be gone without a word, or the
+ * connection may carry nothing any more while new ones do. Longer than the second after which another entry is linked to
+ * in its place, and three times the age of an echo after which nothing of the entry is left here; a frozen peer costs
+ * one connection in this time.
+ */
+const SILENT_LINK_MS = 1_500;
 
 /** Parameters of the links. */
 export interface EntryLinksOptions {
@@ -73,7 +78,7 @@
       receive: (address: string, message: PeerMessage) => this.receive(address, message),
       close: (address: string, reason: string) => this.closeLink(address, reason),
     };
-    this.dialer = new PeerDialer(events, nextRandom, () => clock.now());
+    this.dialer = new PeerDialer(events, nextRandom);
   }
 
   /** Takes the machines that the settings name, `host:port`; only the host is used. */
