--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -39,6 +39,8 @@
   readonly startsSeen: number;
   /** Work done per ms of run time, in ms of the callers' estimates; 1 where estimates are exact. */
   readonly speed: number;
+  /** Whether the addressed entry is the one that the agent prefers; undefined for no. */
+  readonly isHome?: boolean | undefined;
 }
 
 /** Progress of a running attempt. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -49,7 +49,7 @@
     startsSeen: COUNT,
     speed: { type: 'number', minimum: 0 },
   },
-  { description: DESCRIPTION },
+  { description: DESCRIPTION, isHome: { type: 'boolean' } },
 );
 const START_TASK = buildObject({
   step: COUNT,
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -72,6 +72,11 @@
     return subtractResources(told, this.reserved);
   }
 
+  /** Whether the agent prefers this dispatcher to others: each agent prefers one. */
+  get isHome(): boolean {
+    return this.room?.isHome === true;
+  }
+
   /** Starts that are on their way. */
   get unseenStarts(): number {
     return this.unseen.length;
--- a/src/process/dispatcher/Placement.test.ts
+++ b/src/process/dispatcher/Placement.test.ts
@@ -7,7 +7,7 @@
 import { AgentView } from './AgentView.js';
 import { createDispatchJob } from './dispatchJob.js';
 import type { DispatchTask } from './dispatchJob.js';
-import { GroupedPlacement, SpeedPlacement } from './Placement.js';
+import { GroupedPlacement, HomePlacement, SpeedPlacement } from './Placement.js';
 
 const FAR_FACTOR = 3;
 const CAPACITY = { cpuMilli: 16_000, memoryMb: 1_000, gpus: 0 };
@@ -106,3 +106,32 @@
     expect(placement.choose(createTask(''), agents, { ...CONTEXT, nextRandom })).not.to.equal(undefined);
   });
 });
+
+describe('HomePlacement', () => {
+  const placement = new HomePlacement(FAR_FACTOR);
+  const nextRandom = createRandom(3);
+  const half = { cpuMilli: 8_000, memoryMb: 1_000, gpus: 0 };
+  const none = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+
+  /** Many agents, of which one prefers the dispatcher. */
+  function createAgents(home: Partial<RoomReport>): AgentView[] {
+    return Array.from({ length: 35 }, (_, at) =>
+      createAgent(`a${at}`, 'r1', at === 7 ? { isHome: true, ...home } : {}),
+    );
+  }
+
+  it('chooses the agent that prefers this dispatcher, though others are emptier', () => {
+    const agents = createAgents({ free: half });
+    for (let round = 0; round < 50; round += 1) {
+      expect(placement.choose(createTask(''), agents, { ...CONTEXT, nextRandom })?.agent).to.equal('a7');
+    }
+  });
+
+  it('goes elsewhere when that agent is full or slow', () => {
+    for (const change of [{ free: none }, { speed: 0.7 }]) {
+      const chosen = placement.choose(createTask(''), createAgents(change), { ...CONTEXT, nextRandom });
+      expect(chosen?.agent).to.not.equal('a7');
+      expect(chosen).to.not.equal(undefined);
+    }
+  });
+});
--- a/src/process/dispatcher/Placement.ts
+++ b/src/process/dispatcher/Placement.ts
@@ -13,9 +13,15 @@
 const JITTER = 0.1;
 /**
  * How much costlier, in parts of a task's time, another agent may be than the one that has just got a task of the same
- * job. Tasks that start together at one upstream share a message there, and most of them one answer with their ends.
+ * job: tasks that go to one agent together share a message, of which the job's text is most.
  */
 const TOGETHER_WORTH = 0.2;
+/**
+ * How much costlier, in parts of a task's time, an agent is that prefers another dispatcher: as much as an agent's whole
+ * load, so that those that prefer this one are filled first unless they are slower by about a quarter. Most of an agent's
+ * room is then asked for by one dispatcher only, which knows what it has sent there, and fewer starts come back.
+ */
+const AWAY_COST = LOAD_WEIGHT;
 
 /** What a placement may know besides the agents. */
 export interface PlacementContext {
@@ -51,26 +57,35 @@
     context: PlacementContext,
   ): AgentView | undefined {
     const all = [...agents];
-    const first = this.findFirst(task, all);
+    let best: AgentView | undefined;
+    let bestCost = Infinity;
+    const compare = (agent: AgentView): void => {
+      const cost = this.measureCost(task, agent, context) + this.measurePreference(task, agent);
+      if (cost < bestCost) [best, bestCost] = [agent, cost];
+    };
+    for (const agent of all)
+      if (this.isPreferred(task, agent) && isUsable(task, agent, context)) compare(agent);
     // Data are in few places: those must not be passed over.
     const mostCompared = task.need.preferredRack === '' ? MAX_COMPARED : all.length;
     const start = Math.floor(context.nextRandom() * all.length);
-    let best = first && isUsable(task, first, context) ? first : undefined;
-    let bestCost = best ? this.measureCost(task, best, context) - TOGETHER_WORTH : Infinity;
     let compared = 0;
     for (let step = 0; step < all.length && compared < mostCompared; step += 1) {
       const agent = all[(start + step) % all.length];
-      if (!agent || !isUsable(task, agent, context)) continue;
+      if (!agent || this.isPreferred(task, agent) || !isUsable(task, agent, context)) continue;
       compared += 1;
-      const cost = this.measureCost(task, agent, context);
-      if (cost < bestCost) [best, bestCost] = [agent, cost];
+      compare(agent);
     }
     return best;
   }
 
-  /** Finds the agent that is preferred to others of about its cost; none here. */
-  protected findFirst(_task: DispatchTask, _agents: readonly AgentView[]): AgentView | undefined {
-    return undefined;
+  /** Whether an agent is always compared; none here. */
+  protected isPreferred(_task: DispatchTask, _agent: AgentView): boolean {
+    return false;
+  }
+
+  /** What is added to the cost of an agent, in parts of the task's time; nothing here. */
+  protected measurePreference(_task: DispatchTask, _agent: AgentView): number {
+    return 0;
   }
 
   private measureCost(task: DispatchTask, agent: AgentView, context: PlacementContext): number {
@@ -90,13 +105,29 @@
 
 /** As `SpeedPlacement`, and tasks of one job that start together go to few agents. */
 export class GroupedPlacement extends SpeedPlacement {
-  protected override findFirst(
-    { job, avoid }: DispatchTask,
-    agents: readonly AgentView[],
-  ): AgentView | undefined {
-    if (job.lastAgent === '' || avoid.has(job.lastAgent)) return undefined;
-    return agents.find(({ id }) => id === job.lastAgent);
+  protected override isPreferred(task: DispatchTask, agent: AgentView): boolean {
+    return hasFellow(task, agent);
+  }
+
+  protected override measurePreference(task: DispatchTask, agent: AgentView): number {
+    return hasFellow(task, agent) ? -TOGETHER_WORTH : 0;
+  }
+}
+
+/** As `GroupedPlacement`, and agents that prefer this dispatcher come first. */
+export class HomePlacement extends GroupedPlacement {
+  protected override isPreferred(task: DispatchTask, agent: AgentView): boolean {
+    return agent.isHome || super.isPreferred(task, agent);
   }
+
+  protected override measurePreference(task: DispatchTask, agent: AgentView): number {
+    return super.measurePreference(task, agent) + (agent.isHome ? 0 : AWAY_COST);
+  }
+}
+
+/** Whether the agent got the newest start of the task's job, and has not failed the task itself. */
+function hasFellow({ job, avoid }: DispatchTask, { id }: AgentView): boolean {
+  return job.lastAgent === id && !avoid.has(id);
 }
 
 function isUsable(
--- a/src/process/dispatcher/createPlacement.ts
+++ b/src/process/dispatcher/createPlacement.ts
@@ -1,5 +1,5 @@
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
-import { GroupedPlacement, SpeedPlacement } from './Placement.js';
+import { GroupedPlacement, HomePlacement, SpeedPlacement } from './Placement.js';
 import type { Placement } from './Placement.js';
 
 /**
@@ -12,5 +12,6 @@
   placement,
   farFactor,
 }: Pick<DispatchSettings, 'placement' | 'farFactor'>): Placement {
-  return placement === 'spread' ? new SpeedPlacement(farFactor) : new GroupedPlacement(farFactor);
+  if (placement === 'spread') return new SpeedPlacement(farFactor);
+  return placement === 'grouped' ? new GroupedPlacement(farFactor) : new HomePlacement(farFactor);
 }
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -64,6 +64,18 @@
     expect(core.takeRoomChange(ENTRY)).to.equal(undefined);
   });
 
+  it('tells the entry that it prefers, and only that one, with its room', () => {
+    const other = 'entry-2@1';
+    core.buildPing(ENTRY, VERSION);
+    core.buildPing(other, VERSION);
+    core.setHome(ENTRY);
+    expect(core.buildPing(ENTRY, VERSION).room?.isHome).to.equal(true);
+    expect(core.buildPing(other, VERSION).room).to.equal(undefined);
+    core.setHome(other);
+    expect(core.buildPing(ENTRY, VERSION).room?.isHome).to.equal(undefined);
+    expect(core.buildPing(other, VERSION).room?.isHome).to.equal(true);
+  });
+
   it('tells a new link everything', () => {
     core.buildPing(ENTRY, VERSION);
     core.noteWelcome(ENTRY, clock.now());
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -78,6 +78,8 @@
   private readonly proofs = new Map<string, EntryProof>();
   private readonly reportedAt = new Map<string, number>();
   private leaving = false;
+  /** Life of the entry that is preferred; empty for none. */
+  private homeLife = '';
 
   constructor(
     private readonly identity: {
@@ -136,6 +138,11 @@
     this.findProof(entryLife, -Infinity).isRetiring = isRetiring;
   }
 
+  /** Takes the life of the entry that is preferred to others; empty for none. Entries hear of it with their room. */
+  setHome(entryLife: string): void {
+    this.homeLife = entryLife;
+  }
+
   /** Attempts that are held for an entry. */
   countHeld(entryLife: string): number {
     let held = 0;
@@ -218,7 +225,8 @@
   private buildRoom(entryLife: string): RoomReport & { readonly description: UpstreamDescription } {
     const { startsSeen, isRetiring } = this.findProof(entryLife, -Infinity);
     const session = this.findSession();
-    if (!session) return { ...ABSENT_ROOM, startsSeen };
+    const isHome = entryLife === this.homeLife ? true : undefined;
+    if (!session) return { ...ABSENT_ROOM, startsSeen, isHome };
     const { description, free } = session;
     return {
       description,
@@ -227,6 +235,7 @@
       free,
       startsSeen,
       speed: roundSpeed(session.readSpeed()),
+      isHome,
     };
   }
 
--- a/src/process/executor/EntryDirectory.test.ts
+++ b/src/process/executor/EntryDirectory.test.ts
@@ -82,4 +82,32 @@
     directory.noteMembers(PLACES.slice(0, 5), 0);
     expect(directory.chooseLinks(0).size).to.equal(5);
   });
+
+  it('prefers one entry of those that answer, and another while that one is silent', () => {
+    directory.noteMembers(PLACES, 0);
+    const wanted = directory.chooseLinks(0);
+    expect(directory.chooseHome(wanted, 0)).to.equal(undefined);
+    keepAlive(directory, wanted, 10);
+    const home = directory.chooseHome(wanted, 20) ?? '';
+    expect([...wanted]).to.include(home);
+    const others = [...wanted].filter((address) => address !== home);
+    keepAlive(directory, others, 1_100);
+    expect(others).to.include(directory.chooseHome(wanted, 1_200));
+    directory.noteAlive(home, 1_300);
+    expect(directory.chooseHome(wanted, 1_310)).to.equal(home);
+  });
+
+  it('has many agents prefer different entries', () => {
+    const homes = new Map<string, number>();
+    for (let agent = 0; agent < 70; agent += 1) {
+      const one = new EntryDirectory(`agent-${agent}`, MAX_LINKS);
+      one.noteMembers(PLACES, 0);
+      const wanted = one.chooseLinks(0);
+      keepAlive(one, wanted, 10);
+      const home = one.chooseHome(wanted, 20) ?? '';
+      homes.set(home, (homes.get(home) ?? 0) + 1);
+    }
+    expect(homes.size).to.equal(12);
+    for (const count of homes.values()) expect(count).to.be.within(1, 14);
+  });
 });
--- a/src/process/executor/EntryDirectory.ts
+++ b/src/process/executor/EntryDirectory.ts
@@ -106,6 +106,23 @@
     return wanted;
   }
 
+  /**
+   * Chooses the entry that this agent prefers to others: by rendezvous, of those that answer.
+   *
+   * @param addresses - of entries that are linked
+   * @param now - monotonic time, ms
+   * @returns its address, or undefined while none answers
+   */
+  chooseHome(addresses: Iterable<string>, now: number): string | undefined {
+    let best: KnownEntry | undefined;
+    for (const address of addresses) {
+      const entry = this.entries.get(address);
+      if (!entry || now - entry.aliveAt > SILENT_MS) continue;
+      if (!best || entry.weight > best.weight) best = entry;
+    }
+    return best?.place.address;
+  }
+
   private review(address: string, entry: KnownEntry, now: number): void {
     if (this.findSilence(address, now) > SILENT_MS) entry.restUntil = now + REST_MS;
     const isForgotten = !entry.isSeed && now - Math.max(entry.reportedAt, entry.aliveAt) > FORGET_MS;
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -44,6 +44,7 @@
     buildHello: () => HELLO,
     buildPing: () => FIRST_PING,
     noteWelcome: () => undefined,
+    setHome: () => undefined,
     noteEcho,
     takeRoomChange: () => ROOM,
   };
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -100,6 +100,7 @@
     const wanted = this.directory.chooseLinks(now);
     for (const address of wanted) this.dialer.keep(address);
     for (const address of this.dialer.addresses) this.review(address, wanted.has(address), now);
+    this.keepHome(now);
   }
 
   /** Pings the entries whose newest ping is old. */
@@ -142,6 +143,18 @@
     this.dialer.stop();
   }
 
+  /** Keeps to the entry that is preferred while it answers and its link is wanted. */
+  private keepHome(now: number): void {
+    const links = [...this.links.values()].filter(
+      ({ life, retiringSince }) => life !== '' && retiringSince === undefined,
+    );
+    const home = this.directory.chooseHome(
+      links.map(({ address }) => address),
+      now,
+    );
+    this.core.setHome(home === undefined ? '' : (this.links.get(home)?.life ?? ''));
+  }
+
   private review(address: string, isWanted: boolean, now: number): void {
     const link = this.links.get(address);
     if (!link) {
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -36,7 +36,7 @@
     maxLeaseMs: { type: 'number', minimum: 1, default: 1_000 },
     stopMs: { type: 'number', minimum: 0, default: 50 },
     farFactor: { type: 'number', minimum: 1, default: 1.5 },
-    placement: { type: 'string', enum: ['spread', 'grouped'], default: 'grouped' },
+    placement: { type: 'string', enum: ['spread', 'grouped', 'home'], default: 'home' },
     resubmitMs: { type: 'number', minimum: 1, default: 1_300 },
     maxConnections: { type: 'integer', minimum: 1, default: 3_000 },
     maxOpenJobs: { type: 'integer', minimum: 1, default: 4_000 },
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -1,8 +1,11 @@
 /** Settings of the daemons that serve jobs which live as long as their callers: dispatcher and executor. */
 import type { LogLevel } from './logLevel.js';
 
-/** Ways to choose agents: each task for itself, or tasks of a job together where that costs little. */
-export type PlacementKind = 'spread' | 'grouped';
+/**
+ * Ways to choose agents. `spread`: each task for itself; `grouped`: tasks of a job together where that costs little;
+ * `home`: and first at agents that prefer this dispatcher.
+ */
+export type PlacementKind = 'spread' | 'grouped' | 'home';
 
 /** Settings that both daemons share. Durations have their unit in the name. */
 export interface DispatchSettings {
