--- a/src/_lib/Clock.ts
+++ b/src/_lib/Clock.ts
@@ -9,7 +9,7 @@
   abstract sleep(ms: number): Promise<void>;
 }
 
-/** The clock of the machine. */
+/** The clock of the VM. */
 export class SteadyClock extends Clock {
   override now(): number {
     return performance.now();
--- a/src/_lib/readClock.ts
+++ b/src/_lib/readClock.ts
@@ -22,7 +22,7 @@
  *
  * @returns how far the wall clock is ahead after the correction, ms
  * @example
- * Math.abs(adjustClock()) < 1_000; // true on a machine whose clock is not being set
+ * Math.abs(adjustClock()) < 1_000; // true on a VM whose clock is not being set
  */
 export function adjustClock(): number {
   const ahead = Date.now() - readClock();
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -32,7 +32,7 @@
   /** Process id of the agent. */
   readonly agent: string;
   readonly maxLinks: number;
-  /** Port of the links between daemons, the same on every machine. */
+  /** Port of the links between daemons, the same on every VM. */
   readonly linkPort: number;
   /** Time between two pings of a link, ms. */
   readonly pingMs: number;
@@ -81,7 +81,7 @@
     this.dialer = new PeerDialer(events, nextRandom);
   }
 
-  /** Takes the machines that the settings name, `host:port`; only the host is used. */
+  /** Takes the VMs that the settings name, `host:port`; only the host is used. */
   noteSeeds(seeds: readonly string[]): void {
     const { linkPort } = this.options;
     const addresses = seeds.map((seed) => `${splitAddress(seed).host}:${linkPort}`);
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -7,7 +7,7 @@
 
 /** An upstream's clock may be this much slower than ours. */
 export const CLOCK_DRIFT = 0.02;
-/** Time for which an order may be on its way within one machine, and be carried out, ms. */
+/** Time for which an order may be on its way within one VM, and be carried out, ms. */
 const ORDER_MARGIN_MS = 15;
 
 /** Lease of one life of an upstream. */
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -11,13 +11,13 @@
 export interface DispatchSettings {
   readonly id: string;
   readonly failureDomain: string;
-  /** IP address of the machine. */
+  /** IP address of the VM. */
   readonly address: string;
   /** IP address under which other daemons reach a dispatcher, where that is not `address`; empty if it is. */
   readonly advertisedAddress: string;
-  /** Port of the links between daemons, the same on every machine. */
+  /** Port of the links between daemons, the same on every VM. */
   readonly linkPort: number;
-  /** Machines of some entries, `host:port`; only the host is used. Some may be gone. */
+  /** VMs of some entries, `host:port`; only the host is used. Some may be gone. */
   readonly seeds: readonly string[];
   /** Links of an executor to dispatchers while those that it has chosen live. */
   readonly maxLinks: number;
--- a/src/process/settings/readDispatchSettings.ts
+++ b/src/process/settings/readDispatchSettings.ts
@@ -59,5 +59,5 @@
   return [{ pointer: resubmitMs < shortest ? '/resubmitMs' : '/maxLeaseMs', message }];
 }
 
-/** Shortest lease that a busy machine can still renew in time, ms. */
+/** Shortest lease that a busy VM can still renew in time, ms. */
 const MIN_LEASE_MS = 200;
--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -40,7 +40,7 @@
 export interface RunnerIdentity {
   readonly id: string;
   readonly service: string;
-  /** `host:port` of the agent on its machine. */
+  /** `host:port` of the agent on its VM. */
   readonly control: string;
   readonly cpu: number;
   /** Gives the address to report for the one it listens at, both `host:port`; that itself by default. */
