--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -227,11 +227,12 @@
     this.backlog.prune();
     if (this.backlog.size === 0) return;
     const context = this.buildContext(now);
+    const agents = [...this.agents.values()];
     let smallestMissed = Infinity;
     for (const task of this.backlog.list(now, this.typicalSpeed)) {
       const { cpuMilli } = task.need.resources;
       if (cpuMilli >= smallestMissed) continue;
-      const agent = this.options.placement.choose(task, this.agents.values(), context);
+      const agent = this.options.placement.choose(task, agents, context);
       if (agent) this.send(task, agent, now);
       else if (task.need.requiredLabel === '') smallestMissed = cpuMilli;
     }
--- a/src/process/dispatcher/Placement.ts
+++ b/src/process/dispatcher/Placement.ts
@@ -17,11 +17,11 @@
  */
 const TOGETHER_WORTH = 0.2;
 /**
- * How much costlier, in parts of a task's time, an agent is that prefers another dispatcher: as much as an agent's whole
- * load, so that those that prefer this one are filled first unless they are slower by about a quarter. Most of an agent's
- * room is then asked for by one dispatcher only, which knows what it has sent there, and fewer starts come back.
+ * How much costlier, in parts of a task's time, an agent may be that prefers this dispatcher: by as much as an agent's
+ * whole load, so that those are filled first unless they are slower by about a quarter. Most of an agent's room is then
+ * asked for by one dispatcher only, which knows what it has sent there, and fewer starts come back.
  */
-const AWAY_COST = LOAD_WEIGHT;
+const HOME_WORTH = LOAD_WEIGHT;
 
 /** What a placement may know besides the agents. */
 export interface PlacementContext {
@@ -39,7 +39,7 @@
 export abstract class Placement {
   abstract choose(
     task: DispatchTask,
-    agents: Iterable<AgentView>,
+    agents: readonly AgentView[],
     context: PlacementContext,
   ): AgentView | undefined;
 }
@@ -53,37 +53,33 @@
 
   override choose(
     task: DispatchTask,
-    agents: Iterable<AgentView>,
+    agents: readonly AgentView[],
     context: PlacementContext,
   ): AgentView | undefined {
-    const all = [...agents];
     let best: AgentView | undefined;
     let bestCost = Infinity;
-    const compare = (agent: AgentView): void => {
-      const cost = this.measureCost(task, agent, context) + this.measurePreference(task, agent);
+    const compare = (agent: AgentView, worth: number): void => {
+      const cost = this.measureCost(task, agent, context) - worth;
       if (cost < bestCost) [best, bestCost] = [agent, cost];
     };
-    for (const agent of all)
-      if (this.isPreferred(task, agent) && isUsable(task, agent, context)) compare(agent);
+    for (const agent of agents) {
+      const worth = this.measurePreference(task, agent);
+      if (worth > 0 && isUsable(task, agent, context)) compare(agent, worth);
+    }
     // Data are in few places: those must not be passed over.
-    const mostCompared = task.need.preferredRack === '' ? MAX_COMPARED : all.length;
-    const start = Math.floor(context.nextRandom() * all.length);
+    const mostCompared = task.need.preferredRack === '' ? MAX_COMPARED : agents.length;
+    const start = Math.floor(context.nextRandom() * agents.length);
     let compared = 0;
-    for (let step = 0; step < all.length && compared < mostCompared; step += 1) {
-      const agent = all[(start + step) % all.length];
-      if (!agent || this.isPreferred(task, agent) || !isUsable(task, agent, context)) continue;
+    for (let step = 0; step < agents.length && compared < mostCompared; step += 1) {
+      const agent = agents[(start + step) % agents.length];
+      if (!agent || this.measurePreference(task, agent) > 0 || !isUsable(task, agent, context)) continue;
       compared += 1;
-      compare(agent);
+      compare(agent, 0);
     }
     return best;
   }
 
-  /** Whether an agent is always compared; none here. */
-  protected isPreferred(_task: DispatchTask, _agent: AgentView): boolean {
-    return false;
-  }
-
-  /** What is added to the cost of an agent, in parts of the task's time; nothing here. */
+  /** How much costlier an agent may be than others, in parts of the task's time; any above 0 is always compared. */
   protected measurePreference(_task: DispatchTask, _agent: AgentView): number {
     return 0;
   }
@@ -105,31 +101,18 @@
 
 /** As `SpeedPlacement`, and tasks of one job that start together go to few agents. */
 export class GroupedPlacement extends SpeedPlacement {
-  protected override isPreferred(task: DispatchTask, agent: AgentView): boolean {
-    return hasFellow(task, agent);
-  }
-
-  protected override measurePreference(task: DispatchTask, agent: AgentView): number {
-    return hasFellow(task, agent) ? -TOGETHER_WORTH : 0;
+  protected override measurePreference({ job, avoid }: DispatchTask, { id }: AgentView): number {
+    return job.lastAgent === id && !avoid.has(id) ? TOGETHER_WORTH : 0;
   }
 }
 
 /** As `GroupedPlacement`, and agents that prefer this dispatcher come first. */
 export class HomePlacement extends GroupedPlacement {
-  protected override isPreferred(task: DispatchTask, agent: AgentView): boolean {
-    return agent.isHome || super.isPreferred(task, agent);
-  }
-
   protected override measurePreference(task: DispatchTask, agent: AgentView): number {
-    return super.measurePreference(task, agent) + (agent.isHome ? 0 : AWAY_COST);
+    return super.measurePreference(task, agent) + (agent.isHome ? HOME_WORTH : 0);
   }
 }
 
-/** Whether the agent got the newest start of the task's job, and has not failed the task itself. */
-function hasFellow({ job, avoid }: DispatchTask, { id }: AgentView): boolean {
-  return job.lastAgent === id && !avoid.has(id);
-}
-
 function isUsable(
   task: DispatchTask,
   agent: AgentView,
