--- a/src/connection/peer/LineChannel.test.ts
+++ b/src/connection/peer/LineChannel.test.ts
@@ -78,4 +78,20 @@
     expect(closed[0]).to.include('/tasks/0');
     expect(received).to.deep.equal([]);
   });
+
+  it('delivers nothing more of a batch once it has closed', async () => {
+    const taken: PeerMessage[] = [];
+    const failing = new LineChannel(socket as unknown as Socket, {
+      receive: (message) => {
+        taken.push(message);
+        throw new Error('test');
+      },
+      close: (reason) => closed.push(reason),
+    });
+    failing.allowBatches();
+    for (const start of starts) failing.send(start);
+    while (closed.length === 0) await new Promise((resolve) => setImmediate(resolve));
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(taken).to.deep.equal([starts[0]]);
+  });
 });
--- a/src/connection/peer/LineChannel.ts
+++ b/src/connection/peer/LineChannel.ts
@@ -87,6 +87,7 @@
 
   /** What one peer sends must not end the process; only a broken invariant does. */
   private deliver(message: PeerMessage): void {
+    if (this.closed) return;
     try {
       this.events.receive(message);
     } catch (error) {
--- a/src/process/dispatcher/Backlog.ts
+++ b/src/process/dispatcher/Backlog.ts
@@ -45,16 +45,6 @@
     late.sort((left, right) => sumWorkLeft(left) - sumWorkLeft(right));
     return [...inTime, ...late];
   }
-
-  /** Work that would be served before a rank, in thousandths of a core times ms of estimates. */
-  sumWorkBefore(rank: number): number {
-    let work = 0;
-    for (const { job, need } of this.tasks) {
-      if (job.rank >= rank) break;
-      work += need.resources.cpuMilli * need.estimateMs;
-    }
-    return work;
-  }
 }
 
 /** Work that a task's job lacks, in thousandths of a core times ms, if its tasks are alike. */
