--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -20,7 +20,7 @@
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
 import { MemberTable } from '../MemberTable.js';
-import { describeError, rethrowInvariant } from '../failures.js';
+import { noteFailure } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import { ServedMetrics } from '../ServedMetrics.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
@@ -213,9 +213,8 @@
   }
 
   noteFailure(call: string, error: unknown): void {
-    rethrowInvariant(error);
     this.metrics.increment('dispatcher_answers', { outcome: 'failed', reason: 'error' });
-    this.logger.error('call-failed', { call, error: describeError(error) });
+    noteFailure(this.logger, 'call-failed', { call }, error);
   }
 
   abandon(jobId: string, caller: Caller): void {
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -10,7 +10,7 @@
 import { createLogSink } from '../createLogSink.js';
 import { createLogger } from '../logger.js';
 import type { ProcessLogger } from '../logger.js';
-import { describeError, rethrowInvariant } from '../failures.js';
+import { describeError, noteFailure } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
 import { startTimer } from '../startTimer.js';
@@ -92,10 +92,7 @@
       report: (report) => this.takeReport(report),
       leave: (upstreamId) => this.core.noteLeave(upstreamId),
       noteRejected: (call, reason) => this.logger.warn('report-rejected', { call, reason }),
-      noteFailure: (call, error) => {
-        rethrowInvariant(error);
-        this.logger.error('call-failed', { call, error: describeError(error) });
-      },
+      noteFailure: (call, error) => noteFailure(this.logger, 'call-failed', { call }, error),
     });
     this.links.noteSeeds(this.settings.seeds);
     void this.recallUpstream();
--- a/src/process/startTimer.ts
+++ b/src/process/startTimer.ts
@@ -1,4 +1,4 @@
-import { describeError, rethrowInvariant } from './failures.js';
+import { noteFailure } from './failures.js';
 import type { ProcessLogger } from './logger.js';
 
 /**
@@ -20,8 +20,7 @@
     try {
       run();
     } catch (error) {
-      rethrowInvariant(error);
-      logger.error('timer-failed', { timer: name, error: describeError(error) });
+      noteFailure(logger, 'timer-failed', { timer: name }, error);
     }
   }, intervalMs);
 }
