--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -166,14 +166,22 @@
   handleHello(hello: AgentHello, ownLife: string, now: number): string {
     const id = buildAgentId(hello);
     const known = this.agents.get(id);
-    this.effects.log('agent-linked', { agent: id, again: known !== undefined });
     for (const other of this.agents.values()) {
       if (other.agent === hello.agent && other.id !== id) other.linked = false;
     }
     if (!known) {
       this.agents.set(id, new AgentView(hello, now));
+      this.effects.log('agent-linked', { agent: id, again: false });
       return id;
     }
+    const tasks = this.listTasksAt(id).length;
+    this.effects.log('agent-linked', {
+      agent: id,
+      again: true,
+      heardMs: Math.round(now - known.heardAt),
+      tasks,
+      held: hello.holding.length,
+    });
     known.reopen(now);
     if (hello.entryLife === ownLife) this.compareHeld(id, hello, now);
     else for (const task of this.listTasksAt(id)) this.settle(task, 'lost', 'link-broke', now);
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -8,7 +8,6 @@
 import { PeerListener } from '../../connection/peer/PeerListener.js';
 import type { AgentHello, PeerMessage, Ping, RoomReport } from '../../connection/peer/peerMessages.js';
 import { NO_RESOURCES } from '../../request/dispatch/resources.js';
-import { createLogger } from '../logger.js';
 import type { AgentCore } from './AgentCore.js';
 import { EntryLinks } from './EntryLinks.js';
 
@@ -46,6 +45,7 @@
     noteWelcome: () => undefined,
     setHome: () => undefined,
     noteEcho,
+    countHeld: () => 0,
     takeRoomChange: () => ROOM,
   };
   return core as unknown as AgentCore;
@@ -56,6 +56,7 @@
   let links: EntryLinks;
   let entry: LineChannel;
   let received: string[];
+  let logged: string[];
   let wake: () => void;
   /** Time that the agent's clock is ahead of the steady one, ms. */
   let skippedMs: number;
@@ -80,16 +81,17 @@
 
   beforeEach(async () => {
     received = [];
+    logged = [];
     skippedMs = 0;
     wake = () => undefined;
     listener = new PeerListener({ receive, close: () => undefined });
     const linkPort = await listener.start(HOST, 0);
     const options = { agent: 'a1', maxLinks: 6, linkPort, pingMs: PING_MS };
-    const logger = createLogger('a1@1', 'silent', () => undefined);
+    const log = (event: string): number => logged.push(event);
     const core = createCore(() => note('echo'));
     const steady = new SteadyClock();
     const clock: Clock = { now: () => steady.now() + skippedMs, sleep: (ms) => steady.sleep(ms) };
-    links = new EntryLinks(options, core, clock, logger, () => 0.5);
+    links = new EntryLinks(options, core, clock, log, () => 0.5);
     links.noteSeeds([`${HOST}:1`]);
     await waitFor('ping');
   });
@@ -129,6 +131,7 @@
     skippedMs = 2_000;
     links.keep();
     await waitFor('agent-hello');
+    expect(logged).to.include('entry-unlinked');
   });
 
   it('keeps a connection whose entry has answered of late', async () => {
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -8,7 +8,7 @@
 import type { AttemptResult, EntryWelcome, PeerMessage } from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
 import { ConfigurationExchange } from '../ConfigurationExchange.js';
-import type { ProcessLogger } from '../logger.js';
+import type { LogFields } from '../logger.js';
 import type { AgentCore } from './AgentCore.js';
 import { EntryDirectory } from './EntryDirectory.js';
 import { RoomPacer } from './RoomPacer.js';
@@ -69,7 +69,7 @@
     private readonly options: EntryLinksOptions,
     private readonly core: AgentCore,
     private readonly clock: Clock,
-    private readonly logger: ProcessLogger,
+    private readonly log: (event: string, fields: LogFields) => void,
     nextRandom: () => number,
   ) {
     this.directory = new EntryDirectory(options.agent, options.maxLinks);
@@ -175,7 +175,7 @@
 
   private setRetiring(link: EntryLink, since: number | undefined): void {
     link.retiringSince = since;
-    this.logger.info('entry-retiring', { address: link.address, retiring: since !== undefined });
+    this.log('entry-retiring', { address: link.address, retiring: since !== undefined });
     if (link.life === '') return;
     this.core.setRetiring(link.life, since !== undefined);
     this.tellRoom(link);
@@ -201,7 +201,9 @@
     const link = this.links.get(address);
     clearTimeout(link?.roomTimer);
     this.links.delete(address);
-    this.logger.info('entry-unlinked', { address, life: link?.life, reason });
+    const life = link?.life ?? '';
+    const silentMs = Math.round(this.directory.findSilence(address, this.clock.now()));
+    this.log('entry-unlinked', { address, life, reason, silentMs, held: this.core.countHeld(life) });
   }
 
   private receive(address: string, message: PeerMessage): void {
@@ -230,7 +232,7 @@
     if (before !== undefined && before !== life) this.core.noteEntryReplaced(before);
     this.lives.set(address, life);
     link.life = life;
-    this.logger.info('entry-linked', { address, life, before });
+    this.log('entry-linked', { address, life, before });
     this.directory.noteMembers([{ ...place, address }], now);
     this.directory.noteAlive(address, now);
     this.core.noteWelcome(life, link.openedAt);
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -9,7 +9,7 @@
 import { deriveDispatchTimes } from '../dispatchTimes.js';
 import { createLogSink } from '../createLogSink.js';
 import { createLogger } from '../logger.js';
-import type { ProcessLogger } from '../logger.js';
+import type { LogFields, ProcessLogger } from '../logger.js';
 import { describeError, noteFailure } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
@@ -65,10 +65,7 @@
           this.links.sendResult(life, result);
         },
         noteChange: () => this.links.scheduleRoom(),
-        log: (event, fields) => {
-          this.metrics.increment('executor_decisions', { decision: event });
-          this.logger.info(event, fields);
-        },
+        log: (event, fields) => this.logDecision(event, fields),
       },
     );
     this.metrics = new ServedMetrics(
@@ -82,7 +79,8 @@
     const { id: agent, maxLinks, linkPort } = settings;
     const options = { agent, maxLinks, linkPort, pingMs: times.pingMs };
     const nextRandom = createRandom(Date.now() % 1_000_000);
-    this.links = new EntryLinks(options, this.core, this.clock, this.logger, nextRandom);
+    const log = (event: string, fields: LogFields): void => this.logDecision(event, fields);
+    this.links = new EntryLinks(options, this.core, this.clock, log, nextRandom);
   }
 
   /** Starts to listen for the upstream and to dial the entries. */
@@ -128,6 +126,11 @@
     this.logger.flush();
   }
 
+  private logDecision(event: string, fields: LogFields): void {
+    this.metrics.increment('executor_decisions', { decision: event });
+    this.logger.info(event, fields);
+  }
+
   private takeReport(report: UpstreamReport): void {
     const isNew = !this.reported.has(report.id);
     this.core.noteReport(report);
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -260,6 +260,7 @@
         this.handleLease(answer, sentAt);
         if (!this.joined || !this.calls.isAnswering) await this.clock.sleep(REPEAT_PAUSE_MS);
       } catch (error) {
+        this.events.log('renewal-unanswered', { upstream: this.id, error: String(error) });
         this.noteSilence(error);
         await this.clock.sleep(this.reachable ? REPEAT_PAUSE_MS : UNREACHABLE_PAUSE_MS);
       }
