--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -134,6 +134,20 @@
     expect(logged).to.include('entry-unlinked');
   });
 
+  it('dials anew a connection on which an echo is overdue, before what its entry has running here is stopped', async () => {
+    entry.send({ type: 'pong', at: 0, version: -1, typicalSpeed: 1, isWaiting: false });
+    await waitFor('echo');
+    received.length = 0;
+    // The next ping gets no echo. Work is stopped three pings after the one that was echoed last.
+    skippedMs += PING_MS;
+    links.ping();
+    await waitFor('ping');
+    skippedMs += PING_MS * 1.5;
+    links.ping();
+    await sleep(QUIET_MS);
+    expect(received).to.include('agent-hello');
+  });
+
   it('keeps a connection whose entry has answered of late', async () => {
     skippedMs = 2_000;
     entry.send({ type: 'pong', at: 0, version: -1, typicalSpeed: 1, isWaiting: false });
