--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -95,6 +95,16 @@
     bench.ping(bench.link('a', 0), 0);
   });
 
+  // The first message of an agent's earlier life, held up by a cut, came after its newer life had linked.
+  it('goes on using an agent when the greeting of its earlier life comes late', () => {
+    const newer = bench.link('a', 0, { life: '2' });
+    bench.ping(newer, 1);
+    bench.link('a', 2, { life: '1' });
+    bench.ping(newer, 3);
+    bench.submit(4);
+    expect(bench.starts.map(({ agent }) => agent)).to.deep.equal([newer, newer]);
+  });
+
   it('completes a job when all tasks are done', () => {
     bench.submit(10);
     bench.end(0, 'done', 100);
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -24,23 +24,32 @@
   let clock: FakeClock;
   let upstream: FakeUpstream;
   let core: AgentCore;
+  /** Lives of the upstream that answer for themselves; the others are `upstream`. */
+  let otherLives: Map<string, FakeUpstream>;
+  let results: string[];
+
+  function report(id: string, sequence: number): void {
+    const base = { id, service: 'service', address: '127.0.0.1:1', labels: ['rack'], sequence };
+    core.noteReport({ ...base, capacity: CAPACITY, isDraining: false, clockMs: upstream.clockMs });
+  }
 
   beforeEach(async () => {
     clock = new FakeClock();
     upstream = new FakeUpstream(clock);
+    otherLives = new Map();
+    results = [];
     core = new AgentCore(
       { agent: 'agent', life: '1', failureDomain: 'x' },
       { leaseMs: 500, stopMs: 50, orphanAfterMs: 10_000 },
       clock,
       {
-        openExecutor: () => upstream,
-        sendResult: () => undefined,
+        openExecutor: ({ id }) => otherLives.get(id) ?? upstream,
+        sendResult: (_, { end, reason }) => void results.push(`${end} ${reason}`),
         noteChange: () => undefined,
         log: () => undefined,
       },
     );
-    const base = { id: 'u1', service: 'service', address: '127.0.0.1:1', labels: ['rack'], sequence: 1 };
-    core.noteReport({ ...base, capacity: CAPACITY, isDraining: false, clockMs: upstream.clockMs });
+    report('u1', 1);
     await clock.advance(20);
     core.noteWelcome(ENTRY, clock.now());
   });
@@ -99,6 +108,36 @@
     expect([again?.free.cpuMilli, again?.startsSeen]).to.deep.equal([3_000, 1]);
   });
 
+  // Heartbeats that a cut had held up came after their sender had crashed and a new life had reported itself at the same
+  // address. The address alone told the agent that the newer life was gone: its tasks counted as lost while they ran.
+  it('keeps an upstream when a heartbeat of an earlier life at its address comes late', async () => {
+    const newer = new FakeUpstream(clock);
+    newer.taskMs = 400;
+    otherLives.set('u2', newer);
+    upstream.isReplaced = true;
+    report('u2', 1);
+    await clock.advance(200);
+    core.handleStart(ENTRY, ORDER);
+    await clock.advance(20);
+    report('u1', 9);
+    await clock.advance(100);
+    expect([...newer.running.keys()]).to.deep.equal(['job/0/0']);
+    expect(core.countHeld(ENTRY)).to.equal(1);
+    await clock.advance(500);
+    expect(results).to.deep.equal(['done done']);
+  });
+
+  it('takes a new life at an address as soon as the earlier one is found to be gone', async () => {
+    otherLives.set('u2', new FakeUpstream(clock));
+    core.handleStart(ENTRY, ORDER);
+    await clock.advance(20);
+    upstream.isReplaced = true;
+    report('u2', 1);
+    await clock.advance(300);
+    expect(results.map((result) => result.split(' ')[0])).to.deep.equal(['lost']);
+    expect(core.takeRoomChange(ENTRY)?.description?.upstream).to.equal('u2');
+  });
+
   it('takes no new work from an entry whose link it gives up, and still runs what it holds', async () => {
     upstream.taskMs = 400;
     core.handleStart(ENTRY, ORDER);
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -42,6 +42,8 @@
   hangs = false;
   /** Whether tasks fail at once. */
   fails = false;
+  /** Whether another life answers in its place. */
+  isReplaced = false;
   /** Whether the upstream answers at all. */
   silent = false;
   /** How the next orders fare; `answered` when empty. */
@@ -71,6 +73,7 @@
 
   override async start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>> {
     const fate = await this.travel(timeoutMs);
+    if (this.isReplaced) return { verdict: 'other-life', clockMs: undefined };
     const verdict = fate === 'lost' ? 'started' : this.applyStart(order);
     if (fate !== 'answered') await this.giveUp(timeoutMs);
     return { verdict, clockMs: this.clockMs };
@@ -102,6 +105,7 @@
   ): Promise<OrderAnswer<StopVerdict>> {
     this.stops += 1;
     const fate = await this.travel(timeoutMs);
+    if (this.isReplaced) return { verdict: 'other-life', clockMs: undefined };
     if (fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
     if (fate !== 'lost') this.applyStop(name);
     if (fate !== 'answered') await this.giveUp(timeoutMs);
@@ -115,6 +119,7 @@
       this.lostRenewals -= 1;
       await this.giveUp(timeoutMs);
     }
+    if (this.isReplaced) return { verdict: 'other-life' };
     this.work();
     if (renewal.fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
     this.token = renewal.fencingToken;
