Which life of an upstream, or of an executor, is there is told by answers and open links, not by the order in which reports come

Cause: an unknown life at an address counted as the newest there, without an answer of its own, so that a heartbeat or a greeting that a cut had held up ended the life that had come after it: tasks counted as lost while they ran, and an executor got no work until its link was opened anew. A report that was held up was also kept for the executor's next life. Change: sessions name their life and end when another answers; a ping marks its executor as linked; a life is remembered once it has joined.

--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -202,6 +202,8 @@
   handlePing(agentId: string, ping: Ping, now: number): void {
     const agent = this.agents.get(agentId);
     if (!agent) return;
+    // The greeting of an earlier life that was held up had this one count as gone; its pings come on an open link.
+    agent.linked = true;
     agent.notePing(ping, now);
     this.expireEarlierLives(agent, now);
     for (const progress of ping.progress ?? []) this.reviewProgress(agent, progress, now);
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -45,6 +45,7 @@
       {
         openExecutor: ({ id }) => otherLives.get(id) ?? upstream,
         sendResult: (_, { end, reason }) => void results.push(`${end} ${reason}`),
+        noteJoined: () => undefined,
         noteChange: () => undefined,
         log: () => undefined,
       },
@@ -129,6 +130,7 @@
 
   it('takes a new life at an address as soon as the earlier one is found to be gone', async () => {
     otherLives.set('u2', new FakeUpstream(clock));
+    upstream.taskMs = 2_000;
     core.handleStart(ENTRY, ORDER);
     await clock.advance(20);
     upstream.isReplaced = true;
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -47,6 +47,8 @@
   readonly openExecutor: (report: UpstreamReport) => TaskExecutor;
   /** Sends a result to the entry's link, if it has one. */
   readonly sendResult: (entryLife: string, result: AttemptResult) => void;
+  /** An upstream takes work for the first time. */
+  readonly noteJoined: (report: UpstreamReport) => void;
   /** Room has changed. */
   readonly noteChange: () => void;
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
@@ -99,16 +101,18 @@
     return load;
   }
 
-  /** An upstream has reported. */
+  /**
+   * An upstream has reported. A life that is not known may be newer than the one at its address, or an earlier one whose
+   * report was held up: which of them is there is told by answers, since each session names its life and ends when
+   * another life answers.
+   */
   noteReport(report: UpstreamReport): void {
     this.reportedAt.set(report.id, this.clock.now());
     const known = this.sessions.get(report.id);
     if (known) return known.update(report);
-    for (const other of this.sessions.values()) {
-      if (other.address === report.address) other.close('replaced');
-    }
     const session = new UpstreamSession(report, this.effects.openExecutor(report), this.clock, this.bounds, {
       finish: (task, end, reason) => this.finish(task, end, reason),
+      join: (joined) => this.effects.noteJoined(joined),
       change: () => this.effects.noteChange(),
       revalidate: (now) => this.expireEntries(now),
       log: this.effects.log,
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -42,8 +42,10 @@
   private readonly core: AgentCore;
   private readonly links: EntryLinks;
   private readonly pauseGuard: PauseGuard;
-  /** Upstreams that have reported themselves to this life of the process. */
-  private readonly reported = new Set<string>();
+  /** Whether an upstream has reported itself to this life of the process. */
+  private hasReport = false;
+  /** The life of the upstream that is kept for the next life of this process. */
+  private rememberedId = '';
   private leaving = false;
   private ticks = 0;
 
@@ -64,6 +66,7 @@
           this.metrics.increment('executor_task_ends', { end: result.end });
           this.links.sendResult(life, result);
         },
+        noteJoined: (report) => this.rememberUpstream(report),
         noteChange: () => this.links.scheduleRoom(),
         log: (event, fields) => this.logDecision(event, fields),
       },
@@ -132,11 +135,14 @@
   }
 
   private takeReport(report: UpstreamReport): void {
-    const isNew = !this.reported.has(report.id);
+    this.hasReport = true;
     this.core.noteReport(report);
-    if (!isNew) return;
-    this.reported.add(report.id);
-    if (report.isDraining) return;
+  }
+
+  /** Only a life that has answered is kept for the next life of this process: a report may have been held up. */
+  private rememberUpstream(report: UpstreamReport): void {
+    if (report.id === this.rememberedId || report.isDraining) return;
+    this.rememberedId = report.id;
     this.ports.memory.remember(this.settings.id, report).catch((error: unknown) => {
       this.logger.warn('upstream-not-remembered', { upstream: report.id, error: describeError(error) });
     });
@@ -148,7 +154,8 @@
       this.logger.warn('upstream-not-recalled', { error: describeError(error) });
       return undefined;
     });
-    if (!report || this.reported.size > 0 || this.leaving) return;
+    if (!report || this.hasReport || this.leaving) return;
+    this.rememberedId = report.id;
     this.logger.info('upstream-recalled', { upstream: report.id });
     this.core.noteReport({ ...report, clockMs: 0, sequence: -1 });
   }
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -39,6 +39,7 @@
     { leaseMs: 500, stopMs: 50 },
     {
       finish: (task, end, reason) => this.results.push(`${task.order.name.index} ${end} ${reason}`),
+      join: () => undefined,
       change: () => undefined,
       revalidate: () => undefined,
       log: () => undefined,
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -68,6 +68,8 @@
 export interface SessionEvents {
   /** A task is over. */
   readonly finish: (task: LocalTask, end: AttemptEnd, reason: string) => void;
+  /** The upstream has answered for itself and runs nothing that nobody here has ordered. */
+  readonly join: (report: UpstreamReport) => void;
   /** Room or state has changed. */
   readonly change: () => void;
   /** Called before the lease of what runs is renewed: stop what may not run on. */
@@ -124,10 +126,6 @@
     return this.described;
   }
 
-  get address(): string {
-    return this.report.address;
-  }
-
   get isReachable(): boolean {
     return this.reachable;
   }
@@ -295,6 +293,7 @@
   private join(): void {
     this.joined = true;
     this.events.log('upstream-joined', { upstream: this.id, token: this.calls.token, service: this.service });
+    this.events.join(this.report);
     this.events.change();
   }
 
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -453,6 +453,7 @@
               this.toEntry(link, result);
           }
         },
+        noteJoined: () => undefined,
         noteChange: () => undefined,
         log: () => undefined,
       },
