Members are removed by a majority that was heard since they were lost (own interface)

Cause: an entry removed what it had lost for 2 s if it had heard a majority within the lease of 4 s, that is also by a word from before the cut. Behind the cut the removed registrars, a majority of those known there, went on granting claims: both sides started the same task. Change: the majority must have been heard in the second half of the time since the member was lost.

--- a/src/process/entry/EntryNode.ts
+++ b/src/process/entry/EntryNode.ts
@@ -27,6 +27,12 @@
 /** Share of the lease after which a heartbeat goes out even on a busy link. */
 const FULL_BEAT_SHARE = 0.75;
 
+/**
+ * Share of the time before a member's removal after which a majority must have been heard: links of one cut break within
+ * the first half of it, and heartbeats come within the second.
+ */
+const REMOVAL_PROOF_SHARE = 0.5;
+
 /** Times of an entry's membership, ms. */
 export interface EntryMembership {
   readonly address: string;
@@ -292,18 +298,28 @@
 
   /** Members out of reach for too long; none while this entry itself may be the one that is cut off. */
   private listMissing(now: number): { peer: string; joinedOffset: number }[] {
-    const { config, peers, limits } = this.state;
-    const missing = listMembers(config).filter((member) => {
+    const { config, peers } = this.state;
+    return listMembers(config).filter((member) => {
       if (member.peer === this.state.peer || peers.get(member.peer)?.connected) {
         this.missingSince.delete(member.peer);
         return false;
       }
       const since = this.missingSince.get(member.peer) ?? now;
       this.missingSince.set(member.peer, since);
-      return now - since >= this.membership.removeAfterMs;
+      return now - since >= this.membership.removeAfterMs && !this.isIsolatedSince(since);
     });
-    const isolated = this.state.heardMajorityAt + limits.leaseMs < now && config.registrars.length > 1;
-    return isolated && config.registrars.some(({ peer }) => peers.get(peer)?.connected) ? [] : missing;
+  }
+
+  /**
+   * Whether this entry may have been cut off from the majority together with a member that it has lost: what it heard
+   * before may come from behind the same cut, whose links break one after another. With no registrar in reach at all,
+   * they are taken to be gone.
+   */
+  private isIsolatedSince(since: number): boolean {
+    const { config, peers, heardMajorityAt } = this.state;
+    if (config.registrars.length <= 1) return false;
+    if (!config.registrars.some(({ peer }) => peers.get(peer)?.connected)) return false;
+    return heardMajorityAt - since < this.membership.removeAfterMs * REMOVAL_PROOF_SHARE;
   }
 
   private send(to: string, message: Message): void {
