--- a/test/fakes/FaultSoak.ts
+++ b/test/fakes/FaultSoak.ts
@@ -66,14 +66,17 @@
 
   /** Plays the run; ends only processes that it started. */
   async run(): Promise<SoakReport> {
-    await this.bench.start();
     try {
+      await this.bench.start();
       const until = performance.now() + this.options.faultMs;
       await Promise.all([this.submitUntil(until), this.disturbUntil(until)]);
       await Promise.all(this.pending);
       await this.checkRecovery();
       this.checkAnswers();
       if (this.broken.length > 0) this.faults.push(`logs: ${await this.bench.keepLogs()}`);
+    } catch (cause) {
+      const logs = await this.bench.keepLogs();
+      throw new Error(`${String(cause)}; logs: ${logs}; ${this.faults.join(', ')}`, { cause });
     } finally {
       await this.bench.stop();
     }
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -158,7 +158,7 @@
   /** Waits for a daemon's end and returns its exit code. */
   async waitForExit(id: string): Promise<number | null> {
     const { child } = this.findDaemon(id);
-    await this.waitFor(() => child.exitCode !== null || child.signalCode !== null);
+    await this.waitFor(() => child.exitCode !== null || child.signalCode !== null, `the end of ${id}`);
     return child.exitCode;
   }
 
@@ -186,7 +186,10 @@
   /** Waits until an entry calls itself ready. */
   async waitUntilReady(id: string): Promise<void> {
     const { ready } = this.ports;
-    await this.waitFor(async () => (await send(findIp(id), ready, 'GET', READY_PATH, '', {})).status === 200);
+    await this.waitFor(
+      async () => (await send(findIp(id), ready, 'GET', READY_PATH, '', {})).status === 200,
+      `that ${id} is ready`,
+    );
   }
 
   /** Submits a job of tasks that work for some ms each. The caller leaves when `signal` says so. */
@@ -227,7 +230,10 @@
 
   /** Waits until no task is at work. */
   async waitUntilIdle(): Promise<void> {
-    await this.waitFor(() => [...this.atWork.values()].every((count) => count === 0));
+    await this.waitFor(
+      () => [...this.atWork.values()].every((count) => count === 0),
+      'that no task is at work',
+    );
   }
 
   /** Opens a caller's connection and writes raw bytes on it. */
@@ -238,12 +244,12 @@
   }
 
   /** Waits until something holds; fails after a time that only a broken program takes. */
-  async waitFor(holds: () => boolean | Promise<boolean>): Promise<void> {
+  async waitFor(holds: () => boolean | Promise<boolean>, what = 'it'): Promise<void> {
     for (let waited = 0; waited < WAIT_MS; waited += LOOK_MS) {
       if (await holds()) return;
       await sleep(LOOK_MS);
     }
-    throw new Error('it does not come to hold');
+    throw new Error(`${what} does not come to hold`);
   }
 
   private async startRunner(number: number): Promise<void> {
