--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -3,6 +3,7 @@
 import * as fc from 'fast-check';
 
 import { FakeWorld } from '../test/fakes/FakeWorld.js';
+import { dispatchCommands, lateWordCommands } from '../test/fakes/dispatchCommands.js';
 import { runDispatchWorld } from '../test/fakes/runDispatchWorld.js';
 import { runProcessSoak } from './runProcessSoak.js';
 import { RUN_AGENTS, RUN_ENTRIES, worldCommands } from '../test/fakes/worldCommands.js';
@@ -54,12 +55,16 @@
 
 async function runCore(core: string, seed: number): Promise<void> {
   if (core === 'processes') return console.log(JSON.stringify(await runProcessSoak(seed)));
-  if (core === 'dispatch') return console.log(JSON.stringify(await runDispatchWorld(seed, BATCH, true)));
+  if (core === 'dispatch' || core === 'late') {
+    const drawn = core === 'late' ? lateWordCommands : dispatchCommands;
+    return console.log(JSON.stringify(await runDispatchWorld(drawn, seed, BATCH, true)));
+  }
   runBatch(seed);
   console.log(JSON.stringify({ seed, ...totals, reasons: Object.fromEntries(reasons) }));
 }
 
-const CORES = 'registrar (own interface), dispatch (platform) or processes (real ones, platform)';
+const CORES =
+  'registrar (own interface), dispatch (platform), late (the same, with words of earlier lives) or processes (real ones, platform)';
 
 const cli = cac('soak');
 cli.option('--core <name>', CORES, { default: 'registrar' });
--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 
+import { dispatchCommands, lateWordCommands } from './fakes/dispatchCommands.js';
 import { runDispatchWorld } from './fakes/runDispatchWorld.js';
 
 /** Runs in CI; `npm run soak -- --core dispatch` does more. */
@@ -10,7 +11,13 @@
   this.timeout(300_000);
 
   it('hold', async () => {
-    const totals = await runDispatchWorld(SEED, RUNS, false);
+    const totals = await runDispatchWorld(dispatchCommands, SEED, RUNS, false);
+    expect(totals['completed']).to.be.greaterThan(0);
+    expect(totals['interrupted']).to.be.greaterThan(0);
+  });
+
+  it('hold when connections go silent for good, and words of earlier lives come late', async () => {
+    const totals = await runDispatchWorld(lateWordCommands, SEED, RUNS, false);
     expect(totals['completed']).to.be.greaterThan(0);
     expect(totals['interrupted']).to.be.greaterThan(0);
   });
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -4,7 +4,7 @@
  * checked as it goes.
  */
 import { createRandom } from '../../src/_lib/createRandom.js';
-import type { AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
+import type { AgentHello, AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
 import { JobBounds } from '../../src/request/dispatch/JobBounds.js';
 import { ROUTE, STEP, WIDE_LIMITS } from './dispatchFixtures.js';
 import type { JobOutcome, JobSubmission } from '../../src/request/dispatch/submission.js';
@@ -14,6 +14,7 @@
 import { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
 import { SpeedPlacement } from '../../src/process/dispatcher/Placement.js';
 import { deriveDispatchTimes } from '../../src/process/dispatchTimes.js';
+import type { Link, WorldAgent, WorldEntry, WorldJob, WorldUpstream } from './dispatchWorldState.js';
 import { FakeCaller } from './FakeCaller.js';
 import { FakeClock } from './FakeClock.js';
 import { FakeUpstream } from './FakeUpstream.js';
@@ -37,52 +38,6 @@
   maxLeaseMs: 1_000,
 } as Parameters<typeof deriveDispatchTimes>[0]);
 
-interface Parcel<Message> {
-  readonly at: number;
-  readonly message: Message;
-}
-
-interface Link {
-  readonly entry: WorldEntry;
-  readonly agent: WorldAgent;
-  readonly toEntry: Parcel<AgentMessage>[];
-  readonly toAgent: Parcel<EntryMessage>[];
-  readonly openedAt: number;
-  agentId: string;
-  life: string;
-  broken: boolean;
-}
-
-interface WorldEntry {
-  readonly index: number;
-  life: number;
-  gate: ProcessGate;
-  core: Dispatcher;
-  lastTurnAt: number;
-}
-
-interface WorldAgent {
-  readonly index: number;
-  life: number;
-  gate: ProcessGate;
-  core: AgentCore;
-  restartAt: number;
-  upstream: WorldUpstream;
-  readonly lastLives: Map<number, string>;
-}
-
-interface WorldUpstream {
-  readonly life: number;
-  readonly fake: FakeUpstream;
-}
-
-interface WorldJob {
-  readonly id: string;
-  readonly tasks: number;
-  readonly callers: { caller: FakeCaller; entry: WorldEntry; leftAt: number | undefined }[];
-  started: boolean;
-}
-
 /** A small deployment in memory. */
 export class DispatchWorld {
   readonly clock = new FakeClock();
@@ -159,6 +114,43 @@
     this.report(agent);
   }
 
+  /** A connection goes silent for good; its agent gives it up after a while, which the entry does not hear. */
+  async mute(entryIndex: number, agentIndex: number, ms: number): Promise<void> {
+    const link = this.links.get(`${entryIndex % WORLD_ENTRIES}/${agentIndex % WORLD_AGENTS}`);
+    if (!link) return;
+    link.silent = true;
+    await this.advance(ms);
+    if (!link.broken) this.breakLink(link);
+  }
+
+  /** An upstream crashes; another life answers at once in its place. */
+  replace(index: number): void {
+    const agent = this.pick(this.agents, index);
+    agent.upstream.fake.running.clear();
+    agent.upstream.fake.isReplaced = true;
+    agent.upstream = this.createUpstream(agent.upstream.life + 1);
+    this.report(agent);
+  }
+
+  /** The report of an earlier life of an upstream, held up until now, arrives. */
+  deliverLateReport(index: number): void {
+    const agent = this.pick(this.agents, index);
+    const { gate, core, upstream } = agent;
+    if (gate.dead || gate.isFrozen || upstream.life === 1) return;
+    core.noteReport(this.buildReport(agent, upstream.life - 1));
+  }
+
+  /** The first message of an earlier life of an agent, held up until now, arrives, and then the end of its link. */
+  async deliverLateHello(entryIndex: number, agentIndex: number): Promise<void> {
+    const entry = this.pick(this.entries, entryIndex);
+    const { index, life } = this.pick(this.agents, agentIndex);
+    if (entry.gate.isFrozen || entry.gate.dead || life === 1) return;
+    const hello = { ...this.buildLateHello(index, life - 1) };
+    const id = entry.core.handleHello(hello, `entry-${entry.index}@${entry.life}`, this.clock.now());
+    await this.advance(STEP_MS);
+    if (!entry.gate.isFrozen) entry.core.handleClose(id, 'ended', this.clock.now());
+  }
+
   /** The next orders to an upstream are lost, or carried out without an answer. */
   disturb(index: number, fate: 'lost' | 'unanswered', count: number): void {
     const { fake } = this.pick(this.agents, index).upstream;
@@ -293,6 +285,7 @@
           agentId: '',
           life: '',
           broken: false,
+          silent: false,
         };
         this.links.set(key, link);
         this.toEntry(link, agent.core.buildHello(agent.lastLives.get(entry.index) ?? ''));
@@ -312,7 +305,7 @@
 
   private deliver(now: number): void {
     for (const [key, link] of [...this.links]) {
-      if (this.isCut(key)) continue;
+      if (this.isCut(key) || link.silent) continue;
       while (!link.broken && !link.entry.gate.isFrozen && (link.toEntry[0]?.at ?? Infinity) <= now) {
         const parcel = link.toEntry.shift();
         if (parcel) this.receiveAtEntry(link, parcel.message, now);
@@ -371,7 +364,7 @@
     if (this.links.get(key) === link) this.links.delete(key);
     this.redialAt.set(key, this.clock.now() + REDIAL_MS);
     const { core, gate } = link.entry;
-    if (link.agentId !== '') {
+    if (link.agentId !== '' && !link.silent) {
       this.afterThaw(gate, () => core.handleClose(link.agentId, 'broken', this.clock.now()));
     }
   }
@@ -382,19 +375,26 @@
 
   private report(agent: WorldAgent): void {
     if (agent.gate.dead || agent.gate.isFrozen) return;
+    agent.core.noteReport(this.buildReport(agent, agent.upstream.life));
+  }
+
+  private buildReport({ index, upstream }: WorldAgent, life: number): UpstreamReport {
     this.sequence += 1;
-    const { life, fake } = agent.upstream;
-    const report: UpstreamReport = {
-      id: `u${agent.index}-${life}`,
+    return {
+      id: buildUpstreamId(index, life),
       service: ROUTE.service,
-      address: `u${agent.index}`,
+      address: `u${index}`,
       capacity: CAPACITY,
       labels: [],
       isDraining: false,
-      clockMs: fake.clockMs,
+      clockMs: upstream.fake.clockMs,
       sequence: this.sequence,
     };
-    agent.core.noteReport(report);
+  }
+
+  private buildLateHello(index: number, life: number): AgentHello {
+    const { gate } = this.pick(this.agents, index);
+    return this.createCore(index, life, gate, () => this.pick(this.agents, index)).buildHello('');
   }
 
   private createEntry(index: number, life: number): WorldEntry {
@@ -446,7 +446,13 @@
       { ...TIMES, stopMs: STOP_MS },
       gate,
       {
-        openExecutor: () => new GatedExecutor(find().upstream.fake, gate),
+        openExecutor: ({ id }) => {
+          const { upstream } = find();
+          if (id === buildUpstreamId(index, upstream.life)) return new GatedExecutor(upstream.fake, gate);
+          const gone = new FakeUpstream(this.clock);
+          gone.isReplaced = true;
+          return new GatedExecutor(gone, gate);
+        },
         sendResult: (entryLife, result) => {
           for (const link of this.links.values()) {
             if (link.agent.index === index && link.life === entryLife && !gate.dead)
@@ -504,3 +510,7 @@
     return item;
   }
 }
+
+function buildUpstreamId(agent: number, life: number): string {
+  return `u${agent}-${life}`;
+}
--- a/test/fakes/dispatchCommands.ts
+++ b/test/fakes/dispatchCommands.ts
@@ -73,23 +73,46 @@
   .tuple(index, fc.boolean())
   .map(([at, hangs]) => createCommand(`hang(${at},${hangs})`, (world) => world.hang(at, hangs)));
 
-/** Draws the commands of one run. */
-export const dispatchCommands = fc.commands(
-  [
-    submit,
-    submit,
-    submit,
-    advance,
-    advance,
-    resubmit,
-    freeze,
-    kill,
-    cut,
-    reset,
-    crash,
-    disturb,
-    silence,
-    hang,
-  ],
+const mute = fc
+  .tuple(index, index, fc.constantFrom(100, 300, 600, 1_500))
+  .map(([entry, agent, ms]) =>
+    createCommand(`mute(${entry},${agent},${ms})`, (world) => world.mute(entry, agent, ms)),
+  );
+
+const replace = index.map((at) => createCommand(`replace(${at})`, (world) => world.replace(at)));
+
+const lateReport = index.map((at) =>
+  createCommand(`lateReport(${at})`, (world) => world.deliverLateReport(at)),
+);
+
+const lateHello = fc
+  .tuple(index, index)
+  .map(([entry, agent]) =>
+    createCommand(`lateHello(${entry},${agent})`, (world) => world.deliverLateHello(entry, agent)),
+  );
+
+const EARLIER_COMMANDS = [
+  submit,
+  submit,
+  submit,
+  advance,
+  advance,
+  resubmit,
+  freeze,
+  kill,
+  cut,
+  reset,
+  crash,
+  disturb,
+  silence,
+  hang,
+];
+
+/** Draws the commands of one run; a seed goes on to mean the same run. */
+export const dispatchCommands = fc.commands(EARLIER_COMMANDS, { maxCommands: MAX_COMMANDS, size: 'max' });
+
+/** The same, and connections that go silent for good, and words of earlier lives that come late. */
+export const lateWordCommands = fc.commands(
+  [...EARLIER_COMMANDS, mute, mute, replace, lateReport, lateReport, lateHello],
   { maxCommands: MAX_COMMANDS, size: 'max' },
 );
--- /dev/null
+++ b/test/fakes/dispatchWorldState.ts
@@ -0,0 +1,61 @@
+/** What the randomised runs of dispatchers and agents hold: links, processes, upstreams and jobs. */
+import type { AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
+import type { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
+import type { AgentCore } from '../../src/process/executor/AgentCore.js';
+import type { FakeCaller } from './FakeCaller.js';
+import type { FakeUpstream } from './FakeUpstream.js';
+import type { ProcessGate } from './ProcessGate.js';
+
+/** A message on its way. */
+export interface Parcel<Message> {
+  readonly at: number;
+  readonly message: Message;
+}
+
+/** A connection of an agent to an entry. */
+export interface Link {
+  readonly entry: WorldEntry;
+  readonly agent: WorldAgent;
+  readonly toEntry: Parcel<AgentMessage>[];
+  readonly toAgent: Parcel<EntryMessage>[];
+  readonly openedAt: number;
+  agentId: string;
+  life: string;
+  broken: boolean;
+  /** Carries nothing any more, not even its end. */
+  silent: boolean;
+}
+
+/** An entry in its newest life. */
+export interface WorldEntry {
+  readonly index: number;
+  life: number;
+  gate: ProcessGate;
+  core: Dispatcher;
+  lastTurnAt: number;
+}
+
+/** An agent in its newest life. */
+export interface WorldAgent {
+  readonly index: number;
+  life: number;
+  gate: ProcessGate;
+  core: AgentCore;
+  restartAt: number;
+  upstream: WorldUpstream;
+  readonly lastLives: Map<number, string>;
+}
+
+/** A life of an upstream. */
+export interface WorldUpstream {
+  readonly life: number;
+  readonly fake: FakeUpstream;
+}
+
+/** A job and the callers that have submitted it, one after another. */
+export interface WorldJob {
+  readonly id: string;
+  readonly tasks: number;
+  readonly callers: { caller: FakeCaller; entry: WorldEntry; leftAt: number | undefined }[];
+  started: boolean;
+}
--- a/test/fakes/runDispatchWorld.ts
+++ b/test/fakes/runDispatchWorld.ts
@@ -1,11 +1,12 @@
 import * as fc from 'fast-check';
 
-import { dispatchCommands } from './dispatchCommands.js';
+import type { dispatchCommands } from './dispatchCommands.js';
 import { DispatchWorld } from './DispatchWorld.js';
 
 /**
  * Runs dispatchers and agents through random failures.
  *
+ * @param drawn - what the commands of a run are drawn from
  * @param seed - first seed
  * @param runs - number of runs
  * @param shrink - whether a failure is reduced, which takes long
@@ -13,12 +14,13 @@
  * @throws when a promise is broken, with seed and commands
  */
 export async function runDispatchWorld(
+  drawn: typeof dispatchCommands,
   seed: number,
   runs: number,
   shrink: boolean,
 ): Promise<Record<string, number>> {
   const totals: Record<string, number> = {};
-  const property = fc.asyncProperty(dispatchCommands, fc.integer(), async (commands, worldSeed) => {
+  const property = fc.asyncProperty(drawn, fc.integer(), async (commands, worldSeed) => {
     const world = new DispatchWorld(worldSeed);
     try {
       await world.advance(200);
