--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -294,16 +294,19 @@
   }
 }
 
+/** Keeps the addresses of benches apart that run beside each other in processes of their own. */
+const NET = process.pid % 250;
+
 /** Each daemon has a loopback address of its own, as all share their ports. */
 function findIp(id: string): string {
   const [role, number] = id.split('-');
-  return `127.${role === 'entry' ? 10 : 20}.0.${number}`;
+  return `127.${role === 'entry' ? 10 : 20}.${NET}.${number}`;
 }
 
 /** Proxies have loopback addresses of their own. */
 function findProxyIp(id: string): string {
   const [role = '', number = '1'] = id.split('-');
-  return `127.${PROXY_NETS[role] ?? 33}.0.${number}`;
+  return `127.${PROXY_NETS[role] ?? 33}.${NET}.${number}`;
 }
 
 const PROXY_NETS: Readonly<Record<string, number>> = { entry: 30, agent: 31, runner: 32, store: 33 };
