--- a/src/process/explain/explainJob.test.ts
+++ b/src/process/explain/explainJob.test.ts
@@ -31,6 +31,8 @@
     const answer = line(9, 'answer', { job: 'j', kind: 'completed', tookMs: 500, objectiveMs: 200 });
     const lost = line(5, 'attempt-over', { job: 'j', end: 'lost', reason: 'agent-silent' });
     expect(explainJob('j', [answer, lost]).cause).to.match(/^late by 300 ms: an agent was not heard/);
+    const broken = line(5, 'attempt-over', { job: 'j', end: 'lost', reason: 'link-broke' });
+    expect(explainJob('j', [answer, broken]).cause).to.match(/^late by 300 ms: a link broke or went silent/);
     const waited = line(5, 'place', { job: 'j', waitedMs: 250 });
     expect(explainJob('j', [answer, waited]).cause).to.match(/waited 250 ms for room/);
   });
--- a/src/process/explain/explainJob.ts
+++ b/src/process/explain/explainJob.ts
@@ -33,6 +33,8 @@
 /** Ends of attempts in order of what explains most. */
 const END_CAUSES: readonly (readonly [string, string])[] = [
   ['agent-silent', 'an agent was not heard for so long that its tasks counted as lost'],
+  ['link-broke', 'a link broke or went silent, and what it had carried was sent again'],
+  ['entry-silent', 'an agent heard no echo for so long that it stopped the tasks'],
   ['agent-replaced', 'an agent died and another life of it took its place'],
   ['unreachable', 'an upstream did not answer until every lease was over'],
   ['other-life', 'an upstream died and another life of it took its place'],
