--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -33,7 +33,7 @@
   });
 
   /** Nothing is at work, and nothing begins any more. */
-  async function expectStopped(): Promise<void> {
+  async function assertStopped(): Promise<void> {
     await bench.waitUntilIdle();
     const starts = bench.starts.size;
     await sleep(SETTLE_MS);
@@ -51,7 +51,7 @@
     expect((await bench.cancel('entry-1', 'late')).status).to.equal(200);
     expect((await open).status).to.equal(504);
     await sleep(LATE_MS);
-    await expectStopped();
+    await assertStopped();
     expect(bench.starts.size).to.equal(0);
   });
 
@@ -67,7 +67,7 @@
     expect((await open).status).to.equal(504);
     await bench.waitFor(() => bench.starts.size > 0);
     for (const runner of bench.runners) runner.lostStops = 0;
-    await expectStopped();
+    await assertStopped();
   });
 
   for (const starter of ['entry-1', 'agent-1']) {
@@ -77,7 +77,7 @@
       bench.signal(starter, 'SIGKILL');
       await bench.cancel('entry-1', 'removed');
       await open;
-      await expectStopped();
+      await assertStopped();
     });
   }
 });
