--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -53,6 +53,36 @@
       expect((await open).body).to.equal('{"state":"completed"}');
       expect([...bench.starts.values()].filter((count) => count !== 1)).to.deep.equal([]);
     });
+
+    it('go on with what runs at upstreams, and start more there', async () => {
+      const open = bench.submit('entry-1', 'open', TASKS, TASK_MS);
+      await bench.waitFor(() => bench.starts.size === TASKS);
+      for (const runner of ['runner-1', 'runner-2', 'runner-3']) bench.proxies.get(runner)?.silenceOpen();
+      const later = bench.submit('entry-2', 'later', TASKS, 30);
+      expect((await open).body).to.equal('{"state":"completed"}');
+      expect((await later).body).to.equal('{"state":"completed"}');
+      expect([...bench.starts.values()].filter((count) => count !== 1)).to.deep.equal([]);
+    });
+
+    it('hear of a new configuration from the store', async () => {
+      bench.proxies.get('store')?.silenceOpen();
+      bench.putConfiguration(['/q/', '/r/']);
+      for (const entry of ['entry-1', 'entry-2']) {
+        await bench.waitFor(async () => (await bench.get(entry, '/r/')).status === 200);
+      }
+    });
+
+    it('find all of them silent at once, and serve again', async () => {
+      const served = await bench.submit('entry-1', 'before', TASKS, 30);
+      expect(served.status).to.equal(200);
+      for (let round = 0; round < 3; round += 1) {
+        for (const proxy of bench.proxies.values()) proxy.silenceOpen();
+        const answers = ['entry-1', 'entry-2'].map((entry) =>
+          bench.submit(entry, `round${round}${entry}`, TASKS, 30),
+        );
+        for (const { body } of await Promise.all(answers)) expect(body).to.equal('{"state":"completed"}');
+      }
+    });
   });
 
   describe('calls to one address', () => {
