Tests: one way to wait until nothing is at work, to silence all connections, and to cancel before a late start

Change: they call waitUntilIdle, PlatformBench.silenceOpen and cancelBeforeStart; a needless copy in DispatchWorld goes. No assertion, bound or seed is changed, and nothing of the daemons.

--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -36,6 +36,18 @@
     expect(bench.doubled).to.deep.equal([]);
   });
 
+  /** Cancels a job whose start an upstream has taken, and will carry out later. */
+  async function cancelBeforeStart(): Promise<void> {
+    for (const runner of bench.runners) {
+      runner.lateStarts = LATE_STARTS;
+      runner.lateMs = LATE_MS;
+    }
+    const open = bench.submit('entry-1', 'late', 1, TASK_MS, PATIENCE_MS);
+    await bench.waitFor(() => bench.runners.some(({ lateStarts }) => lateStarts < LATE_STARTS));
+    expect((await bench.cancel('entry-1', 'late')).status).to.equal(200);
+    expect((await open).status).to.equal(504);
+  }
+
   /** Nothing is at work, and nothing begins any more. */
   async function assertStopped(): Promise<void> {
     await bench.waitUntilIdle();
@@ -46,29 +58,15 @@
   }
 
   it('are not started late, once their upstream has heard that they are stopped', async () => {
-    for (const runner of bench.runners) {
-      runner.lateStarts = LATE_STARTS;
-      runner.lateMs = LATE_MS;
-    }
-    const open = bench.submit('entry-1', 'late', 1, TASK_MS, PATIENCE_MS);
-    await bench.waitFor(() => bench.runners.some(({ lateStarts }) => lateStarts < LATE_STARTS));
-    expect((await bench.cancel('entry-1', 'late')).status).to.equal(200);
-    expect((await open).status).to.equal(504);
+    await cancelBeforeStart();
     await sleep(LATE_MS);
     await assertStopped();
     expect(bench.starts.size).to.equal(0);
   });
 
   it('are stopped when their upstream starts them late and has heard of no stop', async () => {
-    for (const runner of bench.runners) {
-      runner.lateStarts = LATE_STARTS;
-      runner.lateMs = LATE_MS;
-      runner.lostStops = Infinity;
-    }
-    const open = bench.submit('entry-1', 'late', 1, TASK_MS, PATIENCE_MS);
-    await bench.waitFor(() => bench.runners.some(({ lateStarts }) => lateStarts < LATE_STARTS));
-    expect((await bench.cancel('entry-1', 'late')).status).to.equal(200);
-    expect((await open).status).to.equal(504);
+    for (const runner of bench.runners) runner.lostStops = Infinity;
+    await cancelBeforeStart();
     await bench.waitFor(() => bench.starts.size > 0);
     for (const runner of bench.runners) runner.lostStops = 0;
     await assertStopped();
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -32,7 +32,7 @@
   });
 
   it('names the loss of an agent', async () => {
-    await bench.waitFor(() => [...bench.atWork.values()].every((count) => count === 0));
+    await bench.waitUntilIdle();
     const lost = bench.submit('entry-1', 'lost', 8, 1_200);
     await bench.waitFor(
       () => [...bench.atWork.keys()].filter((task) => task.startsWith('lost')).length === 8,
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -145,7 +145,7 @@
     const entry = this.pick(this.entries, entryIndex);
     const { index, life } = this.pick(this.agents, agentIndex);
     if (entry.gate.isFrozen || entry.gate.dead || life === 1) return;
-    const hello = { ...this.buildLateHello(index, life - 1) };
+    const hello = this.buildLateHello(index, life - 1);
     const id = entry.core.handleHello(hello, `entry-${entry.index}@${entry.life}`, this.clock.now());
     await this.advance(STEP_MS);
     if (!entry.gate.isFrozen) entry.core.handleClose(id, 'ended', this.clock.now());
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -150,6 +150,11 @@
     this.daemons.set(id, daemon);
   }
 
+  /** Has all open connections that pass proxies carry nothing any more; new ones work. */
+  silenceOpen(): void {
+    for (const proxy of this.proxies.values()) proxy.silenceOpen();
+  }
+
   /** Sends a signal to a daemon. */
   signal(id: string, name: NodeJS.Signals): void {
     this.findDaemon(id).child.kill(name);
--- a/test/fakes/soakFaults.ts
+++ b/test/fakes/soakFaults.ts
@@ -97,9 +97,7 @@
   cutBack: (bench, { proxy }, ms) => hold(bench.proxies.get(proxy), ms, 'pass', 'hold'),
   reset: async (bench, { proxy }) => bench.proxies.get(proxy)?.resetAll(),
   silence: async (bench, { proxy }) => bench.proxies.get(proxy)?.silenceOpen(),
-  silenceAll: async (bench) => {
-    for (const proxy of bench.proxies.values()) proxy.silenceOpen();
-  },
+  silenceAll: async (bench) => bench.silenceOpen(),
   delay: async (bench, { proxy }, ms, strength) => {
     bench.proxies.get(proxy)?.setDelay(MAX_DELAY_MS * strength);
     await sleep(ms);
--- a/test/hostileCallers.test.ts
+++ b/test/hostileCallers.test.ts
@@ -163,7 +163,7 @@
     const refused = await bench.submit('entry-1', 'beyond', 1, 30);
     expect([refused.status, refused.retryAfter]).to.deep.equal([503, '1']);
     caller.abort();
-    await bench.waitFor(() => [...bench.atWork.values()].every((count) => count === 0));
+    await bench.waitUntilIdle();
     expect([...bench.starts.keys()].some((task) => task.startsWith('beyond'))).to.equal(false);
   });
 });
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -76,7 +76,7 @@
       const served = await bench.submit('entry-1', 'before', TASKS, 30);
       expect(served.status).to.equal(200);
       for (let round = 0; round < 3; round += 1) {
-        for (const proxy of bench.proxies.values()) proxy.silenceOpen();
+        bench.silenceOpen();
         const answers = ['entry-1', 'entry-2'].map((entry) =>
           bench.submit(entry, `round${round}${entry}`, TASKS, 30),
         );
