--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -23,13 +23,30 @@
   /** Newest values of the system's own topics, by partition and key, in base64. */
   private readonly keyed = new Map<string, Map<string, string>>();
   private first = 0;
-  private newest: string | undefined;
+  /** Newest value of each key of the operator's, and its offset. */
+  private readonly operatorKeys = new Map<string, { readonly value: string; readonly offset: number }>();
   private readonly readers = new Set<() => void>();
 
   /** Writes a configuration, as the operator does. */
   putConfiguration(configuration: object): void {
-    this.newest = JSON.stringify(configuration);
-    this.records.push(buildLogRecord(CONFIGURATION_KEY, this.newest));
+    this.writeRecord(CONFIGURATION_KEY, JSON.stringify(configuration));
+  }
+
+  /** Asks that a failure domain is emptied, as the operator does. */
+  putEvacuation(domain: string, body = '{}'): void {
+    this.writeRecord(`evacuate/${domain}`, body);
+  }
+
+  /** Takes a failure domain back. */
+  dropEvacuation(domain: string): void {
+    this.writeRecord(`evacuate/${domain}`, '');
+  }
+
+  /** Writes a record of the operator's topic; one without a value drops its key. */
+  writeRecord(key: string, value: string): void {
+    if (value === '') this.operatorKeys.delete(key);
+    else this.operatorKeys.set(key, { value, offset: this.records.length });
+    this.records.push(buildLogRecord(key, value));
     for (const wake of [...this.readers]) wake();
   }
 
@@ -76,9 +93,9 @@
   }
 
   private answerNewest(response: ServerResponse): void {
-    const value = this.newest === undefined ? undefined : Buffer.from(this.newest).toString('base64');
-    const items =
-      value === undefined ? [] : [{ key: CONFIGURATION_KEY, value, offset: this.records.length - 1 }];
+    const items = [...this.operatorKeys].map(([key, { value, offset }]) => {
+      return { key, value: Buffer.from(value).toString('base64'), offset };
+    });
     writeJson(response, 200, JSON.stringify({ items, more: false, end: this.records.length }));
   }
 
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -52,6 +52,10 @@
   readonly beyondRoom: string[] = [];
   /** Settings of daemons that are not those of every test; to be set before the start. */
   extraSettings: Readonly<Record<string, unknown>> = {};
+  /** Failure domains of daemons that are not in the one of all others; to be set before the start. */
+  domains: Readonly<Record<string, string>> = {};
+  /** Starts at each runner. */
+  readonly startsAt = new Map<string, number>();
   /** Daemons that are being started again. */
   readonly restarting = new Set<string>();
   /** Tasks at work by runner. */
@@ -131,6 +135,7 @@
     const value = {
       id,
       address: ip,
+      failureDomain: this.domains[id] ?? 'default',
       advertisedAddress: this.isProxied ? findProxyIp(id) : '',
       linkPort: link,
       seeds,
@@ -268,6 +273,7 @@
         noteStart: (task, id) => {
           const load = (this.loads.get(id) ?? 0) + 1;
           this.loads.set(id, load);
+          this.startsAt.set(id, (this.startsAt.get(id) ?? 0) + 1);
           if (load > RUNNER_TASKS) this.beyondRoom.push(task);
           this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
           const atWork = (this.atWork.get(task) ?? 0) + 1;
