Failure domains that are emptied are known to dispatchers and executors; nothing is started there

Cause: no process read the operators' evacuations (records evacuate/NAME beside the configuration). Change: the reader of the configuration tells them as well, in the same calls: the list of the newest records (in pages), then each record. All of them are one list with a number; a process takes a higher number only, and tells its number with each ping and echo, so that executors, and dispatchers without a path to the store, learn the list on links. A dispatcher has no configuration in force before it knows the list; it places nothing in an emptied domain and counts no room there; an executor there says that it drains and refuses what still comes. Log, metrics, explain, pages. Ruled out: executors that read the store (65 more readers); the list in the configuration's version.

--- a/bench/buildValidatorModules.ts
+++ b/bench/buildValidatorModules.ts
@@ -4,6 +4,7 @@
 import {
   BEAT_SCHEMA,
   CONFIGURATION_SCHEMA,
+  EVACUATION_SCHEMA,
   HOLD_SCHEMA,
   JOB_SCHEMA,
   NEWEST_SCHEMA,
@@ -25,6 +26,7 @@
     validateJob: JOB_SCHEMA,
     validateConfiguration: CONFIGURATION_SCHEMA,
     validateRoute: ROUTE_SCHEMA,
+    validateEvacuation: EVACUATION_SCHEMA,
     validateBeat: BEAT_SCHEMA,
     validateOrderAnswer: ORDER_ANSWER_SCHEMA,
     validateHold: HOLD_SCHEMA,
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -3,7 +3,7 @@
 import * as fc from 'fast-check';
 
 import { FakeWorld } from '../test/fakes/FakeWorld.js';
-import { dispatchCommands, lateWordCommands } from '../test/fakes/dispatchCommands.js';
+import { dispatchCommands, domainCommands, lateWordCommands } from '../test/fakes/dispatchCommands.js';
 import { runDispatchWorld } from '../test/fakes/runDispatchWorld.js';
 import { runProcessSoak } from './runProcessSoak.js';
 import { RUN_AGENTS, RUN_ENTRIES, worldCommands } from '../test/fakes/worldCommands.js';
@@ -55,16 +55,23 @@
 
 async function runCore(core: string, seed: number): Promise<void> {
   if (core === 'processes') return console.log(JSON.stringify(await runProcessSoak(seed)));
-  if (core === 'dispatch' || core === 'late') {
-    const drawn = core === 'late' ? lateWordCommands : dispatchCommands;
+  const drawn = DISPATCH_CORES[core];
+  if (drawn) {
     return console.log(JSON.stringify(await runDispatchWorld(drawn, seed, BATCH, true)));
   }
   runBatch(seed);
   console.log(JSON.stringify({ seed, ...totals, reasons: Object.fromEntries(reasons) }));
 }
 
+/** Randomised runs of dispatchers and agents: the earlier ones, with words of earlier lives, with emptied domains. */
+const DISPATCH_CORES: Readonly<Record<string, typeof dispatchCommands>> = {
+  dispatch: dispatchCommands,
+  late: lateWordCommands,
+  domains: domainCommands,
+};
+
 const CORES =
-  'registrar (own interface), dispatch (platform), late (the same, with words of earlier lives) or processes (real ones, platform)';
+  'registrar (own interface), dispatch (platform), late (the same, with words of earlier lives), domains (with emptied failure domains) or processes (real ones, platform)';
 
 const cli = cac('soak');
 cli.option('--core <name>', CORES, { default: 'registrar' });
--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -4,6 +4,7 @@
  */
 import type { Resources } from '../../request/dispatch/submission.js';
 import type { Configuration } from '../../version/configuration.js';
+import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 
 /** Names one attempt of an entry to have a task run. */
 export interface AttemptName {
@@ -99,6 +100,8 @@
   readonly at: number;
   /** Newest configuration that the agent holds; -1 for none. */
   readonly version: number;
+  /** Newest list of emptied failure domains that it holds; -1 for none. Agents of earlier versions tell none. */
+  readonly emptiedRevision?: number | undefined;
   /** Undefined while it is what the link was last told. */
   readonly room: RoomReport | undefined;
   /** Attempts that stand still or crawl; undefined for none. */
@@ -111,6 +114,8 @@
   readonly at: number;
   /** Newest configuration that the entry holds; -1 for none. */
   readonly version: number;
+  /** Newest list of emptied failure domains that it holds; -1 for none. Entries of earlier versions tell none. */
+  readonly emptiedRevision?: number | undefined;
   /** Typical speed of the upstreams as the entry sees it, against which an upstream crawls. */
   readonly typicalSpeed: number;
   /** Whether tasks wait at the entry, so that it is told at once of room that comes free. */
@@ -191,27 +196,33 @@
   readonly configuration: Configuration;
 }
 
+/** Asks for the newest list of emptied failure domains the peer knows, which is newer than the sender's. */
+export interface EmptiedRequest {
+  readonly type: 'emptied-request';
+}
+
+/** Newest list of emptied failure domains the sender knows. */
+export interface EmptiedNotice {
+  readonly type: 'emptied';
+  readonly emptied: EmptiedDomains;
+}
+
 /** Entries the sender has a working link to, or is. */
 export interface MembersNotice {
   readonly type: 'members';
   readonly entries: readonly EntryPlace[];
 }
 
+/** Messages that both sides of a link send: what the operators have written, and who is there. */
+export type SharedMessage =
+  ConfigurationRequest | ConfigurationNotice | EmptiedRequest | EmptiedNotice | MembersNotice;
+
 /** Messages of agents. */
-export type AgentMessage =
-  AgentHello | Ping | RoomChange | AttemptResult | ConfigurationRequest | ConfigurationNotice | MembersNotice;
+export type AgentMessage = AgentHello | Ping | RoomChange | AttemptResult | SharedMessage;
 
 /** Messages of entries. */
 export type EntryMessage =
-  | EntryWelcome
-  | EntryHello
-  | Pong
-  | DemandNotice
-  | StartOrder
-  | StopOrder
-  | ConfigurationRequest
-  | ConfigurationNotice
-  | MembersNotice;
+  EntryWelcome | EntryHello | Pong | DemandNotice | StartOrder | StopOrder | SharedMessage;
 
 /** Any message of a link. */
 export type PeerMessage = AgentMessage | EntryMessage;
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -96,13 +96,19 @@
   ),
   'entry-welcome': buildObject({ entry: TEXT, life: TEXT, place: PLACE }),
   'entry-hello': buildObject({ entry: TEXT, place: PLACE }),
-  ping: buildObject({ at: FINITE, version: FINITE }, { room: ROOM, progress: buildList(PROGRESS) }),
-  pong: buildObject({
-    at: FINITE,
-    version: FINITE,
-    typicalSpeed: { type: 'number', minimum: 0 },
-    isWaiting: { type: 'boolean' },
-  }),
+  ping: buildObject(
+    { at: FINITE, version: FINITE },
+    { emptiedRevision: FINITE, room: ROOM, progress: buildList(PROGRESS) },
+  ),
+  pong: buildObject(
+    {
+      at: FINITE,
+      version: FINITE,
+      typicalSpeed: { type: 'number', minimum: 0 },
+      isWaiting: { type: 'boolean' },
+    },
+    { emptiedRevision: FINITE },
+  ),
   demand: buildObject({}),
   room: buildObject({ at: FINITE, room: ROOM }),
   start: buildObject({
@@ -126,5 +132,7 @@
   result: RESULT,
   'configuration-request': buildObject({}),
   configuration: buildObject({ configuration: CONFIGURATION }),
+  'emptied-request': buildObject({}),
+  emptied: buildObject({ emptied: buildObject({ revision: COUNT, domains: buildList(TEXT) }) }),
   members: buildObject({ entries: buildList(PLACE) }),
 };
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -35,6 +35,8 @@
   /** Longest time after the newest message for which our tasks can still run there, ms. */
   readonly orphanMs: number;
   linked = true;
+  /** Whether the operators have emptied its failure domain, so that nothing is placed there. */
+  isEmptied = false;
   room: AgentRoom | undefined;
   /**
    * Our time of the newest ping, room or result. The agent stops our work by the age of the newest ping that we have
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -297,4 +297,46 @@
     bench.dispatcher.place(60);
     expect(bench.starts.length).to.equal(4);
   });
+
+  describe('while a failure domain is emptied', () => {
+    it('places nothing there, also where an agent links later, and refuses what fits nowhere else', () => {
+      const bench = new Bench();
+      const north = bench.link('a1', 0, { failureDomain: 'north' });
+      bench.ping(north, 0);
+      bench.dispatcher.setEmptied(['north']);
+      const later = bench.link('a2', 0, { failureDomain: 'north' });
+      bench.ping(later, 0);
+      expect(bench.dispatcher.hasAgents(0)).to.equal(false);
+      bench.submit(0, { patienceMs: 300 });
+      bench.dispatcher.tick(250);
+      expect(bench.starts).to.deep.equal([]);
+      expect(bench.caller.answers[0]?.kind).to.equal('refused');
+    });
+
+    it('lets what runs there end, and answers the job whole', () => {
+      const bench = new Bench();
+      const north = bench.link('a1', 0, { failureDomain: 'north' });
+      bench.ping(north, 0);
+      bench.submit(0);
+      bench.dispatcher.setEmptied(['north']);
+      for (const { order } of bench.starts)
+        bench.dispatcher.handleResult(
+          north,
+          { type: 'result', name: order.name, end: 'done', reason: '' },
+          50,
+        );
+      expect(bench.stops).to.equal(0);
+      expect(bench.caller.answers).to.deep.equal([{ kind: 'completed' }]);
+    });
+
+    it('places there again once it is taken back', () => {
+      const bench = new Bench();
+      const north = bench.link('a1', 0, { failureDomain: 'north' });
+      bench.ping(north, 0);
+      bench.dispatcher.setEmptied(['north', 'south']);
+      bench.dispatcher.setEmptied(['south']);
+      bench.submit(10);
+      expect(bench.starts).to.have.length(2);
+    });
+  });
 });
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -73,6 +73,8 @@
   /** Jobs submitted again while tasks of the earlier submission may still run. */
   private readonly successors = new Map<string, Submission>();
   private readonly backlog = new Backlog();
+  /** Failure domains in which nothing is started. */
+  private emptied: readonly string[] = [];
   private median = 1;
   /** Mean time from sending a task to hearing that it was not run, ms. */
   private returnMs = FIRST_RETURN_MS;
@@ -104,11 +106,18 @@
   /** Whether an agent of any service is linked and takes work. */
   hasAgents(now: number): boolean {
     for (const agent of this.agents.values()) {
+      if (agent.isEmptied) continue;
       if (agent.linked && agent.room?.state === 'ready' && now - agent.heardAt <= this.staleMs) return true;
     }
     return false;
   }
 
+  /** The operators have emptied these failure domains, and no others: nothing is placed there. */
+  setEmptied(domains: readonly string[]): void {
+    this.emptied = domains;
+    for (const agent of this.agents.values()) agent.isEmptied = domains.includes(agent.failureDomain);
+  }
+
   /** Takes a job; its answer comes through the caller. */
   submit(submission: JobSubmission, caller: Caller, now: number): void {
     const findings = this.options.bounds.findExcess(submission);
@@ -170,7 +179,9 @@
       if (other.agent === hello.agent && other.id !== id) other.linked = false;
     }
     if (!known) {
-      this.agents.set(id, new AgentView(hello, now));
+      const agent = new AgentView(hello, now);
+      agent.isEmptied = this.emptied.includes(agent.failureDomain);
+      this.agents.set(id, agent);
       this.effects.log('agent-linked', { agent: id, again: false });
       return id;
     }
@@ -498,8 +509,8 @@
 
 function findMedianSpeed(agents: Iterable<AgentView>): number {
   const speeds: number[] = [];
-  for (const { linked, room } of agents)
-    if (linked && room && room.state === 'ready') speeds.push(room.speed);
+  for (const { linked, room, isEmptied } of agents)
+    if (linked && !isEmptied && room && room.state === 'ready') speeds.push(room.speed);
   speeds.sort((left, right) => left - right);
   return Math.max(0.2, speeds[Math.floor(speeds.length / 2)] ?? 1);
 }
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
 import type { Configuration } from '../../version/configuration.js';
-import { ConfigurationExchange } from '../ConfigurationExchange.js';
+import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
 import { LogBudget } from '../LogBudget.js';
@@ -18,6 +18,8 @@
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
 import { MemberTable } from '../MemberTable.js';
+import { OperatorExchange } from '../OperatorExchange.js';
+import type { WordSource } from '../OperatorExchange.js';
 import { noteFailure } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import { ServedMetrics } from '../ServedMetrics.js';
@@ -72,7 +74,11 @@
   private readonly listener: PeerListener;
   private readonly peers: EntryPeers;
   private readonly members = new MemberTable();
-  private readonly exchange = new ConfigurationExchange();
+  private readonly exchange = new OperatorExchange({
+    changeConfiguration: (configuration, before, from) =>
+      this.applyConfiguration(configuration, before, from),
+    changeEmptied: (emptied, from) => this.applyEmptied(emptied, from),
+  });
   private readonly pauseGuard: PauseGuard;
   private readonly channels = new Map<string, LineChannel>();
   private readonly agentIds = new Map<LineChannel, string>();
@@ -109,7 +115,9 @@
       readOpenJobs: () => this.dispatcher.openJobs,
       readWaitingTasks: () => this.dispatcher.waitingTasks,
       readAgents: () => this.channels.size,
-      readConfigurationVersion: () => this.exchange.version,
+      readConfigurationVersion: () => this.exchange.versions.version,
+      readEmptiedDomains: () => this.exchange.emptied?.domains.length ?? 0,
+      readEmptiedRevision: () => this.exchange.versions.emptiedRevision,
     };
     this.metrics = new ServedMetrics(settings.metricsAddress, buildDispatcherMetrics(gauges));
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
@@ -126,7 +134,6 @@
       this.exchange,
       this.clock,
       {
-        adopt: (configuration) => this.adoptConfiguration(configuration, 'peer'),
         noteMembers: (entries) => this.noteMembers(entries, this.clock.now()),
         log: (event, fields) => this.logger.info(event, fields),
       },
@@ -153,9 +160,16 @@
     await this.listener.start(this.settings.address, this.settings.linkPort);
     await this.ports.gateway.start(this);
     this.ports.source.start({
-      adopt: (configuration) => this.adoptConfiguration(configuration, 'store'),
-      noteFindings: (findings) => {
-        this.logger.warn('configuration-rejected', { findings, version: this.exchange.version });
+      adopt: (configuration) => this.exchange.adoptConfiguration(configuration, 'store'),
+      adoptEmptied: ({ revision, domains }) => {
+        const known = domains.filter((domain) => this.isKnownDomain(domain));
+        this.exchange.adoptEmptied({ revision, domains: known }, 'store');
+      },
+      changeDomain: (change) => {
+        if (this.isKnownDomain(change.domain)) this.exchange.changeDomain(change, 'store');
+      },
+      noteFindings: (subject, findings) => {
+        this.logger.warn(`${subject}-rejected`, { findings, ...this.exchange.versions });
       },
       note: (state, detail) => this.logger.warn('store', { state, detail }),
     });
@@ -218,7 +232,8 @@
 
   noteRejected(jobId: string, status: number, reason: string): void {
     this.metrics.increment('dispatcher_answers', { outcome: 'rejected', reason });
-    this.logger.info('reject', { job: jobId, status, reason, version: this.exchange.version });
+    const { version } = this.exchange.versions;
+    this.logger.info('reject', { job: jobId, status, reason, version });
   }
 
   noteFailure(call: string, error: unknown): void {
@@ -276,10 +291,10 @@
     this.pauseGuard.look(now);
     if (message.type === 'ping') {
       const typicalSpeed = roundSpeed(this.dispatcher.typicalSpeed);
-      const { version } = this.exchange;
+      const { versions } = this.exchange;
       const isWaiting = this.dispatcher.waitingTasks > 0;
-      channel.send({ type: 'pong', at: message.at, version, typicalSpeed, isWaiting });
-      this.exchange.compareVersion(message.version, channel, now);
+      channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting });
+      this.exchange.compareVersions(message, channel, now);
     }
     this.handle(channel, message, now);
     if (this.dispatcher.waitingTasks > 0) this.schedulePlacing();
@@ -288,8 +303,7 @@
   private handle(channel: LineChannel, message: PeerMessage, now: number): void {
     if (message.type === 'agent-hello') return this.welcomeAgent(channel, message, now);
     if (message.type === 'entry-hello') return this.welcomeEntry(channel, message.place, now);
-    if (message.type === 'configuration-request') return this.exchange.tell(channel);
-    if (message.type === 'configuration') return this.adoptConfiguration(message.configuration, 'peer');
+    if (this.exchange.receive(message, channel)) return;
     if (message.type === 'members') return this.noteMembers(message.entries, now);
     const agent = this.agentIds.get(channel);
     if (agent === undefined) return;
@@ -331,11 +345,29 @@
     this.dispatcher.handleClose(id, reason, this.clock.now());
   }
 
-  private adoptConfiguration(configuration: Configuration, from: string): void {
-    const before = this.exchange.version;
-    if (!this.exchange.adopt(configuration)) return;
+  /** Whether the deployment has a failure domain; what operators write of any other is logged and has no effect. */
+  private isKnownDomain(domain: string): boolean {
+    const { failureDomains } = this.settings;
+    if (failureDomains.length === 0 || failureDomains.includes(domain)) return true;
+    this.logger.warn('evacuation-rejected', { domain, reason: 'there is no such failure domain' });
+    return false;
+  }
+
+  private applyConfiguration(configuration: Configuration, before: number, from: WordSource): void {
     this.ports.gateway.applyConfiguration(configuration);
     this.logger.info('configuration', { version: configuration.version, before, from });
+    this.tellPeers();
+  }
+
+  /** Nothing more is placed in these failure domains; what runs there runs on. */
+  private applyEmptied({ domains, revision }: EmptiedDomains, from: WordSource): void {
+    this.logger.info('emptied-domains', { emptied: domains, revision, from });
+    this.turn(() => this.dispatcher.setEmptied(domains));
+    this.tellPeers();
+  }
+
+  /** Other entries hear at once of what is new. */
+  private tellPeers(): void {
     for (const channel of this.entryChannels) this.exchange.tell(channel);
   }
 
@@ -373,7 +405,7 @@
     this.logger.info('answer', {
       job: job.id,
       queue: submission.route.name,
-      version: this.exchange.version,
+      version: this.exchange.versions.version,
       ...outcome,
       tasks: tasks.length,
       tookMs: Math.round(now - arrivedAt),
--- a/src/process/dispatcher/EntryPeers.test.ts
+++ b/src/process/dispatcher/EntryPeers.test.ts
@@ -5,7 +5,7 @@
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
 import type { PeerMessage, Ping } from '../../connection/peer/peerMessages.js';
-import { ConfigurationExchange } from '../ConfigurationExchange.js';
+import { OperatorExchange } from '../OperatorExchange.js';
 import { EntryPeers } from './EntryPeers.js';
 
 const HOST = '127.0.0.1';
@@ -49,12 +49,15 @@
     const clock: Clock = { now: () => steady.now() + skippedMs, sleep: (ms) => steady.sleep(ms) };
     const place = { address: `${HOST}:1`, failureDomain: 'x' };
     const events = {
-      adopt: () => undefined,
       noteMembers: () => undefined,
       log: (event: string) => void logged.push(event),
     };
     const options = { id: 'e1', place, linkPort };
-    peers = new EntryPeers(options, new ConfigurationExchange(), clock, events, () => 0.5);
+    const exchange = new OperatorExchange({
+      changeConfiguration: () => undefined,
+      changeEmptied: () => undefined,
+    });
+    peers = new EntryPeers(options, exchange, clock, events, () => 0.5);
     peers.noteSeeds([`${HOST}:1`]);
     await waitFor('entry-hello');
   });
--- a/src/process/dispatcher/EntryPeers.ts
+++ b/src/process/dispatcher/EntryPeers.ts
@@ -7,9 +7,8 @@
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
 import type { EntryPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
-import type { Configuration } from '../../version/configuration.js';
-import type { ConfigurationExchange } from '../ConfigurationExchange.js';
 import type { LogFields } from '../logger.js';
+import type { OperatorExchange } from '../OperatorExchange.js';
 
 /** How long the first echo of another entry is waited for, ms: a ping interval of these links. */
 const FIRST_ECHO_MS = 1_000;
@@ -25,7 +24,6 @@
 
 /** What the links tell their entry. */
 export interface EntryPeersEvents {
-  readonly adopt: (configuration: Configuration) => void;
   readonly noteMembers: (entries: readonly EntryPlace[]) => void;
   readonly log: (event: string, fields: LogFields) => void;
 }
@@ -37,7 +35,7 @@
 
   constructor(
     private readonly options: EntryPeersOptions,
-    private readonly exchange: ConfigurationExchange,
+    private readonly exchange: OperatorExchange,
     private readonly clock: Clock,
     private readonly events: EntryPeersEvents,
     nextRandom: () => number,
@@ -63,9 +61,9 @@
   ping(): void {
     this.dialer.review();
     const at = Math.floor(this.clock.now());
-    const { version } = this.exchange;
+    const { versions } = this.exchange;
     for (const [address, channel] of this.channels) {
-      channel.send({ type: 'ping', at, version, room: undefined, progress: undefined });
+      channel.send({ type: 'ping', at, ...versions, room: undefined, progress: undefined });
       this.dialer.notePing(address);
     }
   }
@@ -90,12 +88,11 @@
   private receive(address: string, message: PeerMessage): void {
     const channel = this.channels.get(address);
     if (!channel) return;
-    if (message.type === 'configuration') return this.events.adopt(message.configuration);
-    if (message.type === 'configuration-request') return this.exchange.tell(channel);
+    if (this.exchange.receive(message, channel)) return;
     if (message.type === 'members') return this.events.noteMembers(message.entries);
     if (message.type !== 'pong') return;
     this.dialer.noteEcho(address, message.at);
-    this.exchange.compareVersion(message.version, channel, this.clock.now());
+    this.exchange.compareVersions(message, channel, this.clock.now());
   }
 
   private noteClosed(address: string, reason: string): void {
--- a/src/process/dispatcher/dispatcherMetrics.ts
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -9,6 +9,8 @@
   readonly readWaitingTasks: () => number;
   readonly readAgents: () => number;
   readonly readConfigurationVersion: () => number;
+  readonly readEmptiedDomains: () => number;
+  readonly readEmptiedRevision: () => number;
 }
 
 /**
@@ -38,5 +40,15 @@
       help: 'Version of the configuration in force',
       read: gauges.readConfigurationVersion,
     },
+    dispatcher_emptied_domains: {
+      kind: 'gauge',
+      help: 'Failure domains in which nothing is started, as the operators have asked',
+      read: gauges.readEmptiedDomains,
+    },
+    dispatcher_emptied_revision: {
+      kind: 'gauge',
+      help: "Records of the operators that the list of emptied failure domains takes into account; -1 before it's known",
+      read: gauges.readEmptiedRevision,
+    },
   };
 }
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -184,4 +184,28 @@
     });
     expect(core.buildPing(ENTRY, VERSION).progress?.[0]?.stalledMs).to.be.greaterThan(160);
   });
+
+  it('begins nothing while its failure domain is emptied, and lets what runs there end', async () => {
+    upstream.taskMs = 100;
+    core.handleStart(ENTRY, ORDER);
+    await clock.advance(20);
+    core.setEmptied(true);
+    expect(core.buildPing(ENTRY, VERSION).room?.state).to.equal('draining');
+    core.handleStart(ENTRY, { ...ORDER, name: { ...ORDER.name, index: 1, attempt: 2 } });
+    await clock.advance(300);
+    expect(results).to.deep.equal(['not-run domain-emptied', 'done done']);
+    core.setEmptied(false);
+    expect(core.buildPing(ENTRY, VERSION).room?.state).to.equal('ready');
+    core.handleStart(ENTRY, { ...ORDER, name: { ...ORDER.name, index: 1, attempt: 3 } });
+    await clock.advance(300);
+    expect(upstream.starts).to.equal(2);
+  });
+
+  it('lets go what waits for room when its failure domain is emptied', async () => {
+    upstream.taskMs = 1_000;
+    for (let index = 0; index < 5; index += 1)
+      core.handleStart(ENTRY, { ...ORDER, name: { ...ORDER.name, index, attempt: index + 1 } });
+    core.setEmptied(true);
+    expect(results).to.deep.equal(['not-run domain-emptied']);
+  });
 });
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -80,6 +80,8 @@
   private readonly proofs = new Map<string, EntryProof>();
   private readonly reportedAt = new Map<string, number>();
   private leaving = false;
+  /** Whether the operators have emptied the agent's failure domain. */
+  private isEmptied = false;
   /** Life of the entry that is preferred; empty for none. */
   private homeLife = '';
 
@@ -234,7 +236,7 @@
     const { description, free } = session;
     return {
       description,
-      state: this.leaving || isRetiring ? 'draining' : session.state,
+      state: this.leaving || this.isEmptied || isRetiring ? 'draining' : session.state,
       trust: session.readTrust(),
       free,
       startsSeen,
@@ -277,6 +279,17 @@
     this.effects.noteChange();
   }
 
+  /**
+   * The operators have emptied the agent's failure domain, or taken it back. What runs there runs on to its end; nothing
+   * is begun, also if its dispatcher has not heard of it.
+   */
+  setEmptied(isEmptied: boolean): void {
+    if (isEmptied === this.isEmptied) return;
+    this.isEmptied = isEmptied;
+    if (isEmptied) for (const session of this.sessions.values()) session.dropWaiting(DOMAIN_EMPTIED);
+    this.effects.noteChange();
+  }
+
   /** Stops everything. */
   stopAll(reason: string): void {
     for (const session of this.sessions.values()) session.stopAll(reason);
@@ -308,6 +321,7 @@
 
   private findRefusal(order: StartOrder, proof: EntryProof, now: number): string | UpstreamSession {
     if (this.leaving) return 'leaving';
+    if (this.isEmptied) return DOMAIN_EMPTIED;
     if (now > order.expiresAt) return 'expired';
     if (now - proof.provenAt > this.bounds.orphanAfterMs) return 'entry-unproven';
     const session = this.findSession();
@@ -354,6 +368,9 @@
   }
 }
 
+/** Why an attempt is not begun while the agent's failure domain is emptied. */
+const DOMAIN_EMPTIED = 'domain-emptied';
+
 /** Entries that have been silent for so long are forgotten, ms. */
 const FORGET_ENTRY_MS = 10_000;
 
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -7,8 +7,9 @@
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
 import type { AttemptResult, EntryWelcome, PeerMessage } from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
-import { ConfigurationExchange } from '../ConfigurationExchange.js';
 import type { LogFields } from '../logger.js';
+import { OperatorExchange } from '../OperatorExchange.js';
+import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import type { AgentCore } from './AgentCore.js';
 import { EntryDirectory } from './EntryDirectory.js';
 import { RoomPacer } from './RoomPacer.js';
@@ -36,6 +37,7 @@
 export interface EntryLinksOptions {
   /** Process id of the agent. */
   readonly agent: string;
+  readonly failureDomain: string;
   readonly maxLinks: number;
   /** Port of the links between daemons, the same on every VM. */
   readonly linkPort: number;
@@ -65,7 +67,7 @@
 export class EntryLinks {
   private readonly directory: EntryDirectory;
   private readonly dialer: PeerDialer;
-  private readonly exchange = new ConfigurationExchange();
+  private readonly exchange: OperatorExchange;
   private readonly links = new Map<string, EntryLink>();
   /** Life of the entry last met at each address. */
   private readonly lives = new Map<string, string>();
@@ -78,6 +80,10 @@
     nextRandom: () => number,
   ) {
     this.directory = new EntryDirectory(options.agent, options.maxLinks);
+    this.exchange = new OperatorExchange({
+      changeConfiguration: () => undefined,
+      changeEmptied: (emptied) => this.noteEmptied(emptied),
+    });
     const events = {
       open: (address: string, channel: LineChannel) => this.open(address, channel),
       receive: (address: string, message: PeerMessage) => this.receive(address, message),
@@ -220,8 +226,7 @@
     const now = this.clock.now();
     if (message.type === 'entry-welcome') return this.noteWelcome(link, message, now);
     if (message.type === 'members') return this.directory.noteMembers(message.entries, now);
-    if (message.type === 'configuration') return void this.exchange.adopt(message.configuration);
-    if (message.type === 'configuration-request') return this.exchange.tell(link.channel);
+    if (this.exchange.receive(message, link.channel)) return;
     if (link.life === '') return;
     if (message.type === 'start') return this.core.handleStart(link.life, message);
     if (message.type === 'stop') return this.core.handleStop(link.life, message);
@@ -232,7 +237,7 @@
     link.pacer.noteEcho(now - message.at);
     this.dialer.noteEcho(address, message.at);
     this.core.noteEcho(link.life, message);
-    this.exchange.compareVersion(message.version, link.channel, now);
+    this.exchange.compareVersions(message, link.channel, now);
   }
 
   private noteWelcome(link: EntryLink, { life, place }: EntryWelcome, now: number): void {
@@ -250,6 +255,12 @@
     this.tellMembers();
   }
 
+  private noteEmptied({ domains, revision }: EmptiedDomains): void {
+    const isEmptied = domains.includes(this.options.failureDomain);
+    this.log('emptied-domains', { emptied: domains, revision, isEmptied });
+    this.core.setEmptied(isEmptied);
+  }
+
   private noteDemand(link: EntryLink): void {
     link.isWaiting = true;
     this.tellRoom(link);
@@ -276,6 +287,7 @@
     link.pingedAt = now;
     this.dialer.notePing(link.address);
     link.pacer.noteTold(now);
-    link.channel.send(this.core.buildPing(link.life, this.exchange.version));
+    const { version, emptiedRevision } = this.exchange.versions;
+    link.channel.send({ ...this.core.buildPing(link.life, version), emptiedRevision });
   }
 }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -506,7 +506,8 @@
     this.events.finish(task, 'not-run', reason);
   }
 
-  private dropWaiting(reason: string): void {
+  /** Ends what waits for room, as not run. */
+  dropWaiting(reason: string): void {
     for (const task of [...this.waiting]) this.dropOne(task, reason);
   }
 
--- a/src/process/explain/explainJob.ts
+++ b/src/process/explain/explainJob.ts
@@ -41,6 +41,7 @@
   ['lapsed', 'a lease ran out: the agent did not renew it in time'],
   ['failed', 'tasks failed at their upstream'],
   ['stopped-by-entry', 'a task stood still or crawled and was moved'],
+  ['domain-emptied', 'the operators had emptied the failure domain when the start arrived'],
   ['full', 'agents had no room when the start arrived'],
   ['expired', 'starts were too long on their way'],
 ];
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -11,6 +11,8 @@
 export interface DispatchSettings {
   readonly id: string;
   readonly failureDomain: string;
+  /** All failure domains of the deployment, so that an evacuation of any other is told to be wrong; empty if not known. */
+  readonly failureDomains: readonly string[];
   /** IP address of the VM. */
   readonly address: string;
   /** IP address under which other daemons reach a dispatcher, where that is not `address`; empty if it is. */
--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -5,6 +5,7 @@
 import { buildLogRecord } from '../../platform/buildLogRecord.js';
 import {
   CONFIGURATION_KEY,
+  EVACUATION_PREFIX,
   LOG_APPEND_PATH,
   LOG_NEWEST_PATH,
   LOG_READ_PATH,
@@ -19,6 +20,8 @@
 /** The store. */
 export class StoreStandin extends StandinServer {
   fault: StoreFault = 'none';
+  /** Newest records that one answer holds. */
+  pageItems = 500;
   private readonly records: Buffer[] = [];
   /** Newest values of the system's own topics, by partition and key, in base64. */
   private readonly keyed = new Map<string, Map<string, string>>();
@@ -34,12 +37,12 @@
 
   /** Asks that a failure domain is emptied, as the operator does. */
   putEvacuation(domain: string, body = '{}'): void {
-    this.writeRecord(`evacuate/${domain}`, body);
+    this.writeRecord(`${EVACUATION_PREFIX}${domain}`, body);
   }
 
   /** Takes a failure domain back. */
   dropEvacuation(domain: string): void {
-    this.writeRecord(`evacuate/${domain}`, '');
+    this.writeRecord(`${EVACUATION_PREFIX}${domain}`, '');
   }
 
   /** Writes a record of the operator's topic; one without a value drops its key. */
@@ -71,7 +74,7 @@
     const partition = `${topic}/${searchParams.get('part')}`;
     if (pathname === LOG_APPEND_PATH) return this.append(partition, request.bytes, response);
     if (pathname === LOG_NEWEST_PATH && topic !== OPERATOR_TOPIC) return this.answerKeys(partition, response);
-    if (pathname === LOG_NEWEST_PATH) return this.answerNewest(response);
+    if (pathname === LOG_NEWEST_PATH) return this.answerNewest(response, searchParams.get('after'));
     if (pathname !== LOG_READ_PATH) return writeJson(response, 404, '{}');
     const from = Number(searchParams.get('from'));
     if (from < this.first) return writeJson(response, 410, JSON.stringify({ first: this.first }));
@@ -92,11 +95,15 @@
     writeJson(response, 200, JSON.stringify({ items, more: false, end: 1 }));
   }
 
-  private answerNewest(response: ServerResponse): void {
-    const items = [...this.operatorKeys].map(([key, { value, offset }]) => {
+  private answerNewest(response: ServerResponse, after: string | null): void {
+    const keys = [...this.operatorKeys];
+    const begin = after === null ? 0 : keys.findIndex(([key]) => key === after) + 1;
+    const page = keys.slice(begin, begin + this.pageItems);
+    const items = page.map(([key, { value, offset }]) => {
       return { key, value: Buffer.from(value).toString('base64'), offset };
     });
-    writeJson(response, 200, JSON.stringify({ items, more: false, end: this.records.length }));
+    const more = begin + page.length < keys.length;
+    writeJson(response, 200, JSON.stringify({ items, more, end: this.records.length }));
   }
 
   private answerRecords(response: ServerResponse, from: number): void {
--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 
-import { dispatchCommands, lateWordCommands } from './fakes/dispatchCommands.js';
+import { dispatchCommands, domainCommands, lateWordCommands } from './fakes/dispatchCommands.js';
 import { runDispatchWorld } from './fakes/runDispatchWorld.js';
 
 /** Runs in CI; `npm run soak -- --core dispatch` does more. */
@@ -21,4 +21,10 @@
     expect(totals['completed']).to.be.greaterThan(0);
     expect(totals['interrupted']).to.be.greaterThan(0);
   });
+
+  it('hold when failure domains are emptied and taken back', async () => {
+    const totals = await runDispatchWorld(domainCommands, SEED, RUNS, false);
+    expect(totals['completed']).to.be.greaterThan(0);
+    expect(totals['refused']).to.be.greaterThan(0);
+  });
 });
--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -9,6 +9,8 @@
 const TARGET_LATENCY_MS = 20_000;
 /** Time from the operator's word on, after which nothing may start there, ms; from the users' rules. */
 const EVACUATE_MS = 5_000;
+/** Tasks of a job that fills both runners of a failure domain; each of them takes four. */
+const WIDE = 8;
 
 describe('dispatchers and executors, while a failure domain is emptied,', function () {
   this.timeout(120_000);
@@ -30,6 +32,18 @@
     return (bench.startsAt.get('i-1') ?? 0) + (bench.startsAt.get('i-2') ?? 0);
   }
 
+  /** Empties `north` and waits until every daemon has logged it. */
+  async function emptyNorth(): Promise<void> {
+    bench.store.putEvacuation('north');
+    const ids = ['entry-1', 'entry-2', 'agent-1', 'agent-2', 'agent-3', 'agent-4'];
+    for (const id of ids) {
+      await bench.waitFor(
+        () => bench.readOutput(id).includes('"emptied":["north"]'),
+        `that ${id} knows of it`,
+      );
+    }
+  }
+
   it('start nothing there from five seconds after the operator has asked for it', async () => {
     bench.store.putEvacuation('north');
     await sleep(EVACUATE_MS);
@@ -40,4 +54,56 @@
     for (const { status } of answers) expect(status).to.equal(200);
     expect(countNorth() - before).to.equal(0);
   });
+
+  it('start nothing there, and answer jobs with what is left', async () => {
+    await emptyNorth();
+    const answers = await Promise.all(
+      Array.from({ length: 12 }, (_, at) => bench.submit(`entry-${1 + (at % 2)}`, `job${at}`, 2, 30)),
+    );
+    for (const { status } of answers) expect(status).to.equal(200);
+    expect(countNorth()).to.equal(0);
+  });
+
+  it('let what runs there run on to its end, and answer the job whole', async () => {
+    const open = bench.submit('entry-1', 'open', 2 * WIDE, 1_500);
+    await bench.waitFor(() => bench.starts.size === 2 * WIDE);
+    await emptyNorth();
+    expect((await open).status).to.equal(200);
+    expect([...bench.starts.values()].filter((count) => count !== 1)).to.deep.equal([]);
+    expect(countNorth()).to.equal(WIDE);
+  });
+
+  it('start there again once it is taken back', async () => {
+    await emptyNorth();
+    bench.store.dropEvacuation('north');
+    await bench.waitFor(() => bench.readOutput('entry-1').includes('"emptied":[]'));
+    await bench.waitFor(() => bench.readOutput('agent-1').includes('"emptied":[]'));
+    const answer = await bench.submit('entry-1', 'later', 2 * WIDE, 600);
+    expect(answer.status).to.equal(200);
+    expect(countNorth()).to.be.greaterThan(0);
+  });
+
+  it('start nothing there after all of them were started again', async () => {
+    await emptyNorth();
+    for (const id of ['entry-1', 'entry-2', 'agent-1', 'agent-2']) {
+      bench.signal(id, 'SIGKILL');
+      await bench.waitForExit(id);
+      await bench.startDaemon(id);
+    }
+    for (const id of ['entry-1', 'entry-2']) await bench.waitUntilReady(id);
+    const answer = await bench.submit('entry-2', 'later', 2 * WIDE, 200);
+    expect(answer.status).to.equal(200);
+    expect(countNorth()).to.equal(0);
+  });
+
+  it('learn it of executors where the store has forgotten how to answer', async () => {
+    await emptyNorth();
+    bench.store.fault = 'silent';
+    bench.signal('entry-1', 'SIGKILL');
+    await bench.waitForExit('entry-1');
+    await bench.startDaemon('entry-1');
+    await bench.waitUntilReady('entry-1');
+    expect((await bench.submit('entry-1', 'later', WIDE, 50)).status).to.equal(200);
+    expect(countNorth()).to.equal(0);
+  });
 });
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -4,16 +4,36 @@
  * checked as it goes.
  */
 import { createRandom } from '../../src/_lib/createRandom.js';
-import type { AgentHello, AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
+import type {
+  AgentHello,
+  AgentMessage,
+  EntryMessage,
+  PeerMessage,
+  Ping,
+} from '../../src/connection/peer/peerMessages.js';
 import { JobBounds } from '../../src/request/dispatch/JobBounds.js';
 import { ROUTE, STEP, WIDE_LIMITS } from './dispatchFixtures.js';
-import type { JobOutcome, JobSubmission } from '../../src/request/dispatch/submission.js';
+import type { JobSubmission } from '../../src/request/dispatch/submission.js';
+import type { EmptiedDomains } from '../../src/version/emptiedDomains.js';
 import type { UpstreamReport } from '../../src/ports/UpstreamRegistry.js';
 import { AgentCore } from '../../src/process/executor/AgentCore.js';
 import { buildAgentId } from '../../src/process/dispatcher/AgentView.js';
 import { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
 import { SpeedPlacement } from '../../src/process/dispatcher/Placement.js';
+import { OperatorExchange } from '../../src/process/OperatorExchange.js';
 import { deriveDispatchTimes } from '../../src/process/dispatchTimes.js';
+import { checkAnswers, checkKnowledge, checkRuns, RESUBMIT_MS } from './checkDispatchWorld.js';
+import {
+  changeWritten,
+  compareEmptied,
+  createAgentExchange,
+  DOMAINS,
+  findDomain,
+  knowsEmptied,
+  takeStart,
+} from './dispatchWorldDomains.js';
+import { buildUpstreamId, buildWorldReport } from './dispatchWorldUpstreams.js';
+import { createLink } from './dispatchWorldState.js';
 import type { Link, WorldAgent, WorldEntry, WorldJob, WorldUpstream } from './dispatchWorldState.js';
 import { FakeCaller } from './FakeCaller.js';
 import { FakeClock } from './FakeClock.js';
@@ -23,7 +43,6 @@
 export const WORLD_ENTRIES = 2;
 export const WORLD_AGENTS = 3;
 
-const RESUBMIT_MS = 1_300;
 const STOP_MS = 50;
 const STEP_MS = 5;
 const TICK_MS = 40;
@@ -32,7 +51,6 @@
 /** Configurations play no part here. */
 const VERSION = 1;
 const RESTART_MS = 300;
-const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
 const TIMES = deriveDispatchTimes({
   resubmitMs: RESUBMIT_MS,
   maxLeaseMs: 1_000,
@@ -54,6 +72,8 @@
   private lastPingAt = 0;
   private lastReportAt = 0;
   private sequence = 0;
+  /** What the operators have written of the failure domains; undefined while nothing. */
+  private written: EmptiedDomains | undefined;
 
   constructor(seed: number) {
     this.nextRandom = createRandom(seed);
@@ -105,6 +125,18 @@
     if (link) this.breakLink(link);
   }
 
+  /**
+   * The operators empty a failure domain, or take it back. One entry reads it in the store; all others, and the agents,
+   * learn it on links.
+   */
+  changeDomain(domainIndex: number, isEmptied: boolean, entryIndex: number): void {
+    const domain = this.pick(DOMAINS, domainIndex);
+    const written = changeWritten(this.written, domain, isEmptied);
+    this.written = written;
+    const { gate, exchange } = this.pick(this.entries, entryIndex);
+    this.afterThaw(gate, () => exchange.adoptEmptied(written, 'store'));
+  }
+
   /** An upstream crashes; another life takes its place. */
   crash(index: number): void {
     const agent = this.pick(this.agents, index);
@@ -137,7 +169,7 @@
     const agent = this.pick(this.agents, index);
     const { gate, core, upstream } = agent;
     if (gate.dead || gate.isFrozen || upstream.life === 1) return;
-    core.noteReport(this.buildReport(agent, upstream.life - 1));
+    core.noteReport(this.countReport(agent, upstream.life - 1));
   }
 
   /** The first message of an earlier life of an agent, held up until now, arrives, and then the end of its link. */
@@ -177,7 +209,7 @@
       await this.clock.advance(STEP_MS, STEP_MS);
       this.turn();
       await this.clock.settle();
-      this.checkRuns();
+      checkRuns(this.agents, this.jobs, this.clock.now());
     }
   }
 
@@ -191,7 +223,11 @@
       upstream.fake.fates.length = 0;
     }
     await this.advance(6_000);
-    for (const job of this.jobs) this.checkAnswers(job);
+    for (const job of this.jobs) {
+      for (const { kind } of checkAnswers(job)) this.counts[kind] += 1;
+    }
+    const { written } = this;
+    if (written) checkKnowledge([...this.entries, ...this.agents], written.revision);
     for (const agent of this.agents) {
       if (agent.upstream.fake.running.size > 0) throw new Error('something still runs that nobody waits for');
     }
@@ -265,7 +301,8 @@
       const gate = new ProcessGate(this.clock);
       const life = agent.life + 1;
       agent.lastLives.clear();
-      Object.assign(agent, { life, gate, core: this.createCore(agent.index, life, gate, () => agent) });
+      const core = this.createCore(agent.index, life, gate, () => agent);
+      Object.assign(agent, { life, gate, core, exchange: createAgentExchange(agent, core) });
       this.report(agent);
     }
   }
@@ -276,17 +313,7 @@
       for (const entry of this.entries) {
         const key = `${entry.index}/${agent.index}`;
         if (this.links.has(key) || now < (this.redialAt.get(key) ?? 0) || this.isCut(key)) continue;
-        const link: Link = {
-          entry,
-          agent,
-          toEntry: [],
-          toAgent: [],
-          openedAt: now,
-          agentId: '',
-          life: '',
-          broken: false,
-          silent: false,
-        };
+        const link = createLink(entry, agent, now);
         this.links.set(key, link);
         this.toEntry(link, agent.core.buildHello(agent.lastLives.get(entry.index) ?? ''));
       }
@@ -297,9 +324,8 @@
     if (now - this.lastPingAt < TIMES.pingMs) return;
     this.lastPingAt = now;
     for (const link of this.links.values()) {
-      const { gate, core } = link.agent;
-      if (link.life !== '' && !gate.isFrozen && !gate.dead)
-        this.toEntry(link, core.buildPing(link.life, VERSION));
+      const { gate } = link.agent;
+      if (link.life !== '' && !gate.isFrozen && !gate.dead) this.toEntry(link, this.buildPing(link));
     }
   }
 
@@ -318,7 +344,9 @@
   }
 
   private receiveAtEntry(link: Link, message: AgentMessage, now: number): void {
-    const { core, life, index } = link.entry;
+    const { core, life, index, exchange } = link.entry;
+    const reply = { send: (answer: PeerMessage) => this.toAgent(link, answer as EntryMessage) };
+    if (exchange.receive(message, reply)) return;
     const entryLife = `entry-${index}@${life}`;
     if (message.type === 'agent-hello') {
       link.agentId = buildAgentId(message);
@@ -328,7 +356,18 @@
     }
     if (message.type === 'ping') {
       const { typicalSpeed } = core;
-      this.toAgent(link, { type: 'pong', at: message.at, version: VERSION, typicalSpeed, isWaiting: true });
+      const { emptiedRevision } = exchange.versions;
+      const { at } = message;
+      const pong = {
+        type: 'pong',
+        at,
+        version: VERSION,
+        emptiedRevision,
+        typicalSpeed,
+        isWaiting: true,
+      } as const;
+      this.toAgent(link, pong);
+      compareEmptied(exchange, message, reply, now);
       core.handlePing(link.agentId, message, now);
     }
     if (message.type === 'room') core.handleRoom(link.agentId, message, now);
@@ -336,25 +375,37 @@
   }
 
   private receiveAtAgent(link: Link, message: EntryMessage): void {
-    const { core, lastLives } = link.agent;
+    const { core, lastLives, exchange } = link.agent;
+    const reply = { send: (request: PeerMessage) => this.toEntry(link, request as AgentMessage) };
+    if (exchange.receive(message, reply)) return;
     if (message.type === 'entry-welcome') {
       const before = lastLives.get(link.entry.index);
       if (before !== undefined && before !== message.life) core.noteEntryReplaced(before);
       lastLives.set(link.entry.index, message.life);
       link.life = message.life;
       core.noteWelcome(message.life, link.openedAt);
-      this.toEntry(link, core.buildPing(message.life, VERSION));
+      this.toEntry(link, this.buildPing(link));
+    }
+    if (message.type === 'pong') {
+      core.noteEcho(link.life, message);
+      compareEmptied(exchange, message, reply, this.clock.now());
     }
-    if (message.type === 'pong') core.noteEcho(link.life, message);
-    if (message.type === 'start') core.handleStart(link.life, message);
+    if (message.type === 'start') takeStart(link, message);
     if (message.type === 'stop') core.handleStop(link.life, message);
   }
 
+  private buildPing({ agent, life }: Link): Ping {
+    const { emptiedRevision } = agent.exchange.versions;
+    return { ...agent.core.buildPing(life, VERSION), emptiedRevision };
+  }
+
   private toEntry(link: Link, message: AgentMessage): void {
     link.toEntry.push({ at: this.clock.now() + this.nextRandom() * 4, message });
   }
 
   private toAgent(link: Link, message: EntryMessage): void {
+    if (message.type === 'start' && knowsEmptied(link.entry, link.agent))
+      throw new Error('an entry places in a domain that it knows to be emptied');
     link.toAgent.push({ at: this.clock.now() + this.nextRandom() * 4, message });
   }
 
@@ -375,21 +426,12 @@
 
   private report(agent: WorldAgent): void {
     if (agent.gate.dead || agent.gate.isFrozen) return;
-    agent.core.noteReport(this.buildReport(agent, agent.upstream.life));
+    agent.core.noteReport(this.countReport(agent, agent.upstream.life));
   }
 
-  private buildReport({ index, upstream }: WorldAgent, life: number): UpstreamReport {
+  private countReport(agent: WorldAgent, life: number): UpstreamReport {
     this.sequence += 1;
-    return {
-      id: buildUpstreamId(index, life),
-      service: ROUTE.service,
-      address: `u${index}`,
-      capacity: CAPACITY,
-      labels: [],
-      isDraining: false,
-      clockMs: upstream.fake.clockMs,
-      sequence: this.sequence,
-    };
+    return buildWorldReport(agent, life, this.sequence);
   }
 
   private buildLateHello(index: number, life: number): AgentHello {
@@ -399,7 +441,12 @@
 
   private createEntry(index: number, life: number): WorldEntry {
     const gate = new ProcessGate(this.clock);
+    const exchange = new OperatorExchange({
+      changeConfiguration: () => undefined,
+      changeEmptied: ({ domains }) => entry.core.setEmptied(domains),
+    });
     const entry: WorldEntry = {
+      exchange,
       index,
       life,
       gate,
@@ -422,6 +469,7 @@
         },
       ),
     };
+    if (this.written) exchange.adoptEmptied(this.written, 'store');
     return entry;
   }
 
@@ -437,12 +485,13 @@
       lastLives: new Map(),
     } as unknown as WorldAgent;
     agent.core = this.createCore(index, 1, gate, () => agent);
+    agent.exchange = createAgentExchange(agent, agent.core);
     return agent;
   }
 
   private createCore(index: number, life: number, gate: ProcessGate, find: () => WorldAgent): AgentCore {
     return new AgentCore(
-      { agent: `agent-${index}`, life: String(life), failureDomain: 'x' },
+      { agent: `agent-${index}`, life: String(life), failureDomain: findDomain({ index }) },
       { ...TIMES, stopMs: STOP_MS },
       gate,
       {
@@ -470,47 +519,9 @@
     return { life, fake: new FakeUpstream(this.clock, 500_000 + life * 1_000) };
   }
 
-  /** No task at work twice, nothing beyond room, nothing of a caller that left so long ago. */
-  private checkRuns(): void {
-    const atWork = new Set<string>();
-    const now = this.clock.now();
-    for (const { upstream } of this.agents) {
-      const { fake } = upstream;
-      fake.applyTime();
-      if (fake.doubled > 0) throw new Error('a run began beside another of its task');
-      if (fake.running.size * STEP.resources.cpuMilli > CAPACITY.cpuMilli) throw new Error('beyond the room');
-      for (const [key, { name }] of fake.running) {
-        if (atWork.has(key)) throw new Error(`${key} runs twice at once`);
-        atWork.add(key);
-        const job = this.jobs.find(({ id }) => id === name.job);
-        if (!job) throw new Error(`${name.job} was never submitted`);
-        job.started = true;
-        const waits = job.callers.some(({ leftAt }) => leftAt === undefined || now < leftAt + RESUBMIT_MS);
-        if (!waits) throw new Error(`${key} runs though its callers left long ago`);
-      }
-    }
-  }
-
-  private checkAnswers(job: WorldJob): void {
-    const answers: JobOutcome[] = [];
-    for (const { caller, leftAt } of job.callers) {
-      if (caller.answers.length > 1) throw new Error(`${job.id} was answered twice`);
-      if (caller.answers.length === 0 && leftAt === undefined) throw new Error(`${job.id} has no answer`);
-      answers.push(...caller.answers);
-    }
-    for (const { kind } of answers) this.counts[kind] += 1;
-    const refusedOnly =
-      answers.length === job.callers.length && answers.every(({ kind }) => kind === 'refused');
-    if (refusedOnly && job.started) throw new Error(`${job.id} has run though every submission was refused`);
-  }
-
   private pick<Item>(items: readonly Item[], index: number): Item {
     const item = items[index % items.length];
     if (item === undefined) throw new Error('nothing to pick from');
     return item;
   }
 }
-
-function buildUpstreamId(agent: number, life: number): string {
-  return `u${agent}-${life}`;
-}
--- a/test/fakes/dispatchCommands.ts
+++ b/test/fakes/dispatchCommands.ts
@@ -91,6 +91,14 @@
     createCommand(`lateHello(${entry},${agent})`, (world) => world.deliverLateHello(entry, agent)),
   );
 
+const changeDomain = fc
+  .tuple(index, fc.boolean(), index)
+  .map(([domain, isEmptied, entry]) =>
+    createCommand(`changeDomain(${domain},${isEmptied},${entry})`, (world) =>
+      world.changeDomain(domain, isEmptied, entry),
+    ),
+  );
+
 const EARLIER_COMMANDS = [
   submit,
   submit,
@@ -116,3 +124,9 @@
   [...EARLIER_COMMANDS, mute, mute, replace, lateReport, lateReport, lateHello],
   { maxCommands: MAX_COMMANDS, size: 'max' },
 );
+
+/** The same, and failure domains that are emptied and taken back. */
+export const domainCommands = fc.commands(
+  [...EARLIER_COMMANDS, mute, lateHello, changeDomain, changeDomain, changeDomain],
+  { maxCommands: MAX_COMMANDS, size: 'max' },
+);
--- a/test/fakes/dispatchWorldState.ts
+++ b/test/fakes/dispatchWorldState.ts
@@ -1,6 +1,7 @@
 /** What the randomised runs of dispatchers and agents hold: links, processes, upstreams and jobs. */
 import type { AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
 import type { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
+import type { OperatorExchange } from '../../src/process/OperatorExchange.js';
 import type { AgentCore } from '../../src/process/executor/AgentCore.js';
 import type { FakeCaller } from './FakeCaller.js';
 import type { FakeUpstream } from './FakeUpstream.js';
@@ -26,11 +27,18 @@
   silent: boolean;
 }
 
+/** Creates a connection that has just been opened. */
+export function createLink(entry: WorldEntry, agent: WorldAgent, openedAt: number): Link {
+  const closed = { broken: false, silent: false };
+  return { entry, agent, toEntry: [], toAgent: [], openedAt, agentId: '', life: '', ...closed };
+}
+
 /** An entry in its newest life. */
 export interface WorldEntry {
   readonly index: number;
   life: number;
   gate: ProcessGate;
+  exchange: OperatorExchange;
   core: Dispatcher;
   lastTurnAt: number;
 }
@@ -40,6 +48,7 @@
   readonly index: number;
   life: number;
   gate: ProcessGate;
+  exchange: OperatorExchange;
   core: AgentCore;
   restartAt: number;
   upstream: WorldUpstream;
