A model of a dispatcher's link on which the collapse after a burst is red

Cause, shown by the model: starts that wait for the link for longer than 2.4 pings come back as expired and are sent again at once, which keeps the link as full as the burst had made it. Ruled out: that room or agents bind (they have more than any load asks for).

--- /dev/null
+++ b/test/congestion.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai';
+
+import { runCongestion, TRIGGER_UNTIL_MS } from './fakes/CongestionModel.js';
+import type { CongestionPlay } from './fakes/CongestionModel.js';
+
+/** Time after which what is served is back, ms, and the share of what is asked that counts as back. */
+const RECOVERY_MS = 2_000;
+const BACK_SHARE = 0.9;
+const SEED = 20261202;
+
+/** Links from those of a small VM to those that are never filled, texts from a few words to the longest. */
+const RATES_MBPS = [0.5, 2, 10, 100];
+const BODIES = [40, 1_200, 16_000];
+/** Dispatchers have links of their own; with more of them more is drawn at random. */
+const DISPATCHERS = [1, 3, 35];
+
+function listPlays(): CongestionPlay[] {
+  const loads = { load: 0.7, triggerLoad: 1.5, seed: SEED };
+  const alone = RATES_MBPS.flatMap((mbps) =>
+    BODIES.map((bodyBytes) => ({ mbps, bodyBytes, dispatchers: 1, ...loads })),
+  );
+  const together = DISPATCHERS.slice(1).map((dispatchers) => {
+    return { mbps: 2, bodyBytes: 1_200, dispatchers, ...loads };
+  });
+  return [...alone, ...together];
+}
+
+describe('dispatchers whose links were overloaded for a while', function () {
+  this.timeout(120_000);
+
+  it('serve again what their links carry, two seconds after the overload', () => {
+    const down = listPlays().flatMap((play) => {
+      const back = runCongestion(play).slice((TRIGGER_UNTIL_MS + RECOVERY_MS) / 1_000);
+      const shares = back.slice(0, -1).map(({ submitted, completed }) => completed / submitted);
+      return shares.every((share) => share >= BACK_SHARE) ? [] : [{ ...play, shares }];
+    });
+    expect(down).to.deep.equal([]);
+  });
+});
