--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -20,6 +20,11 @@
  * Age of the newest ping, in ping intervals, from which on one is due; less than 1, as looks at it are some ms apart.
  */
 const PING_DUE = 0.9;
+/**
+ * Age of the newest ping, in ping intervals, from which on a link is pinged along with one that is due: the echoes of all
+ * links then come close together and wake the process once, which costs more than the messages.
+ */
+const TOGETHER = 0.5;
 /**
  * A link whose entry has not said which life it is for so long is dialed anew, ms: the connection may have gone silent
  * as it opened. Longer than the second after which another entry is linked to in its place; a frozen peer costs one
@@ -122,7 +127,9 @@
   ping(): void {
     const now = this.clock.now();
     this.dialer.review();
-    for (const link of this.links.values()) if (this.isPingDue(link, now)) this.sendPing(link, now);
+    const links = [...this.links.values()];
+    if (!links.some((link) => this.isPingDue(link, now))) return;
+    for (const link of links) if (this.isOlderPing(link, now, TOGETHER)) this.sendPing(link, now);
   }
 
   /** Sends a result to the entry's link, if it has one, and the room with all results of this turn. */
@@ -282,8 +289,13 @@
     link.channel.send({ type: 'room', at: Math.floor(now), room });
   }
 
-  private isPingDue({ life, pingedAt }: EntryLink, now: number): boolean {
-    return life !== '' && now - pingedAt >= this.options.pingMs * PING_DUE;
+  private isPingDue(link: EntryLink, now: number): boolean {
+    return this.isOlderPing(link, now, PING_DUE);
+  }
+
+  /** Whether the newest ping of a link is older than so many ping intervals. */
+  private isOlderPing({ life, pingedAt }: EntryLink, now: number, intervals: number): boolean {
+    return life !== '' && now - pingedAt >= this.options.pingMs * intervals;
   }
 
   /** A ping tells the room as well, so that it stands for a change of room that is due. */
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -20,9 +20,9 @@
 import { buildExecutorMetrics } from './executorMetrics.js';
 
 /** Between two looks at what has expired and which pings are due, ms. One timer: each wake-up costs. */
-const TICK_MS = 38;
+const TICK_MS = 57;
 /** Looks between two reviews of which entries to link to. */
-const KEEP_TICKS = 3;
+const KEEP_TICKS = 2;
 /** Between two messages about entries, ms. */
 const MEMBERS_MS = 5_000;
 /** Time kept from the grace period to stop what is left and tell it, ms. */
