The own interface empties failure domains too: evacuate domain, restore domain, list domains

Cause: the capability was there for the users' platform only. Left: agents do not refuse on their own, as those that hold no seat read the log every ten seconds only.

--- a/src/process/commands/CommandDesk.ts
+++ b/src/process/commands/CommandDesk.ts
@@ -6,11 +6,11 @@
 import type { Ask, Message, Told } from '../../connection/messages.js';
 import type { PlatformClient } from '../../connection/PlatformClient.js';
 import type { EntryNode } from '../entry/EntryNode.js';
-import { buildEventRecord } from './buildEventRecord.js';
+import { buildCommandRecord } from './buildEventRecord.js';
 import { parseCommand } from './parseCommand.js';
 import { needsAllEntries, runQuery, sortRows } from './runQuery.js';
 import type { Row } from './runQuery.js';
-import type { EventStatement, QueryStatement } from './statement.js';
+import type { CommandStatement, QueryStatement } from './statement.js';
 
 /** How long the other entries may take to answer a query, ms. */
 const ASK_MS = 1_000;
@@ -127,9 +127,9 @@
   }
 
   /** Appends a command until the log shows its result, under one id, so that it has one effect. */
-  private async command(statement: EventStatement, now: number): Promise<CommandAnswer> {
+  private async command(statement: CommandStatement, now: number): Promise<CommandAnswer> {
     const id = `command:${randomUUID()}`;
-    const built = buildEventRecord(statement, this.node.state.config, id, now);
+    const built = buildCommandRecord(statement, this.node.state.config, id, now);
     if (!built.ok) return { status: 409, body: { accepted: false, reason: built.reason } };
     let done = false;
     const shown = this.waitForResult(id).finally(() => (done = true));
--- a/src/process/commands/CommandParser.ts
+++ b/src/process/commands/CommandParser.ts
@@ -67,6 +67,7 @@
       { ALT: () => this.SUBRULE(this.change) },
       { ALT: () => this.SUBRULE(this.endEvent) },
       { ALT: () => this.SUBRULE(this.prioritize) },
+      { ALT: () => this.SUBRULE(this.changeDomain) },
       { ALT: () => this.SUBRULE(this.query) },
     ]);
   });
@@ -113,6 +114,15 @@
     return { type: 'prioritize', name, kind, priority, version };
   });
 
+  private readonly changeDomain = this.RULE('changeDomain', (): Statement => {
+    const type = this.OR([
+      { ALT: () => (this.CONSUME(KEYWORDS.evacuate), 'evacuate' as const) },
+      { ALT: () => (this.CONSUME(KEYWORDS.restore), 'restore' as const) },
+    ]);
+    this.CONSUME(KEYWORDS.domain);
+    return { type, failureDomain: this.SUBRULE(this.name) };
+  });
+
   private readonly query = this.RULE('query', (): Statement => {
     const action = this.OR([
       { ALT: () => (this.CONSUME(KEYWORDS.list), 'list' as const) },
@@ -277,7 +287,7 @@
   });
 
   private readSubject(token: IToken): Subject {
-    const subjects = ['jobs', 'tasks', 'agents', 'events', 'kinds', 'entries', 'registrars'];
+    const subjects = ['jobs', 'tasks', 'agents', 'events', 'kinds', 'entries', 'registrars', 'domains'];
     const image = token.image.toLowerCase();
     if (!subjects.includes(image)) this.report(token, `expected one of ${subjects.join(', ')}`);
     return image as Subject;
--- a/src/process/commands/buildEventRecord.ts
+++ b/src/process/commands/buildEventRecord.ts
@@ -1,13 +1,33 @@
 import type { ConfigState, EventConfig } from '../../version/configState.js';
-import type { EventRecord } from '../../version/logRecord.js';
-import type { EventClauses, EventStatement, TimeValue } from './statement.js';
+import type { DomainRecord, EventRecord } from '../../version/logRecord.js';
+import type { CommandStatement, EventClauses, EventStatement, TimeValue } from './statement.js';
 
 /** A record for the log, or why the command cannot become one. */
-export type RecordResult =
-  { readonly ok: true; readonly record: EventRecord } | { readonly ok: false; readonly reason: string };
+export type RecordResult<Record = EventRecord> =
+  { readonly ok: true; readonly record: Record } | { readonly ok: false; readonly reason: string };
 
 /**
- * Turns an operator's command into a record. What the command leaves out comes from the version of the event
+ * Turns an operator's command into a record.
+ *
+ * @param statement - the command
+ * @param config - the configuration
+ * @param id - unique id of the command
+ * @param now - ms since the epoch
+ * @returns the record, or why not
+ */
+export function buildCommandRecord(
+  statement: CommandStatement,
+  config: ConfigState,
+  id: string,
+  now: number,
+): RecordResult<EventRecord | DomainRecord> {
+  if (!('failureDomain' in statement)) return buildEventRecord(statement, config, id, now);
+  const { failureDomain, type } = statement;
+  return { ok: true, record: { type: 'domain', id, failureDomain, isEmptied: type === 'evacuate' } };
+}
+
+/**
+ * Turns an operator's command on an event into a record. What the command leaves out comes from the version of the event
  * that it was decided on, so that a change of another operator is never overwritten unseen.
  *
  * @param statement - the command
--- a/src/process/commands/parseCommand.test.ts
+++ b/src/process/commands/parseCommand.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 
 import { createConfigState } from '../../version/configState.js';
-import { buildEventRecord } from './buildEventRecord.js';
+import { buildCommandRecord, buildEventRecord } from './buildEventRecord.js';
 import { parseCommand } from './parseCommand.js';
 import type { EventStatement } from './statement.js';
 
@@ -28,6 +28,18 @@
     expect(parsed.ok && parsed.statement).to.deep.include({ type: 'declare', name: 'end' });
   });
 
+  it('reads that a failure domain is emptied or taken back, and builds its record', () => {
+    const parsed = parseCommand('evacuate domain halle-bern');
+    const statement = { type: 'evacuate', failureDomain: 'halle-bern' } as const;
+    expect(parsed.ok && parsed.statement).to.deep.equal(statement);
+    const built = buildCommandRecord(statement, createConfigState(), 'c', 0);
+    const record = { type: 'domain', id: 'c', failureDomain: 'halle-bern', isEmptied: true };
+    expect(built).to.deep.equal({ ok: true, record });
+    const back = parseCommand('restore domain "halle 2"');
+    expect(back.ok && back.statement).to.deep.equal({ type: 'restore', failureDomain: 'halle 2' });
+    expect(parseCommand('evacuate halle-bern').ok).to.equal(false);
+  });
+
   it('points at the column and says what it expected', () => {
     const parsed = parseCommand('change event opening start now');
     expect(parsed.ok).to.equal(false);
@@ -46,7 +58,8 @@
 describe('buildEventRecord', () => {
   const parse = (text: string): EventStatement => {
     const parsed = parseCommand(text);
-    if (!parsed.ok || parsed.statement.type === 'query') throw new Error(text);
+    if (!parsed.ok || parsed.statement.type === 'query' || 'failureDomain' in parsed.statement)
+      throw new Error(text);
     return parsed.statement;
   };
 
--- a/src/process/commands/runQuery.ts
+++ b/src/process/commands/runQuery.ts
@@ -8,7 +8,13 @@
 export const DEFAULT_ROW_LIMIT = 1_000;
 
 /** Subjects that every entry sees in the same way, so that one entry answers for all. */
-const SHARED_SUBJECTS: ReadonlySet<Subject> = new Set(['events', 'kinds', 'registrars', 'entries']);
+const SHARED_SUBJECTS: ReadonlySet<Subject> = new Set([
+  'events',
+  'kinds',
+  'registrars',
+  'entries',
+  'domains',
+]);
 
 /**
  * Tells whether a query has to be put to every entry.
@@ -114,6 +120,8 @@
         address,
         joinedOffset,
       }));
+    case 'domains':
+      return config.emptiedDomains.map((domain) => ({ domain, state: 'emptied' }));
     case 'registrars':
       return config.registrars.map(({ peer, address, joinedOffset }) => {
         const seats = config.seats.filter((seat) => seat.peer === peer).length;
--- a/src/process/commands/statement.ts
+++ b/src/process/commands/statement.ts
@@ -14,7 +14,7 @@
 }
 
 /** What can be listed and counted. */
-export type Subject = 'jobs' | 'tasks' | 'agents' | 'events' | 'kinds' | 'entries' | 'registrars';
+export type Subject = 'jobs' | 'tasks' | 'agents' | 'events' | 'kinds' | 'entries' | 'registrars' | 'domains';
 
 /** Comparisons of a condition; `~` is "contains". */
 export type Comparison = '=' | '!=' | '<' | '<=' | '>' | '>=' | '~';
@@ -68,8 +68,17 @@
   readonly version: number;
 }
 
-/** A command that goes to the log. */
+/** A command that empties a failure domain, or takes it back. */
+export interface DomainStatement {
+  readonly type: 'evacuate' | 'restore';
+  readonly failureDomain: string;
+}
+
+/** A command on an event. */
 export type EventStatement = DeclareStatement | ChangeStatement | EndStatement | PrioritizeStatement;
 
+/** A command that goes to the log. */
+export type CommandStatement = EventStatement | DomainStatement;
+
 /** Any statement of the language. */
-export type Statement = QueryStatement | EventStatement;
+export type Statement = QueryStatement | CommandStatement;
--- a/src/process/commands/tokens.ts
+++ b/src/process/commands/tokens.ts
@@ -34,7 +34,7 @@
 
 const WORDS = [
   'declare', 'change', 'end', 'event', 'version', 'start', 'services', 'kinds', 'at', 'now', 'prioritize', 'kind',
-  'of', 'as', 'list', 'count', 'where', 'and', 'order', 'by', 'asc', 'desc', 'limit',
+  'of', 'as', 'evacuate', 'restore', 'domain', 'list', 'count', 'where', 'and', 'order', 'by', 'asc', 'desc', 'limit',
 ] as const; // prettier-ignore
 
 /** A keyword. */
--- a/src/process/entry/EntryNode.test.ts
+++ b/src/process/entry/EntryNode.test.ts
@@ -182,6 +182,21 @@
     expect(bench.answers.get('c2')).to.include({ outcome: 'refused', reason: 'predicted-late' });
   });
 
+  it('starts nothing in a failure domain that is emptied, until it is taken back', () => {
+    const bench = new Bench(4);
+    const log = (offset: number, isEmptied: boolean): void => {
+      const record: LogRecord = { type: 'domain', id: `d${offset}`, failureDomain: 'd', isEmptied };
+      bench.node.followLog([{ offset, at: NOW, record }], NOW);
+      bench.settle(NOW);
+    };
+    log(RECORDS.length, true);
+    bench.submit('job-1', 'quote', 1, 'c1');
+    bench.answerClaim();
+    expect(bench.find('start')).to.be.empty;
+    log(RECORDS.length + 1, false);
+    expect(bench.find('start')).to.have.length(1);
+  });
+
   it('claims nothing without a lease', () => {
     const bench = new Bench(1);
     bench.submit('job-1', 'ping', 1, 'c1', '1', NOW + DEFAULT_ENTRY_LIMITS.leaseMs + 1);
--- a/src/process/entry/placeTasks.ts
+++ b/src/process/entry/placeTasks.ts
@@ -67,6 +67,7 @@
   const candidates: Candidate[] = [];
   for (const view of state.agents.values()) {
     if (!view.connected || view.leaving || view.slots === 0) continue;
+    if (state.config.emptiedDomains.includes(view.failureDomain)) continue;
     // An ejected agent is probed with one task at a time.
     if (view.slowness > EJECT_SLOWNESS && view.outstanding.size > 0) continue;
     const credits = view.granted - view.used;
--- a/src/version/applyRecord.test.ts
+++ b/src/version/applyRecord.test.ts
@@ -5,6 +5,7 @@
 import type { ConfigState, EventConfig } from './configState.js';
 import { followLog } from './followLog.js';
 import type { LogEntry, LogRecord } from './logRecord.js';
+import { restoreState } from './restoreState.js';
 
 const event: EventConfig = { name: 'opening', startAt: 1, endAt: 0, services: [], kinds: [], version: 0 };
 
@@ -95,4 +96,23 @@
     const state = applyAll(log);
     expect(followLog(state, log.slice(0, 2))).to.equal(state);
   });
+
+  it('empties a failure domain once, and takes it back', () => {
+    const change = (id: string, isEmptied: boolean): LogRecord => {
+      return { type: 'domain', id, failureDomain: 'north', isEmptied };
+    };
+    const emptied = applyAll(buildLog(change('a', true), change('b', true)));
+    expect(emptied.emptiedDomains).to.deep.equal(['north']);
+    expect(emptied.results.map(({ accepted }) => accepted)).to.deep.equal([true, false]);
+    const back = applyAll(buildLog(change('a', true), change('b', false)));
+    expect(back.emptiedDomains).to.deep.equal([]);
+  });
+
+  it('takes a snapshot of an earlier version, which knows of no emptied domains', () => {
+    const state = { ...applyAll(buildLog(join('r1'))), emptiedDomains: undefined };
+    const earlier = JSON.parse(JSON.stringify(state)) as ConfigState;
+    const snapshot = { type: 'snapshot', id: 's', state: earlier } as const;
+    const restored = restoreState([{ offset: 1, at: 1, record: snapshot }]);
+    expect(restored?.emptiedDomains).to.deep.equal([]);
+  });
 });
--- a/src/version/applyRecord.ts
+++ b/src/version/applyRecord.ts
@@ -1,7 +1,7 @@
 import { assignSeats } from './assignSeats.js';
 import { MAX_REGISTRARS, REMOVED_ENTRY_KEPT_MS, RESULTS_KEPT } from './configState.js';
 import type { ConfigState, MemberConfig } from './configState.js';
-import type { EventRecord, JoinRecord, LeaveRecord, LogEntry } from './logRecord.js';
+import type { DomainRecord, EventRecord, JoinRecord, LeaveRecord, LogEntry } from './logRecord.js';
 
 /** The part of the state that a record changed, or why it was rejected. */
 type Outcome = Partial<ConfigState> | string;
@@ -40,6 +40,7 @@
   if (record.type === 'join') return decideJoin(state, record, offset);
   if (record.type === 'leave') return decideLeave(state, record, offset, at);
   if (record.type === 'event') return decideEvent(state, record, offset);
+  if (record.type === 'domain') return decideDomain(state, record);
   return `unknown record type`;
 }
 
@@ -101,6 +102,13 @@
   return { events: [...others, { ...record.event, version: offset }] };
 }
 
+function decideDomain({ emptiedDomains }: ConfigState, { failureDomain, isEmptied }: DomainRecord): Outcome {
+  if (emptiedDomains.includes(failureDomain) === isEmptied)
+    return `failure domain ${failureDomain} is ${isEmptied ? '' : 'not '}emptied`;
+  const others = emptiedDomains.filter((one) => one !== failureDomain);
+  return { emptiedDomains: isEmptied ? [...others, failureDomain] : others };
+}
+
 function hasPeer(members: readonly MemberConfig[], peer: string): boolean {
   return members.some((member) => member.peer === peer);
 }
--- a/src/version/configState.ts
+++ b/src/version/configState.ts
@@ -77,6 +77,8 @@
   readonly removedEntries: readonly RemovedEntry[];
   readonly seats: readonly SeatTenure[];
   readonly events: readonly EventConfig[];
+  /** Failure domains in which nothing is started. */
+  readonly emptiedDomains: readonly string[];
   /** The newest results, oldest first, at most `RESULTS_KEPT`. */
   readonly results: readonly CommandResult[];
 }
@@ -109,6 +111,7 @@
     removedEntries: [],
     seats: Array.from({ length: SEAT_COUNT }, () => ({ peer: '', sinceOffset: -1 })),
     events: [],
+    emptiedDomains: [],
     results: [],
   };
 }
--- a/src/version/logRecord.ts
+++ b/src/version/logRecord.ts
@@ -29,6 +29,13 @@
   readonly event: EventConfig;
 }
 
+/** An operator empties a failure domain, so that nothing is started there, or takes it back. */
+export interface DomainRecord extends RecordBase {
+  readonly type: 'domain';
+  readonly failureDomain: string;
+  readonly isEmptied: boolean;
+}
+
 /** The whole state after the record before it, so that older records may expire. */
 export interface SnapshotRecord extends RecordBase {
   readonly type: 'snapshot';
@@ -36,7 +43,7 @@
 }
 
 /** Any record of the log. */
-export type LogRecord = JoinRecord | LeaveRecord | EventRecord | SnapshotRecord;
+export type LogRecord = JoinRecord | LeaveRecord | EventRecord | DomainRecord | SnapshotRecord;
 
 /** A record with the place and time that the log gave it. */
 export interface LogEntry {
--- a/src/version/restoreState.ts
+++ b/src/version/restoreState.ts
@@ -19,7 +19,8 @@
     if (record.type !== 'snapshot') continue;
     if (record.state.offset + 1 < first) continue;
     if (base && base.offset >= record.state.offset) continue;
-    base = record.state;
+    // Snapshots of earlier versions lack what was added to the state since.
+    base = { ...createConfigState(), ...record.state };
   }
   if (!base) return undefined;
   return entries.reduce(applyRecord, base);
