The soak of real processes empties failure domains, and checks the rule at its end

Seeds from 2000 on draw evacuations beside all other faults, overlapping; then, with nothing disturbed, a domain is emptied, and five seconds later nothing is started there and every entry is served elsewhere.

--- a/bench/runProcessSoak.ts
+++ b/bench/runProcessSoak.ts
@@ -1,6 +1,6 @@
 import { FaultSoak } from '../test/fakes/FaultSoak.js';
 import type { SoakOptions, SoakReport } from '../test/fakes/FaultSoak.js';
-import { ALL_KINDS, EARLIER_KINDS } from '../test/fakes/soakFaults.js';
+import { ALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS } from '../test/fakes/soakFaults.js';
 
 /** Every so many seeds a run has as many processes as the letter allows: a few dozen. */
 const LARGE_EVERY = 10;
@@ -13,6 +13,8 @@
 const RECOVERY_MS = 8_000;
 /** Seeds from here on draw from all kinds of fault; earlier ones go on to mean the runs that they were. */
 const FIRST_SEED_OF_ALL_KINDS = 1_000;
+/** From here on failure domains are emptied as well. */
+const FIRST_SEED_OF_DOMAINS = 2_000;
 
 /**
  * Finds the sizes of the soak run of a seed.
@@ -23,14 +25,18 @@
  * findSoakOptions(10).agents; // 24
  */
 export function findSoakOptions(seed: number): SoakOptions {
-  const kinds = seed >= FIRST_SEED_OF_ALL_KINDS ? ALL_KINDS : EARLIER_KINDS;
-  const rest = { faultMs: FAULT_MS, recoveryMs: RECOVERY_MS, kinds };
+  const rest = { faultMs: FAULT_MS, recoveryMs: RECOVERY_MS, kinds: findKinds(seed) };
   if (seed % LARGE_EVERY === 0) return { seed, ...LARGE, ...rest };
   const entries = SMALLEST.entries + (seed % MORE_ENTRIES);
   const agents = SMALLEST.agents + (seed % MORE_AGENTS);
   return { seed, entries, agents, ...rest };
 }
 
+function findKinds(seed: number): readonly string[] {
+  if (seed >= FIRST_SEED_OF_DOMAINS) return DOMAIN_KINDS;
+  return seed >= FIRST_SEED_OF_ALL_KINDS ? ALL_KINDS : EARLIER_KINDS;
+}
+
 /**
  * Plays one run of real processes under faults from outside.
  *
--- a/test/fakes/FaultSoak.ts
+++ b/test/fakes/FaultSoak.ts
@@ -8,7 +8,7 @@
 import { createRandom } from '../../src/_lib/createRandom.js';
 import { PlatformBench } from './PlatformBench.js';
 import type { CallerAnswer } from './PlatformBench.js';
-import { drawFault } from './soakFaults.js';
+import { dealDomains, DOMAIN_KINDS, drawFault, SOAK_DOMAINS } from './soakFaults.js';
 
 /** Time that a caller keeps before it submits a job again elsewhere, ms. */
 const RESUBMIT_MS = 1_300;
@@ -19,6 +19,10 @@
 const JOB_GAP_MS = 60;
 const FAULT_GAP_MS = 500;
 const TARGET_LATENCY_MS = 1_500;
+/** Time after an evacuation from which on nothing may be started there, ms; from the users' rules. */
+const EVACUATE_MS = 5_000;
+/** Jobs that are then submitted to each entry. */
+const JOBS_AFTER = 4;
 const MAX_TASKS = 6;
 const MAX_TASK_MS = 400;
 
@@ -62,6 +66,11 @@
   constructor(private readonly options: SoakOptions) {
     this.bench = new PlatformBench(options.entries, options.agents, TARGET_LATENCY_MS, true);
     this.nextRandom = createRandom(options.seed);
+    if (this.hasDomains) this.bench.domains = dealDomains(options.agents);
+  }
+
+  private get hasDomains(): boolean {
+    return this.options.kinds === DOMAIN_KINDS;
   }
 
   /** Plays the run; ends only processes that it started. */
@@ -72,6 +81,7 @@
       await Promise.all([this.submitUntil(until), this.disturbUntil(until)]);
       await Promise.all(this.pending);
       await this.checkRecovery();
+      if (this.hasDomains) await this.checkEvacuation();
       this.checkAnswers();
       if (this.broken.length > 0) this.faults.push(`logs: ${await this.bench.keepLogs()}`);
     } catch (cause) {
@@ -138,6 +148,26 @@
     await this.bench.waitUntilIdle().catch(() => this.broken.push('tasks run on that nobody waits for'));
   }
 
+  /** With nothing disturbed, an emptied failure domain gets nothing, and all of it is served elsewhere. */
+  private async checkEvacuation(): Promise<void> {
+    const { entries, agents } = this.options;
+    const [domain] = SOAK_DOMAINS;
+    this.bench.store.putEvacuation(domain);
+    await sleep(EVACUATE_MS);
+    const runners = Array.from({ length: agents }, (_, at) => at + 1);
+    const emptied = runners.filter((number) => this.bench.domains[`agent-${number}`] === domain);
+    const count = (): number =>
+      emptied.reduce((sum, number) => sum + (this.bench.startsAt.get(`i-${number}`) ?? 0), 0);
+    const before = count();
+    for (let number = 1; number <= entries; number += 1) {
+      for (let at = 0; at < JOBS_AFTER; at += 1) {
+        const { status } = await this.bench.submit(`entry-${number}`, `emptied${number}x${at}`, 2, 20);
+        if (status !== 200) this.broken.push(`entry-${number} answers ${status} while ${domain} is emptied`);
+      }
+    }
+    if (count() > before) this.broken.push(`tasks were started in ${domain}, which is emptied`);
+  }
+
   private checkAnswers(): void {
     for (const { id, answers } of this.jobs) {
       for (const { status, body } of answers) this.checkAnswer(id, status, body);
--- a/test/fakes/soakFaults.ts
+++ b/test/fakes/soakFaults.ts
@@ -79,6 +79,22 @@
 /** All kinds; connections that go silent for good come more often than others. */
 export const ALL_KINDS: readonly string[] = [...EARLIER_KINDS, 'silence', 'silence', 'silence', 'silenceAll'];
 
+/** The same, and failure domains that are emptied and taken back. */
+export const DOMAIN_KINDS: readonly string[] = [...ALL_KINDS, 'evacuate', 'evacuate', 'evacuate'];
+
+/** Failure domains of the agents, by turns. */
+export const SOAK_DOMAINS = ['north', 'south'] as const;
+
+/** Puts the agents into failure domains, by turns. */
+export function dealDomains(agents: number): Readonly<Record<string, string>> {
+  const numbers = Array.from({ length: agents }, (_, at) => at + 1);
+  return Object.fromEntries(numbers.map((number) => [`agent-${number}`, findSoakDomain(number)]));
+}
+
+function findSoakDomain(agent: number): string {
+  return SOAK_DOMAINS[agent % SOAK_DOMAINS.length] ?? '';
+}
+
 const FAULTS: Readonly<Record<string, Build>> = {
   freeze: async (bench, { daemon }, ms) => {
     if (!bench.isRunning(daemon)) return;
@@ -120,6 +136,12 @@
     bench.store.fault = 'none';
   },
   forgetHistory: async (bench) => bench.store.forget(),
+  evacuate: async (bench, { runner }, ms) => {
+    const domain = findSoakDomain(runner + 1);
+    bench.store.putEvacuation(domain);
+    await sleep(ms);
+    bench.store.dropEvacuation(domain);
+  },
   configure: async (bench) => bench.putConfiguration(['/q/']),
 };
 
--- a/test/faultSoak.test.ts
+++ b/test/faultSoak.test.ts
@@ -2,12 +2,13 @@
 import { expect } from 'chai';
 
 import { FaultSoak } from './fakes/FaultSoak.js';
-import { ALL_KINDS, EARLIER_KINDS } from './fakes/soakFaults.js';
+import { ALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS } from './fakes/soakFaults.js';
 
-/** Runs without silent connections, and with them. */
+/** Runs without silent connections, with them, and with failure domains that are emptied. */
 const RUNS = [
   { seed: 1, kinds: EARLIER_KINDS },
   { seed: 1_001, kinds: ALL_KINDS },
+  { seed: 2_001, kinds: DOMAIN_KINDS },
 ];
 /** More than any machine takes to come back: no verdict depends on speed. */
 const ENOUGH_MS = 120_000;
