--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -24,8 +24,8 @@
 const START_TRIP_MS = 3;
 
 /**
- * How much the least time of an echo rises with each further echo, as a share: a way that has become longer is taken for
- * what it is within some 20 s of pings, and a link that is full for seconds is not.
+ * How much the least time of an echo rises with each further echo, as a share: it triples in 20 s of pings, so that a way
+ * that has become longer is taken for what it is, and a link that is full for seconds is not.
  */
 const FLOOR_RISE = 0.01;
 
