The send window keeps the newest 256 echoes, so that an idle dispatcher collects none without end

Cause: DelayWindow dropped the delays that echoes told only at a review, which comes only when there is something to send. A dispatcher without work collected some 200 numbers a second, and its first review judged the link by old ones.

--- a/src/process/dispatcher/SendWindow.test.ts
+++ b/src/process/dispatcher/SendWindow.test.ts
@@ -61,6 +61,15 @@
     expect(window.bytes).to.equal(first);
   });
 
+  it('judges by the newest echoes, however many came while nothing was to be sent', () => {
+    const window = new DelayWindow();
+    const first = window.bytes;
+    for (let count = 0; count < 10_000; count += 1) window.noteDelay(100);
+    for (let count = 0; count < 300; count += 1) window.noteDelay(45);
+    review(window, REVIEW_MS, true);
+    expect(window.bytes).to.equal(first);
+  });
+
   it('grows while it binds and echoes are fast', () => {
     const window = new DelayWindow();
     const first = window.bytes;
--- a/src/process/dispatcher/SendWindow.ts
+++ b/src/process/dispatcher/SendWindow.ts
@@ -19,6 +19,12 @@
 const MAX_BYTES = 5_000_000;
 /** Between two reviews of what the echoes told, ms: agents ping each 173 ms, a dozen of them tell enough in this time. */
 const REVIEW_MS = 100;
+/**
+ * Echoes that are kept until the next review, which comes only when there is something to send: more than 300 agents tell
+ * in the time of one, so that none is left out under load, and an idle dispatcher neither collects them nor judges its link
+ * by old ones.
+ */
+const MAX_DELAYS = 256;
 /** After it was made smaller the window stays for so long, ms: a ping interval, until the next echoes can tell of it. */
 const SETTLE_MS = 200;
 /** Growth of a window that binds while the link keeps up, in one review. */
@@ -104,6 +110,7 @@
 
   override noteDelay(delayMs: number): void {
     this.delays.push(delayMs);
+    if (this.delays.length > MAX_DELAYS) this.delays.shift();
   }
 
   protected override review(now: number): void {
