--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -160,7 +160,7 @@
 
   /** Takes a newer report of the same life. */
   update(report: UpstreamReport): void {
-    if (report.sequence < this.report.sequence) return;
+    if (report.sequence < this.report.sequence) return this.logPassedOver(report);
     const before = this.state;
     this.report = report;
     const described = describeReport(report);
@@ -172,6 +172,12 @@
     }
   }
 
+  private logPassedOver({ sequence, isDraining, clockMs }: UpstreamReport): void {
+    const { sequence: known, clockMs: knownClockMs } = this.report;
+    const fields = { upstream: this.id, sequence, known, isDraining, clockMs, knownClockMs };
+    this.events.log('report-passed-over', fields);
+  }
+
   /**
    * The upstream has said that it ends. What it runs takes room, and may run on, until its end is listed or its lease
    * is over: the upstream's process outlives its word.
