--- a/bench/dispatchDefects.ts
+++ b/bench/dispatchDefects.ts
@@ -42,8 +42,8 @@
   {
     name: 'an unanswered start counts as not run',
     file: 'src/process/executor/UpstreamSession.js',
-    find: "return this.stopTask(task, 'start-unanswered');",
-    replace: "return this.finish(task, 'not-run', 'start-unanswered');",
+    find: 'withdraw: (task, reason) => this.stopTask(task, reason),',
+    replace: "withdraw: (task, reason) => this.finish(task, 'not-run', reason),",
   },
   {
     name: 'an upstream out of reach counts as gone before its lease is over',
@@ -65,7 +65,7 @@
   },
   {
     name: 'a start is repeated under a new run',
-    file: 'src/process/executor/UpstreamSession.js',
+    file: 'src/process/executor/RunOrders.js',
     find: 'const verdict = await this.calls.start(',
     replace: 'if (sends > 0) task.run += 1; const verdict = await this.calls.start(',
   },
--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -3,7 +3,12 @@
 import * as fc from 'fast-check';
 
 import { FakeWorld } from '../test/fakes/FakeWorld.js';
-import { dispatchCommands, domainCommands, lateWordCommands } from '../test/fakes/dispatchCommands.js';
+import {
+  dispatchCommands,
+  domainCommands,
+  lateWordCommands,
+  restartCommands,
+} from '../test/fakes/dispatchCommands.js';
 import { runDispatchWorld } from '../test/fakes/runDispatchWorld.js';
 import { runProcessSoak } from './runProcessSoak.js';
 import { RUN_AGENTS, RUN_ENTRIES, worldCommands } from '../test/fakes/worldCommands.js';
@@ -57,21 +62,24 @@
   if (core === 'processes') return console.log(JSON.stringify(await runProcessSoak(seed)));
   const drawn = DISPATCH_CORES[core];
   if (drawn) {
-    return console.log(JSON.stringify(await runDispatchWorld(drawn, seed, BATCH, true)));
+    return console.log(
+      JSON.stringify(await runDispatchWorld(drawn, seed, BATCH, true, drawn === restartCommands)),
+    );
   }
   runBatch(seed);
   console.log(JSON.stringify({ seed, ...totals, reasons: Object.fromEntries(reasons) }));
 }
 
-/** Randomised runs of dispatchers and agents: the earlier ones, with words of earlier lives, with emptied domains. */
+/** Randomised runs of dispatchers and agents: the first ones, then those with more kinds of trouble each. */
 const DISPATCH_CORES: Readonly<Record<string, typeof dispatchCommands>> = {
   dispatch: dispatchCommands,
   late: lateWordCommands,
   domains: domainCommands,
+  restarts: restartCommands,
 };
 
 const CORES =
-  'registrar (own interface), dispatch (platform), late (the same, with words of earlier lives), domains (with emptied failure domains) or processes (real ones, platform)';
+  'registrar (own interface), dispatch (platform), late (the same, with words of earlier lives), domains (with emptied failure domains), restarts (with upstreams that keep their ids) or processes (real ones, platform)';
 
 const cli = cac('soak');
 cli.option('--core <name>', CORES, { default: 'registrar' });
--- a/src/ports/TaskExecutor.ts
+++ b/src/ports/TaskExecutor.ts
@@ -47,7 +47,7 @@
 
 /** A run that is over. */
 export interface EndedRun {
-  /** Rises by one with each end at this upstream. */
+  /** Rises by one with each end of this life of the upstream. */
   readonly sequence: number;
   readonly name: RunName;
   readonly end: RunEnd;
@@ -69,6 +69,8 @@
   | {
       readonly verdict: 'held';
       readonly clockMs: number;
+      /** Start of the life that answers, Unix ms; undefined where it tells none. */
+      readonly bornAt: number | undefined;
       readonly running: readonly RunningRun[];
       readonly ended: readonly EndedRun[];
     }
@@ -76,7 +78,7 @@
   | { readonly verdict: 'other-life' }
   | { readonly verdict: 'refused' };
 
-/** Sends orders to one life of one upstream. Every call rejects when no answer came in time. */
+/** Sends orders to one upstream; an id that is not there any more answers `other-life`. Every call rejects when no answer came in time. */
 export abstract class TaskExecutor {
   abstract start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>>;
   abstract stop(name: RunName, fencingToken: number, timeoutMs: number): Promise<OrderAnswer<StopVerdict>>;
--- a/src/ports/UpstreamRegistry.ts
+++ b/src/ports/UpstreamRegistry.ts
@@ -4,8 +4,10 @@
 
 /** What an upstream says of itself. */
 export interface UpstreamReport {
-  /** Id of this life of the upstream. */
+  /** Id of the upstream; a later life of it may have the same one. */
   readonly id: string;
+  /** Unix ms at which this life began, which tells lives of one id apart; undefined where each life has its own id. */
+  readonly bornAt: number | undefined;
   readonly service: string;
   /** `host:port` of its orders. */
   readonly address: string;
@@ -14,14 +16,15 @@
   readonly isDraining: boolean;
   /** The upstream's clock when it was sent, ms. */
   readonly clockMs: number;
-  /** Rises with each report, so that a late one is known. */
+  /** Rises with each report of a life, so that a late one is known. */
   readonly sequence: number;
 }
 
 /** Takes reports. */
 export interface UpstreamListener {
   report(report: UpstreamReport): void;
-  leave(upstreamId: string): void;
+  /** @param bornAt - life that leaves; undefined where it does not say */
+  leave(upstreamId: string, bornAt: number | undefined): void;
   /** A report could not be read. */
   noteRejected(call: string, reason: string): void;
   /** Taking a call has failed; it was answered with an error. */
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -3,6 +3,7 @@
 import { FakeClock } from '../../../test/fakes/FakeClock.js';
 import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
 import type { StartOrder } from '../../connection/peer/peerMessages.js';
+import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import { AgentCore } from './AgentCore.js';
 
 const VERSION = 7;
@@ -20,6 +21,11 @@
   expiresAt: Infinity,
 };
 
+function buildReport(id: string, sequence: number): UpstreamReport {
+  const base = { id, bornAt: undefined, service: 'service', address: '127.0.0.1:1', labels: ['rack'] };
+  return { ...base, sequence, capacity: CAPACITY, isDraining: false, clockMs: 0 };
+}
+
 describe('AgentCore', () => {
   let clock: FakeClock;
   let upstream: FakeUpstream;
@@ -29,8 +35,7 @@
   let results: string[];
 
   function report(id: string, sequence: number): void {
-    const base = { id, service: 'service', address: '127.0.0.1:1', labels: ['rack'], sequence };
-    core.noteReport({ ...base, capacity: CAPACITY, isDraining: false, clockMs: upstream.clockMs });
+    core.noteReport({ ...buildReport(id, sequence), clockMs: upstream.clockMs });
   }
 
   beforeEach(async () => {
@@ -39,7 +44,7 @@
     otherLives = new Map();
     results = [];
     core = new AgentCore(
-      { agent: 'agent', life: '1', failureDomain: 'x' },
+      { agent: 'agent', life: '1', failureDomain: 'x', startedAt: 1_000_000 },
       { leaseMs: 500, stopMs: 50, orphanAfterMs: 10_000 },
       clock,
       {
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -21,14 +21,14 @@
 import type { TaskExecutor } from '../../ports/TaskExecutor.js';
 import { NO_RESOURCES } from '../../request/dispatch/resources.js';
 import { roundSpeed } from '../roundSpeed.js';
+import { FencingTokens } from './FencingTokens.js';
 import type { LocalTask } from './localTask.js';
+import { UpstreamLives } from './UpstreamLives.js';
 import { UpstreamSession } from './UpstreamSession.js';
 import type { SessionBounds } from './UpstreamSession.js';
 
 /** How long results are kept to be told again on a new link, ms. */
 const KEEP_RESULTS_MS = 2_500;
-/** After this time out of reach and without a report an upstream is forgotten, ms. */
-const FORGET_UPSTREAM_MS = 5_000;
 /** Time on the way and in the agent's loop that is added to when an orphan is surely gone, ms. */
 const ORPHAN_MARGIN_MS = 60;
 /** Time without progress from which on an entry is told of it, ms. */
@@ -47,7 +47,7 @@
   readonly openExecutor: (report: UpstreamReport) => TaskExecutor;
   /** Sends a result to the entry's link, if it has one. */
   readonly sendResult: (entryLife: string, result: AttemptResult) => void;
-  /** An upstream takes work for the first time. */
+  /** A life of an upstream takes work for the first time. */
   readonly noteJoined: (report: UpstreamReport) => void;
   /** Room has changed. */
   readonly noteChange: () => void;
@@ -76,9 +76,8 @@
 
 /** Decides for one agent. */
 export class AgentCore {
-  private readonly sessions = new Map<string, UpstreamSession>();
   private readonly proofs = new Map<string, EntryProof>();
-  private readonly reportedAt = new Map<string, number>();
+  private readonly lives: UpstreamLives;
   private leaving = false;
   /** Whether the operators have emptied the agent's failure domain. */
   private isEmptied = false;
@@ -90,44 +89,43 @@
       readonly agent: string;
       readonly life: string;
       readonly failureDomain: string;
+      /** Time of day at which this life began, Unix ms. */
+      readonly startedAt: number;
     },
     private readonly bounds: AgentBounds,
     private readonly clock: Clock,
     private readonly effects: AgentEffects,
-  ) {}
+  ) {
+    this.lives = new UpstreamLives(clock, new FencingTokens(identity.startedAt, clock), bounds, {
+      openExecutor: effects.openExecutor,
+      noteJoined: effects.noteJoined,
+      finish: (task, end, reason) => this.finish(task, end, reason),
+      change: () => effects.noteChange(),
+      revalidate: (now) => this.expireEntries(now),
+      log: effects.log,
+    });
+  }
 
   /** Tasks that wait or may run. */
   get load(): number {
     let load = 0;
-    for (const session of this.sessions.values()) load += session.load;
+    for (const session of this.lives.list()) load += session.load;
     return load;
   }
 
-  /**
-   * An upstream has reported. A life that is not known may be newer than the one at its address, or an earlier one whose
-   * report was held up: which of them is there is told by answers, since each session names its life and ends when
-   * another life answers.
-   */
+  /** An upstream has reported. */
   noteReport(report: UpstreamReport): void {
-    this.reportedAt.set(report.id, this.clock.now());
-    const known = this.sessions.get(report.id);
-    if (known) return known.update(report);
-    const session = new UpstreamSession(report, this.effects.openExecutor(report), this.clock, this.bounds, {
-      finish: (task, end, reason) => this.finish(task, end, reason),
-      join: (joined) => this.effects.noteJoined(joined),
-      change: () => this.effects.noteChange(),
-      revalidate: (now) => this.expireEntries(now),
-      log: this.effects.log,
-    });
-    this.sessions.set(report.id, session);
-    const { id, service, capacity, labels, isDraining } = report;
-    this.effects.log('upstream-found', { upstream: id, service, capacity, labels, isDraining });
-    void session.run().finally(() => this.sessions.delete(report.id));
+    this.lives.noteReport(report);
   }
 
-  /** An upstream has said that it ends. */
-  noteLeave(upstreamId: string): void {
-    this.sessions.get(upstreamId)?.leave();
+  /**
+   * An upstream has said that it ends.
+   *
+   * @param upstreamId - of the upstream
+   * @param bornAt - which life; undefined where it does not say
+   */
+  noteLeave(upstreamId: string, bornAt: number | undefined): void {
+    this.lives.noteLeave(upstreamId, bornAt);
   }
 
   /** A link to an entry is open and the entry has said which life it is. */
@@ -152,7 +150,7 @@
   /** Attempts that are held for an entry. */
   countHeld(entryLife: string): number {
     let held = 0;
-    for (const session of this.sessions.values()) held += session.listHeld(entryLife).length;
+    for (const session of this.lives.list()) held += session.listHeld(entryLife).length;
     return held;
   }
 
@@ -171,7 +169,7 @@
 
   /** Builds the first message of a link; `entryLife` is the life that was last met there. */
   buildHello(entryLife: string): AgentHello {
-    const held = [...this.sessions.values()].flatMap((session) => session.listHeld(entryLife));
+    const held = this.lives.list().flatMap((session) => session.listHeld(entryLife));
     const { agent, life, failureDomain } = this.identity;
     const { leaseMs, stopMs, orphanAfterMs } = this.bounds;
     const orphanMs = orphanAfterMs + leaseMs * 1.05 + stopMs + ORPHAN_MARGIN_MS;
@@ -204,7 +202,7 @@
   /** An entry wants an attempt ended; if it is not here, its result has been told or never will be. */
   handleStop(entryLife: string, { name }: StopOrder): void {
     const key = buildTaskKey(name);
-    for (const session of this.sessions.values()) {
+    for (const session of this.lives.list()) {
       if (session.stop(key, name.attempt, entryLife, 'stopped-by-entry')) return;
     }
   }
@@ -250,7 +248,7 @@
     const now = this.clock.now();
     const typicalSpeed = this.proofs.get(entryLife)?.typicalSpeed ?? 1;
     const progress: AttemptProgress[] = [];
-    for (const session of this.sessions.values()) {
+    for (const session of this.lives.list()) {
       const crawls = session.readSpeed() < typicalSpeed * CRAWL_SHARE;
       for (const { phase, order, percent, percentAt } of session.listHeld(entryLife)) {
         const stalledMs = Math.round(now - percentAt);
@@ -265,12 +263,7 @@
   tick(): void {
     const now = this.clock.now();
     this.expireEntries(now);
-    for (const session of this.sessions.values()) {
-      session.beginWaiting();
-      const reportedAt = this.reportedAt.get(session.id) ?? now;
-      if (!session.isReachable && now - reportedAt > FORGET_UPSTREAM_MS) session.close('forgotten');
-    }
-    for (const id of this.reportedAt.keys()) if (!this.sessions.has(id)) this.reportedAt.delete(id);
+    this.lives.tick(now);
   }
 
   /** Takes nothing new from now on. */
@@ -286,18 +279,18 @@
   setEmptied(isEmptied: boolean): void {
     if (isEmptied === this.isEmptied) return;
     this.isEmptied = isEmptied;
-    if (isEmptied) for (const session of this.sessions.values()) session.dropWaiting(DOMAIN_EMPTIED);
+    if (isEmptied) for (const session of this.lives.list()) session.dropWaiting(DOMAIN_EMPTIED);
     this.effects.noteChange();
   }
 
   /** Stops everything. */
   stopAll(reason: string): void {
-    for (const session of this.sessions.values()) session.stopAll(reason);
+    for (const session of this.lives.list()) session.stopAll(reason);
   }
 
   /** Ends the sessions; what runs lapses. */
   close(): void {
-    for (const session of this.sessions.values()) session.close('agent-ends');
+    for (const session of this.lives.list()) session.close('agent-ends');
   }
 
   /** Stops what belongs to entries that have not proved to be alive, before anything is renewed for them. */
@@ -315,7 +308,7 @@
 
   private stopEntry(entryLife: string, reason: string): number {
     let stopped = 0;
-    for (const session of this.sessions.values()) stopped += session.stopOwner(entryLife, reason);
+    for (const session of this.lives.list()) stopped += session.stopOwner(entryLife, reason);
     return stopped;
   }
 
@@ -333,7 +326,7 @@
   /** The upstream that takes work: a ready one before one that joins or drains. */
   private findSession(): UpstreamSession | undefined {
     let best: UpstreamSession | undefined;
-    for (const session of this.sessions.values()) {
+    for (const session of this.lives.list()) {
       if (session.isClosed) continue;
       if (!best || STATE_ORDER.indexOf(session.state) < STATE_ORDER.indexOf(best.state)) best = session;
     }
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -16,6 +16,7 @@
 import { startTimer } from '../startTimer.js';
 import { ServedMetrics } from '../ServedMetrics.js';
 import { AgentCore } from './AgentCore.js';
+import { buildLifeName } from './buildLifeName.js';
 import { EntryLinks } from './EntryLinks.js';
 import { buildExecutorMetrics } from './executorMetrics.js';
 
@@ -45,7 +46,7 @@
   /** Whether an upstream has reported itself to this life of the process. */
   private hasReport = false;
   /** The life of the upstream that is kept for the next life of this process. */
-  private rememberedId = '';
+  private rememberedName = '';
   private leaving = false;
   private ticks = 0;
 
@@ -53,11 +54,12 @@
     private settings: DispatchSettings,
     private readonly ports: ExecutorPorts,
   ) {
-    const peer = createIncarnation(settings.id, Date.now());
+    const startedAt = Date.now();
+    const peer = createIncarnation(settings.id, startedAt);
     const times = deriveDispatchTimes(settings);
     this.logger = createLogger(peer, settings.logLevel, createLogSink());
     this.core = new AgentCore(
-      { agent: settings.id, life: peer, failureDomain: settings.failureDomain },
+      { agent: settings.id, life: peer, failureDomain: settings.failureDomain, startedAt },
       { ...times, stopMs: settings.stopMs },
       this.clock,
       {
@@ -91,7 +93,7 @@
     this.logger.info('started', { failureDomain: this.settings.failureDomain });
     await this.ports.registry.start({
       report: (report) => this.takeReport(report),
-      leave: (upstreamId) => this.core.noteLeave(upstreamId),
+      leave: (upstreamId, bornAt) => this.core.noteLeave(upstreamId, bornAt),
       noteRejected: (call, reason) => this.logger.warn('report-rejected', { call, reason }),
       noteFailure: (call, error) => noteFailure(this.logger, 'call-failed', { call }, error),
     });
@@ -141,10 +143,11 @@
 
   /** Only a life that has answered is kept for the next life of this process: a report may have been held up. */
   private rememberUpstream(report: UpstreamReport): void {
-    if (report.id === this.rememberedId || report.isDraining) return;
-    this.rememberedId = report.id;
+    const name = buildLifeName(report);
+    if (name === this.rememberedName || report.isDraining) return;
+    this.rememberedName = name;
     this.ports.memory.remember(this.settings.id, report).catch((error: unknown) => {
-      this.logger.warn('upstream-not-remembered', { upstream: report.id, error: describeError(error) });
+      this.logger.warn('upstream-not-remembered', { upstream: name, error: describeError(error) });
     });
   }
 
@@ -155,8 +158,8 @@
       return undefined;
     });
     if (!report || this.hasReport || this.leaving) return;
-    this.rememberedId = report.id;
-    this.logger.info('upstream-recalled', { upstream: report.id });
+    this.rememberedName = buildLifeName(report);
+    this.logger.info('upstream-recalled', { upstream: this.rememberedName });
     this.core.noteReport({ ...report, clockMs: 0, sequence: -1 });
   }
 
--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -2,7 +2,6 @@
  * Calls to one life of one upstream. Each carries the lease and the fencing token, is waited for as long as answers
  * take, and its answer, or the absence of one, tells something of the upstream.
  */
-import { assertInvariant } from '../../_lib/assertInvariant.js';
 import type { Clock } from '../../_lib/Clock.js';
 import type {
   LeaseAnswer,
@@ -12,6 +11,7 @@
   TaskExecutor,
 } from '../../ports/TaskExecutor.js';
 import { AnswerWatch } from './AnswerWatch.js';
+import type { FencingTokens } from './FencingTokens.js';
 import { UpstreamLease } from './UpstreamLease.js';
 
 /** How long the upstream may hold a renewal while nothing ends, ms; a part of the lease at most. */
@@ -41,6 +41,7 @@
    * @param clockMs - the upstream's clock in its first report
    * @param leaseMs - how far ahead leases are given
    * @param clock - of this process
+   * @param tokens - of this process
    * @param events - what to tell
    */
   constructor(
@@ -48,13 +49,14 @@
     clockMs: number,
     private readonly leaseMs: number,
     private readonly clock: Clock,
+    private readonly tokens: FencingTokens,
     private readonly events: CallEvents,
   ) {
     const now = clock.now();
     this.lease = new UpstreamLease(clockMs, now, leaseMs);
     this.answers = new AnswerWatch(now);
     this.renewalSentAt = now;
-    this.fencingToken = Math.max(1, Math.floor(clockMs));
+    this.fencingToken = tokens.take();
   }
 
   /** Whether the upstream answers. */
@@ -107,6 +109,7 @@
     try {
       const answer = await this.executor.renew(renewal, waitMs + this.answers.timeoutMs);
       this.noteRenewal(answer, sentAt, waitMs);
+      if (answer.verdict === 'fenced') this.raise(renewal.fencingToken);
       return answer;
     } catch (error) {
       this.noteUnanswered(sentAt);
@@ -114,6 +117,11 @@
     }
   }
 
+  /** Has the upstream refuse, from the next call on that it takes, what was sent until now and may still be on its way. */
+  fenceOff(): void {
+    this.fencingToken = this.tokens.take();
+  }
+
   /** Closes the connections. */
   close(): void {
     this.executor.close();
@@ -128,10 +136,11 @@
     sentAt: number,
     call: () => Promise<{ readonly verdict: Verdict; readonly clockMs: number | undefined }>,
   ): Promise<Verdict> {
+    const token = this.fencingToken;
     try {
       const { verdict, clockMs } = await call();
       this.noteAnswer(sentAt, clockMs, true);
-      if (verdict === 'fenced') this.raise(clockMs);
+      if (verdict === 'fenced') this.raise(token);
       return verdict;
     } catch (error) {
       this.noteUnanswered(sentAt);
@@ -144,16 +153,13 @@
     if (answer.verdict === 'held') this.renewalSentAt = sentAt;
     const clockMs = answer.verdict === 'other-life' ? undefined : answer.clockMs;
     this.noteAnswer(sentAt, clockMs, waitMs === 0);
-    if (answer.verdict === 'fenced') this.raise(clockMs);
   }
 
-  /** A newer holder was there, or our token came from an old report: take the upstream's clock, which rises. */
-  private raise(clockMs: number | undefined): void {
-    const from = this.fencingToken;
-    const to = Math.max(from + 1, Math.floor(clockMs ?? 0));
-    assertInvariant(to > from, 'a fencing token never falls');
-    this.fencingToken = to;
-    this.events.raiseToken(from, to);
+  /** An earlier process on this VM took a higher token; of several calls that are refused the first one raises ours. */
+  private raise(from: number): void {
+    if (from < this.fencingToken) return;
+    this.fencingToken = this.tokens.takeAbove(from);
+    this.events.raiseToken(from, this.fencingToken);
   }
 
   private noteAnswer(sentAt: number, clockMs: number | undefined, wasAtOnce: boolean): void {
--- /dev/null
+++ b/src/process/executor/UpstreamLives.test.ts
@@ -0,0 +1,209 @@
+import { expect } from 'chai';
+
+import { AddressExecutor } from '../../../test/fakes/AddressExecutor.js';
+import { FakeClock } from '../../../test/fakes/FakeClock.js';
+import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
+import type { StartOrder } from '../../connection/peer/peerMessages.js';
+import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import { FencingTokens } from './FencingTokens.js';
+import { UpstreamLives } from './UpstreamLives.js';
+import type { UpstreamSession } from './UpstreamSession.js';
+
+const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+const BORN_MS = 1_700_000_000_000;
+/** Clock of the first life, and of the next: it begins anew. */
+const FIRST_CLOCK_MS = 500_000;
+const NEXT_CLOCK_MS = 20;
+
+const ORDER: StartOrder = {
+  type: 'start',
+  name: { job: 'job', step: 0, index: 0, attempt: 1 },
+  service: 'service',
+  spec: 'text',
+  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
+  estimateMs: 100,
+  rank: 0,
+  expiresAt: Infinity,
+};
+
+describe('UpstreamLives', () => {
+  let clock: FakeClock;
+  let upstream: FakeUpstream;
+  let lives: UpstreamLives;
+  let ends: string[];
+  let joined: string[];
+  let passedOver: unknown[];
+
+  function buildReport(bornAt: number | undefined, sequence: number): UpstreamReport {
+    const base = { id: 'u1', bornAt, service: 'service', address: '127.0.0.1:1', labels: [] };
+    return { ...base, capacity: CAPACITY, isDraining: false, clockMs: upstream.clockMs, sequence };
+  }
+
+  function findOpen(): UpstreamSession | undefined {
+    return lives.list().find(({ state }) => state !== 'absent');
+  }
+
+  /** The upstream starts again under its id and address, and knows nothing of before. */
+  function restart(): void {
+    upstream.running.clear();
+    upstream.isOver = true;
+    upstream.silent = true;
+    const next = new FakeUpstream(clock, NEXT_CLOCK_MS);
+    next.bornAt = (upstream.bornAt ?? 0) + 1_000;
+    next.taskMs = upstream.taskMs;
+    upstream = next;
+  }
+
+  async function advance(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 20) {
+      await clock.advance(20);
+      lives.tick(clock.now());
+    }
+  }
+
+  beforeEach(async () => {
+    clock = new FakeClock();
+    upstream = new FakeUpstream(clock, FIRST_CLOCK_MS);
+    upstream.bornAt = BORN_MS;
+    ends = [];
+    joined = [];
+    passedOver = [];
+    const tokens = new FencingTokens(1_000_000, clock);
+    lives = new UpstreamLives(
+      clock,
+      tokens,
+      { leaseMs: 500, stopMs: 50 },
+      {
+        openExecutor: () => new AddressExecutor(() => upstream),
+        noteJoined: ({ bornAt }) => void joined.push(String((bornAt ?? 0) - BORN_MS)),
+        finish: (task, end) => void ends.push(`${task.order.name.index} ${end}`),
+        change: () => undefined,
+        revalidate: () => undefined,
+        log: (event, { reason }) => void (event === 'report-passed-over' && passedOver.push(reason)),
+      },
+    );
+    lives.noteReport(buildReport(BORN_MS, 40));
+    await advance(60);
+  });
+
+  afterEach(() => {
+    for (const session of lives.list()) session.close('test ends');
+  });
+
+  it('take the word of a next life that it leaves, though its numbers begin anew', async () => {
+    restart();
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await advance(60);
+    expect(findOpen()?.state).to.equal('ready');
+    lives.noteReport({ ...buildReport(upstream.bornAt, 2), isDraining: true });
+    expect(findOpen()?.state).to.equal('draining');
+    findOpen()?.offer(ORDER, 'entry');
+    await advance(100);
+    expect(upstream.starts).to.equal(0);
+  });
+
+  it('take ends of a next life, though their numbers begin anew', async () => {
+    for (let index = 0; index < 3; index += 1) {
+      findOpen()?.offer({ ...ORDER, name: { ...ORDER.name, index } }, 'entry');
+    }
+    await advance(300);
+    restart();
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await advance(60);
+    findOpen()?.offer({ ...ORDER, name: { ...ORDER.name, index: 3 } }, 'entry');
+    await advance(300);
+    expect(ends).to.deep.equal(['0 done', '1 done', '2 done', '3 done']);
+  });
+
+  it('find a next life by its answer, and give it no work until it has said what it has', async () => {
+    restart();
+    await advance(700);
+    expect(findOpen()?.state).to.equal('joining');
+    lives.noteReport({ ...buildReport(upstream.bornAt, 1), capacity: { ...CAPACITY, cpuMilli: 500 } });
+    expect([findOpen()?.state, findOpen()?.free.cpuMilli]).to.deep.equal(['ready', 500]);
+    expect(joined).to.deep.equal(['0', '1000']);
+  });
+
+  it('tell that a task is lost only once a next life, which its start has reached, runs it no more', async () => {
+    upstream.taskMs = 5_000;
+    restart();
+    findOpen()?.offer(ORDER, 'entry');
+    await advance(20);
+    expect(upstream.running.size).to.equal(1);
+    upstream.silent = true;
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await advance(100);
+    expect(ends).to.deep.equal([]);
+    upstream.silent = false;
+    await advance(200);
+    expect(ends).to.deep.equal(['0 lost']);
+    expect(upstream.running.size).to.equal(0);
+  });
+
+  it('have a next life take calls though it has taken one with the token of the earlier life', async () => {
+    restart();
+    await advance(700);
+    expect(upstream.token).to.be.greaterThan(NEXT_CLOCK_MS + 1_000);
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await advance(60);
+    findOpen()?.offer(ORDER, 'entry');
+    await advance(200);
+    expect(ends).to.deep.equal(['0 done']);
+  });
+
+  it('end what an earlier life ran when the next one is not to be reached either', async () => {
+    upstream.taskMs = 5_000;
+    findOpen()?.offer(ORDER, 'entry');
+    await advance(60);
+    restart();
+    upstream.silent = true;
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await advance(1_500);
+    expect(ends).to.deep.equal(['0 lost']);
+  });
+
+  it('pass over reports of an earlier life, and those that name none', async () => {
+    restart();
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await advance(60);
+    lives.noteReport({ ...buildReport(BORN_MS, 99), isDraining: true });
+    lives.noteReport({ ...buildReport(undefined, 99), isDraining: true });
+    lives.noteReport({ ...buildReport(upstream.bornAt, 99), address: '127.0.0.1:9' });
+    lives.noteReport({ ...buildReport(upstream.bornAt, 99), service: 'other' });
+    const place = 'of another place';
+    expect(passedOver).to.deep.equal(['of an earlier life', 'of an earlier life', place, place]);
+    expect(findOpen()?.state).to.equal('ready');
+  });
+
+  it('take the place that a life reports for that of a report which it has never answered', async () => {
+    restart();
+    lives.noteReport({ ...buildReport(upstream.bornAt, 1), address: '127.0.0.1:9' });
+    lives.noteReport(buildReport(upstream.bornAt, 2));
+    await advance(60);
+    expect(findOpen()?.newestReport.address).to.equal('127.0.0.1:1');
+    expect(findOpen()?.state).to.equal('ready');
+  });
+
+  it('end with the word of their own life only', async () => {
+    restart();
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await advance(60);
+    lives.noteLeave('u1', BORN_MS);
+    lives.noteLeave('u2', undefined);
+    expect(findOpen()?.state).to.equal('ready');
+    lives.noteLeave('u1', upstream.bornAt);
+    expect(findOpen()).to.equal(undefined);
+  });
+
+  it('know lives by their ids where they tell no start', async () => {
+    lives.noteLeave('u1', undefined);
+    restart();
+    upstream.bornAt = undefined;
+    lives.noteReport(buildReport(undefined, 5));
+    await advance(60);
+    lives.noteReport({ ...buildReport(undefined, 4), isDraining: true });
+    expect(findOpen()?.state).to.equal('ready');
+    lives.noteReport({ ...buildReport(undefined, 6), isDraining: true });
+    expect(findOpen()?.state).to.equal('draining');
+  });
+});
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -4,8 +4,10 @@
 import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
 import type { StartOrder } from '../../connection/peer/peerMessages.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import { FencingTokens } from './FencingTokens.js';
 import { UpstreamSession } from './UpstreamSession.js';
 
+const FIRST_TOKEN = 1_000_000;
 const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
 
 function buildOrder(index: number, change: Partial<StartOrder> = {}): StartOrder {
@@ -24,7 +26,14 @@
 
 function buildReport(upstream: FakeUpstream): UpstreamReport {
   const clockMs = upstream.clockMs;
-  const base = { id: 'u1', service: 'service', address: '127.0.0.1:1', labels: [], sequence: 1 };
+  const base = {
+    id: 'u1',
+    bornAt: undefined,
+    service: 'service',
+    address: '127.0.0.1:1',
+    labels: [],
+    sequence: 1,
+  };
   return { ...base, capacity: CAPACITY, isDraining: false, clockMs };
 }
 
@@ -32,14 +41,18 @@
   readonly clock = new FakeClock();
   readonly upstream = new FakeUpstream(this.clock);
   readonly results: string[] = [];
+  readonly tokens = new FencingTokens(FIRST_TOKEN, this.clock);
   readonly session = new UpstreamSession(
     buildReport(this.upstream),
+    true,
     this.upstream,
     this.clock,
+    this.tokens,
     { leaseMs: 500, stopMs: 50 },
     {
       finish: (task, end, reason) => this.results.push(`${task.order.name.index} ${end} ${reason}`),
       join: () => undefined,
+      findOtherLife: () => undefined,
       change: () => undefined,
       revalidate: () => undefined,
       log: () => undefined,
@@ -238,9 +251,24 @@
   });
 
   it('raises its fencing token above the one it meets', async () => {
-    bench.upstream.token = bench.upstream.clockMs + 50;
+    bench.upstream.token = FIRST_TOKEN + 2_500;
     await bench.start();
-    await bench.clock.advance(100);
+    await bench.clock.advance(300);
+    expect(bench.session.state).to.equal('ready');
+    expect(bench.upstream.token).to.be.greaterThan(FIRST_TOKEN + 2_500);
+  });
+
+  it('has a start refused that is carried out late, once its task was given up as lost', async () => {
+    await bench.start();
+    bench.upstream.lateMs = 3_000;
+    bench.upstream.fates.push('late');
+    bench.session.offer(buildOrder(0), 'entry');
+    bench.upstream.silent = true;
+    await bench.clock.advance(2_000);
+    expect(bench.results).to.deep.equal(['0 lost start-unanswered']);
+    bench.upstream.silent = false;
+    await bench.clock.advance(1_500);
+    expect(bench.upstream.starts).to.equal(0);
     expect(bench.session.state).to.equal('ready');
   });
 
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -15,14 +15,7 @@
   UpstreamDescription,
   UpstreamState,
 } from '../../connection/peer/peerMessages.js';
-import type {
-  EndedRun,
-  LeaseAnswer,
-  RunName,
-  RunningRun,
-  StartVerdict,
-  TaskExecutor,
-} from '../../ports/TaskExecutor.js';
+import type { EndedRun, LeaseAnswer, RunningRun, TaskExecutor } from '../../ports/TaskExecutor.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import {
   addResources,
@@ -31,24 +24,21 @@
   subtractResources,
 } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
+import { buildLifeName } from './buildLifeName.js';
 import { convertRunEnd } from './convertRunEnd.js';
-import { buildRunName, createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
+import type { FencingTokens } from './FencingTokens.js';
+import { createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
 import { RunHistory } from './RunHistory.js';
+import { RunOrders } from './RunOrders.js';
 import { SpeedMeter } from './SpeedMeter.js';
 import { TrustMeter } from './TrustMeter.js';
 import { UpstreamCalls } from './UpstreamCalls.js';
 
-/** Pause before a stop that was accepted is sent again, as its end was not listed, ms. */
-const STOP_PAUSE_MS = 120;
-/** Pause between two looks whether a silent upstream answers again, ms: short against the lease of a task. */
-const ANSWER_LOOK_MS = 40;
-/** Pause before an order is repeated, ms. */
+/** Pause before a renewal that brought nothing is repeated, ms. */
 const REPEAT_PAUSE_MS = 15;
 /** Pause between two looks at an upstream that is out of reach, ms. */
 const UNREACHABLE_PAUSE_MS = 150;
-/** Times that a start is sent before it is withdrawn. */
-const MAX_START_SENDS = 4;
 /**
  * How long a task may wait at the agent for room, ms: about the time in which the agent hears of an end and starts the
  * next task. What waits longer is better placed elsewhere. With 40 ms in its place the ablation of docs/POLICY.md shows
@@ -68,8 +58,13 @@
 export interface SessionEvents {
   /** A task is over. */
   readonly finish: (task: LocalTask, end: AttemptEnd, reason: string) => void;
-  /** The upstream has answered for itself and runs nothing that nobody here has ordered. */
-  readonly join: (report: UpstreamReport) => void;
+  /**
+   * The upstream has answered for itself, knows our token, so that it refuses orders that were sent to an earlier life,
+   * and runs nothing that nobody here has ordered.
+   */
+  readonly join: () => void;
+  /** Another life answers under the same id. */
+  readonly findOtherLife: (bornAt: number, clockMs: number) => void;
   /** Room or state has changed. */
   readonly change: () => void;
   /** Called before the lease of what runs is renewed: stop what may not run on. */
@@ -83,47 +78,98 @@
   readonly tasks = new Map<string, LocalTask>();
   private readonly waiting: LocalTask[] = [];
   private readonly calls: UpstreamCalls;
+  private readonly orders: RunOrders;
   private readonly speedMeter: SpeedMeter;
-  private described: UpstreamDescription;
+  private told: UpstreamDescription;
   private readonly trustMeter = new TrustMeter();
   private readonly runs = new RunHistory();
   private used: Resources = NO_RESOURCES;
   private lastSequence = 0;
   private joined = false;
   private closed = false;
+  private superseded = false;
   private leaving = false;
   private reachable = true;
 
+  /**
+   * @param report - what is known of this life
+   * @param described - whether the life itself has said it; else it takes no work until it has
+   * @param executor - the way to the upstream
+   * @param clock - of this process
+   * @param tokens - of this process
+   * @param bounds - to keep to
+   * @param events - what to tell
+   */
   constructor(
     private report: UpstreamReport,
+    private described: boolean,
     executor: TaskExecutor,
     private readonly clock: Clock,
+    tokens: FencingTokens,
     private readonly bounds: SessionBounds,
     private readonly events: SessionEvents,
   ) {
     const now = clock.now();
-    this.calls = new UpstreamCalls(executor, report.clockMs, bounds.leaseMs, clock, {
+    this.calls = new UpstreamCalls(executor, report.clockMs, bounds.leaseMs, clock, tokens, {
       changeAnswers: (answers) => {
-        this.events.log('upstream-answers', { upstream: this.id, answers, tasks: this.load });
+        this.events.log('upstream-answers', { upstream: this.name, answers, tasks: this.load });
         this.events.change();
       },
-      raiseToken: (from, to) => this.events.log('token-raised', { upstream: this.id, from, to }),
+      raiseToken: (from, to) => this.events.log('token-raised', { upstream: this.name, from, to }),
+    });
+    this.orders = new RunOrders(this.calls, this.runs, clock, {
+      isOver: () => this.isOver,
+      isReachable: () => this.reachable,
+      confirm: (task) => this.confirm(task, this.clock.now()),
+      withdraw: (task, reason) => this.stopTask(task, reason),
+      noteRefused: (task) => this.noteFailure(task, this.clock.now()),
+      noteOtherLife: () => this.close('other-life'),
+      log: this.events.log,
     });
     this.speedMeter = new SpeedMeter(now);
-    this.described = describeReport(report);
+    this.told = describeReport(report);
   }
 
   get id(): string {
     return this.report.id;
   }
 
+  get bornAt(): number | undefined {
+    return this.report.bornAt;
+  }
+
+  /** Names this life. */
+  get name(): string {
+    return buildLifeName(this.report);
+  }
+
+  /** What is known of this life. */
+  get newestReport(): UpstreamReport {
+    return this.report;
+  }
+
+  /** Whether this life has reported itself. */
+  get isDescribed(): boolean {
+    return this.described;
+  }
+
+  /** Whether this life has answered and been fenced, and runs nothing unknown. */
+  get isJoined(): boolean {
+    return this.joined;
+  }
+
+  /** Whether a later life of the upstream is known. */
+  get isSuperseded(): boolean {
+    return this.superseded;
+  }
+
   get service(): string {
     return this.report.service;
   }
 
   /** What entries are told of the upstream; another object only when it has changed. */
   get description(): UpstreamDescription {
-    return this.described;
+    return this.told;
   }
 
   get isReachable(): boolean {
@@ -142,9 +188,9 @@
   }
 
   get state(): UpstreamState {
-    if (this.closed || !this.reachable) return 'absent';
+    if (this.closed || this.superseded || !this.reachable) return 'absent';
     if (this.report.isDraining || this.leaving) return 'draining';
-    if (!this.joined) return 'joining';
+    if (!this.joined || !this.described) return 'joining';
     return this.calls.isAnswering ? 'ready' : 'silent';
   }
 
@@ -163,10 +209,11 @@
     if (report.sequence < this.report.sequence) return this.logPassedOver(report);
     const before = this.state;
     this.report = report;
-    const described = describeReport(report);
-    if (JSON.stringify(described) !== JSON.stringify(this.described)) this.described = described;
+    this.described = true;
+    const told = describeReport(report);
+    if (JSON.stringify(told) !== JSON.stringify(this.told)) this.told = told;
     if (this.state !== before) {
-      this.events.log('upstream-state', { upstream: this.id, state: this.state });
+      this.events.log('upstream-state', { upstream: this.name, state: this.state });
       if (this.state === 'draining') this.dropWaiting('draining');
       this.events.change();
     }
@@ -174,7 +221,7 @@
 
   private logPassedOver({ sequence, isDraining, clockMs }: UpstreamReport): void {
     const { sequence: known, clockMs: knownClockMs } = this.report;
-    const fields = { upstream: this.id, sequence, known, isDraining, clockMs, knownClockMs };
+    const fields = { upstream: this.name, sequence, known, isDraining, clockMs, knownClockMs };
     this.events.log('report-passed-over', fields);
   }
 
@@ -240,6 +287,11 @@
     return this.waiting.length + this.tasks.size;
   }
 
+  /** Whether nothing more is sent to this life. */
+  private get isOver(): boolean {
+    return this.closed || this.superseded;
+  }
+
   /** Starts what fits and lets go what has waited too long. */
   beginWaiting(): void {
     const now = this.clock.now();
@@ -255,27 +307,41 @@
 
   /** Follows the upstream until it is gone: renews the lease, reads what runs and what has ended. */
   async run(): Promise<void> {
-    while (!this.closed) {
+    while (!this.isOver) {
       this.events.revalidate(this.clock.now());
       const sentAt = this.clock.now();
       try {
         const answer = await this.calls.renew(this.lastSequence, this.joined);
-        if (this.closed) return;
+        if (this.isOver) return;
         this.handleLease(answer, sentAt);
         if (!this.joined || !this.calls.isAnswering) await this.clock.sleep(REPEAT_PAUSE_MS);
       } catch (error) {
-        this.events.log('renewal-unanswered', { upstream: this.id, error: String(error) });
+        if (this.isOver) return;
+        this.events.log('renewal-unanswered', { upstream: this.name, error: String(error) });
         this.noteSilence(error);
         await this.clock.sleep(this.reachable ? REPEAT_PAUSE_MS : UNREACHABLE_PAUSE_MS);
       }
     }
   }
 
+  /**
+   * A later life of the upstream is known: this one is over, and nothing more is sent to it. What it ran ends with `close`,
+   * once the later life refuses orders that were meant for this one and may have been on their way.
+   */
+  supersede(): void {
+    if (this.closed || this.superseded) return;
+    this.superseded = true;
+    this.events.log('upstream-superseded', { upstream: this.name, tasks: this.load });
+    this.dropWaiting('superseded');
+    this.calls.close();
+    this.events.change();
+  }
+
   /** Ends the session: this life of the upstream is gone, and all that ran there with it. */
   close(reason: string): void {
     if (this.closed) return;
     this.closed = true;
-    this.events.log('upstream-gone', { upstream: this.id, reason, tasks: this.load });
+    this.events.log('upstream-gone', { upstream: this.name, reason, tasks: this.load });
     this.dropWaiting(reason);
     for (const task of [...this.tasks.values()]) this.finish(task, 'lost', reason);
     this.calls.close();
@@ -287,7 +353,10 @@
     if (answer.verdict === 'other-life') return this.close('other-life');
     if (answer.verdict === 'refused') return this.noteSilence('refused');
     if (answer.verdict === 'fenced') return;
-    if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.id });
+    const { bornAt } = answer;
+    if (bornAt !== undefined && bornAt !== this.bornAt)
+      return this.events.findOtherLife(bornAt, answer.clockMs);
+    if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.name });
     this.reachable = true;
     for (const ended of answer.ended) this.noteEnd(ended, now);
     const unknown = this.noteRunning(answer.running, now);
@@ -298,8 +367,12 @@
 
   private join(): void {
     this.joined = true;
-    this.events.log('upstream-joined', { upstream: this.id, token: this.calls.token, service: this.service });
-    this.events.join(this.report);
+    this.events.log('upstream-joined', {
+      upstream: this.name,
+      token: this.calls.token,
+      service: this.service,
+    });
+    this.events.join();
     this.events.change();
   }
 
@@ -325,7 +398,7 @@
       } else {
         unknown += 1;
         this.runs.note(buildTaskKey(name), name.run);
-        this.stopUnknown(name);
+        this.orders.stopUnknown(name);
       }
     }
     return unknown;
@@ -348,9 +421,11 @@
     const now = this.clock.now();
     if (now <= this.calls.aliveUntil + this.bounds.stopMs || !this.reachable) return;
     this.reachable = false;
-    this.events.log('upstream-unreachable', { upstream: this.id, error: String(error), tasks: this.load });
+    this.events.log('upstream-unreachable', { upstream: this.name, error: String(error), tasks: this.load });
     this.dropWaiting('unreachable');
     for (const task of [...this.tasks.values()]) this.finish(task, 'lost', 'unreachable');
+    // A start without an answer may be carried out seconds later, after its task has been started elsewhere.
+    this.calls.fenceOff();
     this.events.change();
   }
 
@@ -368,69 +443,10 @@
     this.tasks.set(task.key, task);
     this.used = addResources(this.used, task.order.resources);
     assertInvariant(fitResources(this.used, this.report.capacity), 'starts never exceed the room');
-    void this.sendStart(task);
+    void this.orders.start(task);
     this.events.change();
   }
 
-  private async sendStart(task: LocalTask): Promise<void> {
-    for (let sends = 0; task.phase === 'starting' && !this.closed; sends += 1) {
-      if (sends >= MAX_START_SENDS) return this.stopTask(task, 'start-unanswered');
-      try {
-        const verdict = await this.calls.start(buildRunName(task), task.order.spec);
-        if (task.phase !== 'starting' || this.closed) return;
-        if (verdict === 'superseded' && sends > 0) await this.waitForRenewal();
-        if (task.phase !== 'starting' || this.closed) return;
-        if (this.settleStart(task, verdict)) return;
-      } catch (error) {
-        this.events.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
-      }
-      await this.clock.sleep(REPEAT_PAUSE_MS);
-    }
-  }
-
-  /** Acts on the answer to a start; returns false if it is to be sent again. */
-  private settleStart(task: LocalTask, verdict: StartVerdict): boolean {
-    const now = this.clock.now();
-    switch (verdict) {
-      case 'started':
-        this.confirm(task, now);
-        return true;
-      case 'superseded':
-        return this.settleSuperseded(task);
-      case 'fenced':
-      case 'late':
-        return false;
-      case 'other-life':
-        this.close('other-life');
-        return true;
-      case 'refused':
-        this.noteFailure(task, now);
-        this.stopTask(task, 'refused');
-        return true;
-      default:
-        this.stopTask(task, verdict);
-        return true;
-    }
-  }
-
-  /**
-   * A run as new as ours has stopped or ended there. If the lists show that it was ours, its end comes with the
-   * next renewal; else it was of an earlier life of this agent, and the task gets a newer run.
-   */
-  private settleSuperseded(task: LocalTask): boolean {
-    const next = this.runs.take(task.key);
-    this.events.log('run-superseded', { task: task.key, run: task.run, next });
-    task.run = next;
-    return false;
-  }
-
-  /** Waits until a renewal that is sent from now on has been answered. */
-  private async waitForRenewal(): Promise<void> {
-    const since = this.clock.now();
-    while (!this.closed && this.reachable && this.calls.renewedAt <= since)
-      await this.clock.sleep(REPEAT_PAUSE_MS);
-  }
-
   private confirm(task: LocalTask, now: number): void {
     if (task.phase !== 'starting') return;
     this.step(task, 'confirm');
@@ -443,34 +459,7 @@
     if (task.phase === 'stopping' || task.phase === 'ended') return;
     this.step(task, 'stop');
     task.stopReason = reason;
-    void this.sendStop(task);
-  }
-
-  /** Repeats a stop until its end is listed; an upstream that answers nothing is asked again once it answers. */
-  private async sendStop(task: LocalTask): Promise<void> {
-    while (task.phase === 'stopping' && !this.closed) {
-      if (!this.calls.isAnswering) {
-        await this.clock.sleep(ANSWER_LOOK_MS);
-        continue;
-      }
-      try {
-        const verdict = await this.calls.stop(buildRunName(task));
-        if (verdict === 'accepted') task.stopAcceptedAt ??= this.clock.now();
-        if (verdict === 'other-life') return this.close('other-life');
-      } catch (error) {
-        this.events.log('stop-unanswered', { task: task.key, run: task.run, error: String(error) });
-      }
-      await this.clock.sleep(task.stopAcceptedAt === undefined ? REPEAT_PAUSE_MS : STOP_PAUSE_MS);
-    }
-  }
-
-  /** A run of an earlier life of this agent: nobody waits for it, and it takes room nobody knows. */
-  private stopUnknown(name: RunName): void {
-    this.events.log('stop-unknown', { job: name.job, index: name.index, run: name.run });
-    this.calls.stop(name).catch((error: unknown) => {
-      // The next renewal lists the run again if it is still there.
-      this.events.log('stop-unanswered', { job: name.job, run: name.run, error: String(error) });
-    });
+    void this.orders.stop(task);
   }
 
   private noteProgress(task: LocalTask, percent: number, now: number): void {
@@ -484,7 +473,7 @@
 
   private noteFailure(task: LocalTask, now: number): void {
     if (this.trustMeter.noteFailure(task.order.name.job, now)) {
-      this.events.log('upstream-suspect', { upstream: this.id });
+      this.events.log('upstream-suspect', { upstream: this.name });
       this.events.change();
     }
   }
@@ -499,7 +488,7 @@
     if (end === 'failed') this.noteFailure(task, now);
     this.events.finish(task, end, task.stopReason === '' ? reason : task.stopReason);
     this.events.change();
-    if (this.closed) return;
+    if (this.isOver) return;
     if (this.leaving && this.load === 0) this.close('left');
     else this.beginWaiting();
   }
--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -1,6 +1,11 @@
 import { expect } from 'chai';
 
-import { dispatchCommands, domainCommands, lateWordCommands } from './fakes/dispatchCommands.js';
+import {
+  dispatchCommands,
+  domainCommands,
+  lateWordCommands,
+  restartCommands,
+} from './fakes/dispatchCommands.js';
 import { runDispatchWorld } from './fakes/runDispatchWorld.js';
 
 /** Runs in CI; `npm run soak -- --core dispatch` does more. */
@@ -28,6 +33,12 @@
     expect(totals['refused']).to.be.greaterThan(0);
   });
 
+  it('hold when upstreams start again under their id', async () => {
+    const totals = await runDispatchWorld(restartCommands, SEED, RUNS, false, true);
+    expect(totals['completed']).to.be.greaterThan(0);
+    expect(totals['interrupted']).to.be.greaterThan(0);
+  });
+
   // The 62nd run of this seed kills an entry that is frozen and was to hear of a domain: the runs had its dead life tell the
   // next one an older list.
   it('hold when an entry dies before it hears of a domain', async () => {
--- /dev/null
+++ b/test/fakes/AddressExecutor.ts
@@ -0,0 +1,36 @@
+/** Orders to an address, where lives of an upstream follow each other under one id. */
+import { TaskExecutor } from '../../src/ports/TaskExecutor.js';
+import type {
+  LeaseAnswer,
+  LeaseRenewal,
+  OrderAnswer,
+  RunName,
+  RunStart,
+  StartVerdict,
+  StopVerdict,
+} from '../../src/ports/TaskExecutor.js';
+import type { FakeUpstream } from './FakeUpstream.js';
+
+/** Each order reaches the life that is there when it is sent. */
+export class AddressExecutor extends TaskExecutor {
+  /** @param findLife - the life that is there now */
+  constructor(private readonly findLife: () => FakeUpstream) {
+    super();
+  }
+
+  override start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>> {
+    return this.findLife().start(order, timeoutMs);
+  }
+
+  override stop(name: RunName, fencingToken: number, timeoutMs: number): Promise<OrderAnswer<StopVerdict>> {
+    return this.findLife().stop(name, fencingToken, timeoutMs);
+  }
+
+  override renew(renewal: LeaseRenewal, timeoutMs: number): Promise<LeaseAnswer> {
+    return this.findLife().renew(renewal, timeoutMs);
+  }
+
+  override close(): void {
+    // Nothing is open.
+  }
+}
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -14,7 +14,6 @@
 import { createPolicies, ROUTE, STEP } from './dispatchFixtures.js';
 import type { JobSubmission } from '../../src/request/dispatch/submission.js';
 import type { EmptiedDomains } from '../../src/version/emptiedDomains.js';
-import type { UpstreamReport } from '../../src/ports/UpstreamRegistry.js';
 import { AgentCore } from '../../src/process/executor/AgentCore.js';
 import { buildAgentId } from '../../src/process/dispatcher/AgentView.js';
 import { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
@@ -30,12 +29,11 @@
   knowsEmptied,
   takeStart,
 } from './dispatchWorldDomains.js';
-import { buildUpstreamId, buildWorldReport } from './dispatchWorldUpstreams.js';
+import { WorldUpstreams } from './dispatchWorldUpstreams.js';
 import { createLink } from './dispatchWorldState.js';
-import type { Link, WorldAgent, WorldEntry, WorldJob, WorldUpstream } from './dispatchWorldState.js';
+import type { Link, WorldAgent, WorldEntry, WorldJob } from './dispatchWorldState.js';
 import { FakeCaller } from './FakeCaller.js';
 import { FakeClock } from './FakeClock.js';
-import { FakeUpstream } from './FakeUpstream.js';
 import { GatedExecutor, ProcessGate } from './ProcessGate.js';
 
 export const WORLD_ENTRIES = 2;
@@ -49,6 +47,8 @@
 /** Configurations play no part here. */
 const VERSION = 1;
 const RESTART_MS = 300;
+/** Time of day when the runs begin, Unix ms. */
+const FIRST_START_MS = 1_000_000;
 const TIMES = deriveDispatchTimes({
   resubmitMs: RESUBMIT_MS,
   maxLeaseMs: 1_000,
@@ -69,11 +69,16 @@
   private lastTickAt = 0;
   private lastPingAt = 0;
   private lastReportAt = 0;
-  private sequence = 0;
+  private readonly upstreams: WorldUpstreams;
   /** What the operators have written of the failure domains; undefined while nothing. */
   private written: EmptiedDomains | undefined;
 
-  constructor(seed: number) {
+  /**
+   * @param seed - of what the parts draw
+   * @param keepsIds - whether lives of an upstream follow each other under one id, each with counts of its own
+   */
+  constructor(seed: number, keepsIds = false) {
+    this.upstreams = new WorldUpstreams(this.clock, keepsIds);
     this.nextRandom = createRandom(seed);
     this.entries = Array.from({ length: WORLD_ENTRIES }, (_, index) => this.createEntry(index, 1));
     this.agents = Array.from({ length: WORLD_AGENTS }, (_, index) => this.createAgent(index));
@@ -138,12 +143,20 @@
   /** An upstream crashes; another life takes its place. */
   crash(index: number): void {
     const agent = this.pick(this.agents, index);
-    agent.upstream.fake.running.clear();
-    agent.upstream.fake.silent = true;
-    agent.upstream = this.createUpstream(agent.upstream.life + 1);
+    this.upstreams.end(agent);
+    this.upstreams.begin(agent);
     this.report(agent);
   }
 
+  /** An upstream crashes, and starts again after a while; it reports itself at once, or some time later. */
+  async restartUpstream(index: number, downMs: number, reportsAtOnce: boolean): Promise<void> {
+    const agent = this.pick(this.agents, index);
+    this.upstreams.end(agent);
+    await this.advance(downMs);
+    this.upstreams.begin(agent);
+    if (reportsAtOnce) this.report(agent);
+  }
+
   /** A connection goes silent for good; its agent gives it up after a while, which the entry does not hear. */
   async mute(entryIndex: number, agentIndex: number, ms: number): Promise<void> {
     const link = this.links.get(`${entryIndex % WORLD_ENTRIES}/${agentIndex % WORLD_AGENTS}`);
@@ -156,9 +169,7 @@
   /** An upstream crashes; another life answers at once in its place. */
   replace(index: number): void {
     const agent = this.pick(this.agents, index);
-    agent.upstream.fake.running.clear();
-    agent.upstream.fake.isReplaced = true;
-    agent.upstream = this.createUpstream(agent.upstream.life + 1);
+    this.upstreams.replace(agent);
     this.report(agent);
   }
 
@@ -167,7 +178,7 @@
     const agent = this.pick(this.agents, index);
     const { gate, core, upstream } = agent;
     if (gate.dead || gate.isFrozen || upstream.life === 1) return;
-    core.noteReport(this.countReport(agent, upstream.life - 1));
+    core.noteReport(this.upstreams.buildReport(agent, upstream.life - 1));
   }
 
   /** The first message of an earlier life of an agent, held up until now, arrives, and then the end of its link. */
@@ -424,12 +435,7 @@
 
   private report(agent: WorldAgent): void {
     if (agent.gate.dead || agent.gate.isFrozen) return;
-    agent.core.noteReport(this.countReport(agent, agent.upstream.life));
-  }
-
-  private countReport(agent: WorldAgent, life: number): UpstreamReport {
-    this.sequence += 1;
-    return buildWorldReport(agent, life, this.sequence);
+    agent.core.noteReport(this.upstreams.buildReport(agent, agent.upstream.life));
   }
 
   private buildLateHello(index: number, life: number): AgentHello {
@@ -461,7 +467,7 @@
 
   private createAgent(index: number): WorldAgent {
     const gate = new ProcessGate(this.clock);
-    const upstream = this.createUpstream(1);
+    const upstream = this.upstreams.create(index);
     const agent = {
       index,
       life: 1,
@@ -477,17 +483,16 @@
 
   private createCore(index: number, life: number, gate: ProcessGate, find: () => WorldAgent): AgentCore {
     return new AgentCore(
-      { agent: `agent-${index}`, life: String(life), failureDomain: findDomain({ index }) },
+      {
+        agent: `agent-${index}`,
+        life: String(life),
+        failureDomain: findDomain({ index }),
+        startedAt: FIRST_START_MS + this.clock.now(),
+      },
       { ...TIMES, stopMs: STOP_MS },
       gate,
       {
-        openExecutor: ({ id }) => {
-          const { upstream } = find();
-          if (id === buildUpstreamId(index, upstream.life)) return new GatedExecutor(upstream.fake, gate);
-          const gone = new FakeUpstream(this.clock);
-          gone.isReplaced = true;
-          return new GatedExecutor(gone, gate);
-        },
+        openExecutor: ({ id }) => new GatedExecutor(this.upstreams.openExecutor(id, find), gate),
         sendResult: (entryLife, result) => {
           for (const link of this.links.values()) {
             if (link.agent.index === index && link.life === entryLife && !gate.dead)
@@ -501,10 +506,6 @@
     );
   }
 
-  private createUpstream(life: number): WorldUpstream {
-    return { life, fake: new FakeUpstream(this.clock, 500_000 + life * 1_000) };
-  }
-
   private pick<Item>(items: readonly Item[], index: number): Item {
     const item = items[index % items.length];
     if (item === undefined) throw new Error('nothing to pick from');
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -18,6 +18,8 @@
 
 /** Step in which a waiting renewal looks for an end, ms. */
 const LOOK_MS = 5;
+/** Longest lease; longer ones are cut, ms. */
+const MAX_LEASE_MS = 1_000;
 
 interface Run {
   readonly name: RunName;
@@ -25,8 +27,8 @@
   workMs: number;
 }
 
-/** How an order fares on its way. */
-export type OrderFate = 'answered' | 'lost' | 'unanswered';
+/** How an order fares on its way; `late`: a start gets no answer and is carried out later, with a lease from then on. */
+export type OrderFate = 'answered' | 'lost' | 'unanswered' | 'late';
 
 /** A life of an upstream. */
 export class FakeUpstream extends TaskExecutor {
@@ -52,6 +54,12 @@
   lostRenewals = 0;
   /** Renewals that were asked for. */
   renewals = 0;
+  /** Start of this life; undefined where lives have ids of their own. */
+  bornAt: number | undefined;
+  /** How late a late start is carried out, ms. */
+  lateMs = 1_000;
+  /** Whether this life is over. */
+  isOver = false;
   token = 0;
   leaseUntil = 0;
   /** Runs that two starts were at work on at once. */
@@ -74,7 +82,9 @@
   override async start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>> {
     const fate = await this.travel(timeoutMs);
     if (this.isReplaced) return { verdict: 'other-life', clockMs: undefined };
-    const verdict = fate === 'lost' ? 'started' : this.applyStart(order);
+    if (fate === 'late') void this.clock.sleep(this.lateMs).then(() => this.applyLate(order));
+    const isDone = fate === 'answered' || fate === 'unanswered';
+    const verdict = isDone ? this.applyStart(order) : 'started';
     if (fate !== 'answered') await this.giveUp(timeoutMs);
     return { verdict, clockMs: this.clockMs };
   }
@@ -85,7 +95,8 @@
     if (order.fencingToken < this.token) return 'fenced';
     this.token = order.fencingToken;
     if (order.leaseUntilMs < this.clockMs) return 'late';
-    this.leaseUntil = Math.max(this.leaseUntil, order.leaseUntilMs);
+    const leaseUntil = Math.min(order.leaseUntilMs, this.clockMs + MAX_LEASE_MS);
+    this.leaseUntil = Math.max(this.leaseUntil, leaseUntil);
     const key = buildKey(order.name);
     const run = this.running.get(key);
     if (run?.name.run === order.name.run) return 'started';
@@ -98,6 +109,10 @@
     return 'started';
   }
 
+  private applyLate(order: RunStart): void {
+    if (!this.isOver) this.applyStart({ ...order, leaseUntilMs: order.leaseUntilMs + this.lateMs });
+  }
+
   override async stop(
     name: RunName,
     fencingToken: number,
@@ -107,7 +122,7 @@
     const fate = await this.travel(timeoutMs);
     if (this.isReplaced) return { verdict: 'other-life', clockMs: undefined };
     if (fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
-    if (fate !== 'lost') this.applyStop(name);
+    if (fate === 'answered' || fate === 'unanswered') this.applyStop(name);
     if (fate !== 'answered') await this.giveUp(timeoutMs);
     return { verdict: 'accepted', clockMs: this.clockMs };
   }
@@ -134,7 +149,8 @@
     const running = [...this.running.values()].map(({ name, workMs }) => {
       return { name, percent: Math.floor(Math.min(99, (workMs / this.taskMs) * 100)) };
     });
-    return { verdict: 'held', clockMs: this.clockMs, running, ended: [...this.ended] };
+    const { clockMs, bornAt, ended } = this;
+    return { verdict: 'held', clockMs, bornAt, running, ended: [...ended] };
   }
 
   override close(): void {
--- a/test/fakes/ProcessGate.ts
+++ b/test/fakes/ProcessGate.ts
@@ -11,7 +11,6 @@
   StopVerdict,
 } from '../../src/ports/TaskExecutor.js';
 import type { FakeClock } from './FakeClock.js';
-import type { FakeUpstream } from './FakeUpstream.js';
 
 /** Step in which a frozen process looks whether it runs again, ms. */
 const STEP_MS = 5;
@@ -48,7 +47,7 @@
 /** Orders leave, and answers reach, a process only while it runs. */
 export class GatedExecutor extends TaskExecutor {
   constructor(
-    private readonly fake: FakeUpstream,
+    private readonly fake: TaskExecutor,
     private readonly gate: ProcessGate,
   ) {
     super();
--- a/test/fakes/dispatchCommands.ts
+++ b/test/fakes/dispatchCommands.ts
@@ -99,6 +99,14 @@
     ),
   );
 
+const restartUpstream = fc
+  .tuple(index, fc.constantFrom(0, 60, 300, 1_500), fc.boolean())
+  .map(([at, ms, reports]) =>
+    createCommand(`restartUpstream(${at},${ms},${reports})`, (world) =>
+      world.restartUpstream(at, ms, reports),
+    ),
+  );
+
 const EARLIER_COMMANDS = [
   submit,
   submit,
@@ -130,3 +138,9 @@
   [...EARLIER_COMMANDS, mute, lateHello, changeDomain, changeDomain, changeDomain],
   { maxCommands: MAX_COMMANDS, size: 'max' },
 );
+
+/** The same as the first, and upstreams that start again under their id. */
+export const restartCommands = fc.commands(
+  [...EARLIER_COMMANDS, replace, lateReport, restartUpstream, restartUpstream, restartUpstream],
+  { maxCommands: MAX_COMMANDS, size: 'max' },
+);
--- a/test/fakes/dispatchWorldState.ts
+++ b/test/fakes/dispatchWorldState.ts
@@ -57,8 +57,12 @@
 
 /** A life of an upstream. */
 export interface WorldUpstream {
+  /** Of the upstream; lives have one each, or one for all of them. */
+  readonly id: string;
   readonly life: number;
   readonly fake: FakeUpstream;
+  /** Reports that this life has sent, where each life counts its own. */
+  reports: number;
 }
 
 /** A job and the callers that have submitted it, one after another. */
--- a/test/fakes/dispatchWorldUpstreams.ts
+++ b/test/fakes/dispatchWorldUpstreams.ts
@@ -1,28 +1,105 @@
-/** What the upstreams of the randomised runs say of themselves. */
+/** Upstreams of the randomised runs: their lives, what they say of themselves, and the way to them. */
+import type { TaskExecutor } from '../../src/ports/TaskExecutor.js';
 import type { UpstreamReport } from '../../src/ports/UpstreamRegistry.js';
+import { AddressExecutor } from './AddressExecutor.js';
 import { CAPACITY } from './checkDispatchWorld.js';
 import { ROUTE } from './dispatchFixtures.js';
-import type { WorldAgent } from './dispatchWorldState.js';
+import type { WorldAgent, WorldUpstream } from './dispatchWorldState.js';
+import type { FakeClock } from './FakeClock.js';
+import { FakeUpstream } from './FakeUpstream.js';
 
-/** Names a life of an agent's upstream. */
-export function buildUpstreamId(agent: number, life: number): string {
-  return `u${agent}-${life}`;
-}
+/** Start of the first life that keeps its id, Unix ms. */
+const FIRST_BORN_MS = 1_700_000_000_000;
+/** Clock of an upstream before its first life, and what it changes by from life to life, ms. */
+const FIRST_CLOCK_MS = 500_000;
+const CLOCK_STEP_MS = 1_000;
+/** Reports that an earlier life has sent; far more than a run is long. */
+const MANY_REPORTS = 1_000_000;
+
+/** The upstreams beside the agents of a run. */
+export class WorldUpstreams {
+  private sequence = 0;
+
+  /**
+   * @param clock - of the run
+   * @param keepsIds - whether lives of an upstream follow each other under one id, each with counts of its own
+   */
+  constructor(
+    private readonly clock: FakeClock,
+    private readonly keepsIds: boolean,
+  ) {}
+
+  /** Creates the first life of an agent's upstream. */
+  create(index: number): WorldUpstream {
+    return this.createLife(index, 1);
+  }
+
+  /** Ends the life of an agent's upstream, which answers nothing from now on. */
+  end({ upstream }: WorldAgent): void {
+    upstream.fake.running.clear();
+    upstream.fake.isOver = true;
+    upstream.fake.silent = true;
+  }
+
+  /** Has the next life of an agent's upstream take the place of the one that was ended. */
+  begin(agent: WorldAgent): void {
+    agent.upstream = this.createLife(agent.index, agent.upstream.life + 1);
+  }
+
+  /** Has the next life of an agent's upstream answer at once where the last one did. */
+  replace(agent: WorldAgent): void {
+    const { fake } = agent.upstream;
+    this.end(agent);
+    fake.silent = this.keepsIds;
+    fake.isReplaced = !this.keepsIds;
+    this.begin(agent);
+  }
+
+  /** Builds the next report of a life of an agent's upstream. */
+  buildReport({ index, upstream }: WorldAgent, life: number): UpstreamReport {
+    this.sequence += 1;
+    return {
+      id: this.buildId(index, life),
+      bornAt: this.findBornAt(life),
+      service: ROUTE.service,
+      address: `u${index}`,
+      capacity: CAPACITY,
+      labels: [],
+      isDraining: false,
+      clockMs: upstream.fake.clockMs,
+      sequence: this.keepsIds ? this.countInLife(upstream, life) : this.sequence,
+    };
+  }
+
+  /** Opens the way to a life that has reported itself. */
+  openExecutor(id: string, findAgent: () => WorldAgent): TaskExecutor {
+    const { upstream } = findAgent();
+    if (this.keepsIds) return new AddressExecutor(() => findAgent().upstream.fake);
+    if (id === upstream.id) return upstream.fake;
+    const gone = new FakeUpstream(this.clock);
+    gone.isReplaced = true;
+    return gone;
+  }
+
+  /** Numbers of reports begin anew with each life; an earlier one had sent many. */
+  private countInLife(upstream: WorldUpstream, life: number): number {
+    if (life !== upstream.life) return MANY_REPORTS + this.sequence;
+    upstream.reports += 1;
+    return upstream.reports;
+  }
+
+  private createLife(index: number, life: number): WorldUpstream {
+    const clockStep = this.keepsIds ? -CLOCK_STEP_MS : CLOCK_STEP_MS;
+    const fake = new FakeUpstream(this.clock, FIRST_CLOCK_MS + life * clockStep);
+    fake.bornAt = this.findBornAt(life);
+    return { id: this.buildId(index, life), life, fake, reports: 0 };
+  }
+
+  private buildId(index: number, life: number): string {
+    return this.keepsIds ? `u${index}` : `u${index}-${life}`;
+  }
 
-/** Builds the report of a life of an agent's upstream. */
-export function buildWorldReport(
-  { index, upstream }: WorldAgent,
-  life: number,
-  sequence: number,
-): UpstreamReport {
-  return {
-    id: buildUpstreamId(index, life),
-    service: ROUTE.service,
-    address: `u${index}`,
-    capacity: CAPACITY,
-    labels: [],
-    isDraining: false,
-    clockMs: upstream.fake.clockMs,
-    sequence,
-  };
+  private findBornAt(life: number): number | undefined {
+    return this.keepsIds ? FIRST_BORN_MS + life : undefined;
+  }
 }
--- a/test/fakes/runDispatchWorld.ts
+++ b/test/fakes/runDispatchWorld.ts
@@ -10,6 +10,7 @@
  * @param seed - first seed
  * @param runs - number of runs
  * @param shrink - whether a failure is reduced, which takes long
+ * @param keepsIds - whether lives of an upstream follow each other under one id
  * @returns what was submitted and how it was answered
  * @throws when a promise is broken, with seed and commands
  */
@@ -18,10 +19,11 @@
   seed: number,
   runs: number,
   shrink: boolean,
+  keepsIds = false,
 ): Promise<Record<string, number>> {
   const totals: Record<string, number> = {};
   const property = fc.asyncProperty(drawn, fc.integer(), async (commands, worldSeed) => {
-    const world = new DispatchWorld(worldSeed);
+    const world = new DispatchWorld(worldSeed, keepsIds);
     try {
       await world.advance(200);
       await fc.asyncModelRun(() => ({ model: {}, real: world }), commands);
