--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -22,6 +22,8 @@
   fault: StoreFault = 'none';
   /** Newest records that one answer holds. */
   pageItems = 500;
+  /** Put into each page of newest records before the others, as they are. */
+  readonly strangeItems: unknown[] = [];
   private readonly records: Buffer[] = [];
   /** Newest values of the system's own topics, by partition and key, in base64. */
   private readonly keyed = new Map<string, Map<string, string>>();
@@ -53,6 +55,19 @@
     for (const wake of [...this.readers]) wake();
   }
 
+  /** Writes a record whose value need not be text; readers of the newest records do not find it. */
+  writeBytes(key: string, value: Buffer): void {
+    this.writeRaw(Buffer.concat([Buffer.from([key.length]), Buffer.from(key), value]));
+  }
+
+  /** Writes a record of any bytes, behind their length. */
+  writeRaw(bytes: Buffer): void {
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(bytes.length);
+    this.records.push(Buffer.concat([length, bytes]));
+    for (const wake of [...this.readers]) wake();
+  }
+
   /** Keys in the system's own topics. */
   countKeys(): number {
     let count = 0;
@@ -92,7 +107,8 @@
 
   private answerKeys(partition: string, response: ServerResponse): void {
     const items = [...(this.keyed.get(partition) ?? [])].map(([key, value]) => ({ key, value, offset: 0 }));
-    writeJson(response, 200, JSON.stringify({ items, more: false, end: 1 }));
+    const strange = this.strangeItems;
+    writeJson(response, 200, JSON.stringify({ items: [...strange, ...items], more: false, end: 1 }));
   }
 
   private answerNewest(response: ServerResponse, after: string | null): void {
@@ -103,7 +119,12 @@
       return { key, value: Buffer.from(value).toString('base64'), offset };
     });
     const more = begin + page.length < keys.length;
-    writeJson(response, 200, JSON.stringify({ items, more, end: this.records.length }));
+    const strange = this.strangeItems;
+    writeJson(
+      response,
+      200,
+      JSON.stringify({ items: [...strange, ...items], more, end: this.records.length }),
+    );
   }
 
   private answerRecords(response: ServerResponse, from: number): void {
--- /dev/null
+++ b/test/otherWriters.test.ts
@@ -0,0 +1,171 @@
+/**
+ * Heartbeats and records come from other writers too: fields missing or of another type, a state or service that is not
+ * known here, bytes that cannot be read. They name no upstream to use, and everything else holds.
+ */
+import { expect } from 'chai';
+
+import { HttpUpstreamRegistry } from '../platform/HttpUpstreamRegistry.js';
+import { LogConfigurationSource } from '../platform/LogConfigurationSource.js';
+import { LogUpstreamMemory } from '../platform/LogUpstreamMemory.js';
+import { BEAT_PREFIX, LEAVE_PREFIX } from '../platform/names.js';
+import type { UpstreamReport } from '../src/ports/UpstreamRegistry.js';
+import { OperatorExchange } from '../src/process/OperatorExchange.js';
+import { StoreStandin } from '../standins/protocol/StoreStandin.js';
+
+const BEAT = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'x',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  cold_remaining_ms: 0,
+  capacity: { cpu: 1_000, mem_mb: 10, gpu: 0 },
+  labels: ['a', 'r1'],
+  clock_ms: 5,
+  call_seq: 7,
+  born: 9,
+};
+/** Fields without which a heartbeat names no upstream. */
+const NEEDED = ['service', 'address', 'zone', 'version', 'slots', 'state', 'capacity', 'labels'];
+/** Numbers that a heartbeat counts by; a missing one would pass for the first. */
+const COUNTED = ['clock_ms', 'call_seq'];
+/** Of another type than any field has. */
+const ODD = { odd: true };
+/** Not UTF-8. */
+const UNREADABLE = Buffer.from([0x7b, 0x22, 0xff, 0xfe, 0x22, 0x3a, 0x31, 0x7d]);
+
+describe('what other writers send and keep', function () {
+  this.timeout(20_000);
+
+  describe('as heartbeats', () => {
+    let registry: HttpUpstreamRegistry;
+    let reports: UpstreamReport[];
+    let left: string[];
+    let rejected: number;
+    const port = 20_000 + (process.pid % 20_000);
+
+    beforeEach(async () => {
+      reports = [];
+      left = [];
+      rejected = 0;
+      registry = new HttpUpstreamRegistry(`127.0.0.1:${port}`);
+      await registry.start({
+        report: (report) => void reports.push(report),
+        leave: (id) => void left.push(id),
+        noteRejected: () => void (rejected += 1),
+        noteFailure: (call, error) => {
+          throw new Error(call, { cause: error });
+        },
+      });
+    });
+
+    afterEach(() => registry.stop());
+
+    async function send(path: string, body: Buffer | string): Promise<number> {
+      const { status } = await fetch(`http://127.0.0.1:${port}${path}`, { method: 'POST', body });
+      return status;
+    }
+
+    it('name no upstream', async () => {
+      const bodies: (Buffer | string)[] = [UNREADABLE, Buffer.from([0]), '', 'null', '[]', '{', '"ready"'];
+      for (const field of [...NEEDED, ...COUNTED]) {
+        bodies.push(JSON.stringify({ ...BEAT, [field]: undefined }));
+        bodies.push(JSON.stringify({ ...BEAT, [field]: null }));
+      }
+      for (const field of Object.keys(BEAT)) bodies.push(JSON.stringify({ ...BEAT, [field]: ODD }));
+      bodies.push(JSON.stringify({ ...BEAT, state: 'paused' }));
+      bodies.push(JSON.stringify({ ...BEAT, service: '' }));
+      bodies.push(JSON.stringify({ ...BEAT, address: '10.0.0.1:99999' }));
+      bodies.push(JSON.stringify({ ...BEAT, capacity: { mem_mb: 10 } }));
+      bodies.push(JSON.stringify({ ...BEAT, capacity: { ...BEAT.capacity, cpu: -1 } }));
+      bodies.push(JSON.stringify({ ...BEAT, labels: ['a', 5] }));
+      bodies.push(JSON.stringify({ ...BEAT, born: 1.5 }));
+      const bytes = Buffer.from(JSON.stringify(BEAT));
+      bytes[bytes.indexOf('"s"') + 1] = 0xff;
+      bodies.push(bytes);
+      for (const body of bodies) expect(await send(`${BEAT_PREFIX}i-1`, body), String(body)).to.equal(400);
+      expect(await send(BEAT_PREFIX, JSON.stringify(BEAT))).to.equal(400);
+      expect(await send(`${LEAVE_PREFIX}i-1`, UNREADABLE)).to.equal(400);
+      expect([reports, left, rejected]).to.deep.equal([[], [], bodies.length + 2]);
+      expect(await send(`${BEAT_PREFIX}i-1`, JSON.stringify({ ...BEAT, new: ODD }))).to.equal(200);
+      expect(reports.map(({ id }) => id)).to.deep.equal(['i-1']);
+    });
+  });
+
+  describe('on the store', () => {
+    let store: StoreStandin;
+    let address: string;
+
+    beforeEach(async () => {
+      store = new StoreStandin();
+      address = (await store.start('127.0.0.1', 0)).slice('http://'.length);
+    });
+
+    afterEach(() => store.stop());
+
+    it('beside the records of the operators, changes nothing', async () => {
+      store.putConfiguration({ version: 3, routes: [] });
+      store.putEvacuation('north');
+      store.strangeItems.push(null, {}, { key: 5, value: '' }, { key: 'evacuate/west', value: 7 });
+      const source = new LogConfigurationSource(address);
+      const exchange = new OperatorExchange({
+        changeConfiguration: () => undefined,
+        changeEmptied: () => undefined,
+      });
+      const subjects = new Set<string>();
+      source.start({
+        adopt: (configuration) => exchange.adoptConfiguration(configuration, 'store'),
+        adoptEmptied: (emptied) => exchange.adoptEmptied(emptied, 'store'),
+        changeDomain: (change) => exchange.changeDomain(change, 'store'),
+        noteFindings: (subject) => subjects.add(subject),
+        note: () => undefined,
+      });
+      const waitFor = async (holds: () => boolean): Promise<void> => {
+        while (!holds()) await new Promise((resolve) => setTimeout(resolve, 10));
+      };
+      try {
+        await waitFor(() => exchange.configuration?.version === 3);
+        expect(exchange.emptied?.domains).to.deep.equal(['north']);
+        store.writeBytes('config', UNREADABLE);
+        store.writeRecord('config', '{"version":"4","routes":[]}');
+        store.writeRecord('config', '{"routes":[]}');
+        store.writeBytes('evacuate/west', UNREADABLE);
+        store.writeRaw(Buffer.alloc(0));
+        store.writeRaw(Buffer.from([9, 0x61]));
+        store.writeRaw(Buffer.from([2, 0xff, 0xfe, 0x7b, 0x7d]));
+        store.putEvacuation('south');
+        await waitFor(() => exchange.emptied?.domains.join() === 'north,south');
+        expect(exchange.configuration?.version).to.equal(3);
+        store.putConfiguration({ version: 5, routes: [] });
+        await waitFor(() => exchange.configuration?.version === 5);
+        expect([...subjects].sort()).to.deep.equal(['configuration', 'evacuation', 'record']);
+      } finally {
+        source.stop();
+      }
+    });
+
+    it('beside a report that is kept there, leaves it as it was', async () => {
+      const memory = new LogUpstreamMemory(address, 1);
+      const report: UpstreamReport = {
+        id: 'i-1',
+        bornAt: 5,
+        service: 's',
+        address: '10.0.0.1:80',
+        capacity: { cpuMilli: 1, memoryMb: 1, gpus: 0 },
+        labels: [],
+        isDraining: false,
+        clockMs: 1,
+        sequence: 1,
+      };
+      try {
+        await memory.remember('agent-1', report);
+        store.strangeItems.push(null, { key: 5 }, { value: '' }, { key: 'agent-2', value: 7 });
+        expect(await memory.recall('agent-1')).to.deep.equal(report);
+        expect(await memory.recall('agent-3')).to.equal(undefined);
+      } finally {
+        memory.stop();
+      }
+    });
+  });
+});
