What other writers send or keep names no upstream and hides nothing; which life is there is told by answers only

Cause: heartbeats were checked for two fields; a page of newest records was refused whole for one item, and a record of the log that could not be read was read again for ever. A report with a later start superseded the life at work. Change: a heartbeat holds all fields that upstreams always send, of their type, in a state that is known, in UTF-8; one of a service that neither settings nor queues name opens nothing (setting service, from the platform's sheet); items and records are read one by one, with a finding each (subject record). A report opens a session and supersedes none; an answer does. A next life takes work only after a call that was sent since has shown nothing of the others, and what it runs counts as over only after the longest lease that an upstream grants, as calls meant for another life name a lease on another clock. The heartbeats of the tests of decoders were not whole as the platform sends them: completed.

--- a/bench/buildValidatorModules.ts
+++ b/bench/buildValidatorModules.ts
@@ -8,6 +8,7 @@
   HOLD_SCHEMA,
   JOB_SCHEMA,
   LEAVE_SCHEMA,
+  NEWEST_ITEM_SCHEMA,
   NEWEST_SCHEMA,
   ORDER_ANSWER_SCHEMA,
   REMEMBERED_REPORT_SCHEMA,
@@ -33,6 +34,7 @@
     validateOrderAnswer: ORDER_ANSWER_SCHEMA,
     validateHold: HOLD_SCHEMA,
     validateNewest: NEWEST_SCHEMA,
+    validateNewestItem: NEWEST_ITEM_SCHEMA,
     validateRememberedReport: REMEMBERED_REPORT_SCHEMA,
   },
   'src/connection/peer/peerValidators.generated': Object.fromEntries(
--- a/bench/runProcessSoak.ts
+++ b/bench/runProcessSoak.ts
@@ -1,6 +1,6 @@
 import { FaultSoak } from '../test/fakes/FaultSoak.js';
 import type { SoakOptions, SoakReport } from '../test/fakes/FaultSoak.js';
-import { ALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS } from '../test/fakes/soakFaults.js';
+import { ALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS, RESTART_KINDS } from '../test/fakes/soakFaults.js';
 
 /** Every so many seeds a run has as many processes as the letter allows: a few dozen. */
 const LARGE_EVERY = 10;
@@ -15,6 +15,8 @@
 const FIRST_SEED_OF_ALL_KINDS = 1_000;
 /** From here on failure domains are emptied as well. */
 const FIRST_SEED_OF_DOMAINS = 2_000;
+/** From here on upstreams start again under their ids as well. */
+const FIRST_SEED_OF_RESTARTS = 3_000;
 
 /**
  * Finds the sizes of the soak run of a seed.
@@ -33,6 +35,7 @@
 }
 
 function findKinds(seed: number): readonly string[] {
+  if (seed >= FIRST_SEED_OF_RESTARTS) return RESTART_KINDS;
   if (seed >= FIRST_SEED_OF_DOMAINS) return DOMAIN_KINDS;
   return seed >= FIRST_SEED_OF_ALL_KINDS ? ALL_KINDS : EARLIER_KINDS;
 }
--- a/src/ports/ConfigurationSource.ts
+++ b/src/ports/ConfigurationSource.ts
@@ -3,8 +3,8 @@
 import type { Configuration } from '../version/configuration.js';
 import type { DomainChange, EmptiedDomains } from '../version/emptiedDomains.js';
 
-/** What the operators write about. */
-export type WordSubject = 'configuration' | 'evacuation';
+/** What the operators write about; `record`: something that cannot be told. */
+export type WordSubject = 'configuration' | 'evacuation' | 'record';
 
 /** Takes what the source says. */
 export interface ConfigurationListener {
@@ -14,7 +14,7 @@
   readonly adoptEmptied: (emptied: EmptiedDomains) => void;
   /** A failure domain was emptied or taken back; the record may be older than what is known. */
   readonly changeDomain: (change: DomainChange) => void;
-  /** A configuration, some of its routes or an evacuation could not be read; what was in force stays. */
+  /** A configuration, some of its routes, an evacuation or a record could not be read; what was in force stays. */
   readonly noteFindings: (subject: WordSubject, findings: readonly Finding[]) => void;
   /** The source was lost or found again. */
   readonly note: (state: 'reachable' | 'unreachable', detail: string) => void;
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -9,6 +9,7 @@
 import { splitAddress } from '../../connection/splitAddress.js';
 import type { LogFields } from '../logger.js';
 import { OperatorExchange } from '../OperatorExchange.js';
+import type { Configuration } from '../../version/configuration.js';
 import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import type { AgentCore } from './AgentCore.js';
 import { EntryDirectory } from './EntryDirectory.js';
@@ -101,6 +102,11 @@
     this.dialer = new PeerDialer(events, clock, nextRandom, FIRST_ECHO_MS);
   }
 
+  /** The configuration that is passed on between dispatchers here; undefined while none is known. */
+  get configuration(): Configuration | undefined {
+    return this.exchange.configuration;
+  }
+
   /** Takes the VMs that the settings name, `host:port`; only the host is used. */
   noteSeeds(seeds: readonly string[]): void {
     const { linkPort } = this.options;
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -19,6 +19,7 @@
 import { buildLifeName } from './buildLifeName.js';
 import { EntryLinks } from './EntryLinks.js';
 import { buildExecutorMetrics } from './executorMetrics.js';
+import { isKnownService } from './isKnownService.js';
 
 /** Between two looks at what has expired and which pings are due, ms. One timer: each wake-up costs. */
 const TICK_MS = 57;
@@ -60,7 +61,7 @@
     this.logger = createLogger(peer, settings.logLevel, createLogSink());
     this.core = new AgentCore(
       { agent: settings.id, life: peer, failureDomain: settings.failureDomain, startedAt },
-      { ...times, stopMs: settings.stopMs },
+      { ...times, maxLeaseMs: settings.maxLeaseMs, stopMs: settings.stopMs },
       this.clock,
       {
         openExecutor: (report) => this.ports.registry.openExecutor(report),
@@ -137,10 +138,22 @@
   }
 
   private takeReport(report: UpstreamReport): void {
+    if (!this.isOfKnownService(report)) return;
     this.hasReport = true;
     this.core.noteReport(report);
   }
 
+  private isOfKnownService(report: UpstreamReport): boolean {
+    if (isKnownService(report.service, this.settings.service, this.links.configuration)) return true;
+    const fields = {
+      upstream: buildLifeName(report),
+      reason: 'of an unknown service',
+      service: report.service,
+    };
+    this.logDecision('report-passed-over', fields);
+    return false;
+  }
+
   /** Only a life that has answered is kept for the next life of this process: a report may have been held up. */
   private rememberUpstream(report: UpstreamReport): void {
     const name = buildLifeName(report);
@@ -157,7 +170,7 @@
       this.logger.warn('upstream-not-recalled', { error: describeError(error) });
       return undefined;
     });
-    if (!report || this.hasReport || this.leaving) return;
+    if (!report || this.hasReport || this.leaving || !this.isOfKnownService(report)) return;
     this.rememberedName = buildLifeName(report);
     this.logger.info('upstream-recalled', { upstream: this.rememberedName });
     this.core.noteReport({ ...report, clockMs: 0, sequence: -1 });
--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -20,6 +20,14 @@
 /** The same while answers are being lost, so that ends are heard soon, ms. */
 const SHORT_RENEWAL_WAIT_MS = 30;
 
+/** Leases that calls give, ms. */
+export interface LeaseBounds {
+  /** How far ahead. */
+  readonly leaseMs: number;
+  /** The longest that an upstream grants. */
+  readonly maxLeaseMs: number;
+}
+
 /** What calls tell their session. */
 export interface CallEvents {
   /** The upstream begins or ceases to answer. */
@@ -39,7 +47,7 @@
   /**
    * @param executor - the way to the upstream
    * @param clockMs - the upstream's clock in its first report
-   * @param leaseMs - how far ahead leases are given
+   * @param bounds - of leases
    * @param clock - of this process
    * @param tokens - of this process
    * @param events - what to tell
@@ -47,13 +55,13 @@
   constructor(
     private readonly executor: TaskExecutor,
     clockMs: number,
-    private readonly leaseMs: number,
+    private readonly bounds: LeaseBounds,
     private readonly clock: Clock,
     private readonly tokens: FencingTokens,
     private readonly events: CallEvents,
   ) {
     const now = clock.now();
-    this.lease = new UpstreamLease(clockMs, now, leaseMs);
+    this.lease = new UpstreamLease(clockMs, now, bounds.leaseMs, bounds.maxLeaseMs);
     this.answers = new AnswerWatch(now);
     this.renewalSentAt = now;
     this.fencingToken = tokens.take();
@@ -103,7 +111,7 @@
   async renew(lastSequence: number, mayWait: boolean): Promise<LeaseAnswer> {
     const sentAt = this.clock.now();
     const waitMs = mayWait && this.isAnswering ? this.findRenewalWait(sentAt) : 0;
-    const mayExtend = sentAt - this.renewalSentAt <= this.leaseMs;
+    const mayExtend = sentAt - this.renewalSentAt <= this.bounds.leaseMs;
     const leaseUntilMs = mayExtend ? this.lease.extend(sentAt) : undefined;
     const renewal = { leaseUntilMs, fencingToken: this.fencingToken, lastSequence, waitMs };
     try {
@@ -117,6 +125,11 @@
     }
   }
 
+  /** Calls that were meant for another life may have reached this one until now. */
+  noteForeign(): void {
+    this.lease.noteForeign(this.clock.now());
+  }
+
   /** Has the upstream refuse, from the next call on that it takes, what was sent until now and may still be on its way. */
   fenceOff(): void {
     this.fencingToken = this.tokens.take();
@@ -129,7 +142,7 @@
 
   private findRenewalWait(now: number): number {
     const longestMs = this.answers.isLossy(now) ? SHORT_RENEWAL_WAIT_MS : RENEWAL_WAIT_MS;
-    return Math.floor(Math.min(longestMs, this.leaseMs * RENEWAL_LEASE_PART));
+    return Math.floor(Math.min(longestMs, this.bounds.leaseMs * RENEWAL_LEASE_PART));
   }
 
   private async watch<Verdict extends string>(
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -18,13 +18,16 @@
    * @param clockMs - the upstream's clock in its first report
    * @param heardAt - our monotonic time when the report came
    * @param leaseMs - how far ahead leases are given
+   * @param maxLeaseMs - the longest lease that an upstream grants
    */
   constructor(
     private clockMs: number,
     private heardAt: number,
     private readonly leaseMs: number,
+    private readonly maxLeaseMs: number,
   ) {
     this.aliveUntilMs = heardAt;
+    this.noteForeign(heardAt);
   }
 
   /** Until when, in our time, something at the upstream may still run: the latest lease given, and drift. */
@@ -32,6 +35,15 @@
     return this.aliveUntilMs;
   }
 
+  /**
+   * Calls that were meant for another life may have reached this one until now. They name a lease on another clock, which
+   * this life cuts to the longest that it grants, and it holds for all that runs there.
+   */
+  noteForeign(now: number): void {
+    const lapse = this.maxLeaseMs * (1 + CLOCK_DRIFT);
+    this.aliveUntilMs = Math.max(this.aliveUntilMs, now + lapse + ORDER_MARGIN_MS);
+  }
+
   /** Notes the clock of an answer that has just arrived. */
   noteClock(clockMs: number, now: number): void {
     if (clockMs < this.estimate(now)) {
--- a/src/process/executor/UpstreamLives.ts
+++ b/src/process/executor/UpstreamLives.ts
@@ -2,13 +2,12 @@
  * The lives of the upstream beside an agent, each with a session of its own, so that nothing that is counted in one life
  * is held against the next.
  *
- * A life is known by id and start: an upstream may start again under the id that it had. Of two lives under one id the
- * later start is the newer life. A life under an id that is not known may be newer than the one at its address, or an
- * earlier one whose report was held up: which of them is there is told by answers, since each session ends when another
- * life answers.
+ * A life is known by id and start: an upstream may start again under the id that it had. A report opens a session, and
+ * may be of another writer, or of an earlier life and held up until now. Which life is there is told by answers only: a
+ * session ends when another id answers, and is superseded when another start does.
  *
- * Orders that are sent before a next life is noticed reach that life. So what an earlier life ran counts as over only
- * once the next one has taken a call with a newer token and runs nothing unknown.
+ * Orders that are sent before a next life is noticed reach that life. So what a superseded life ran counts as over only
+ * once the next one has taken a call with a token that is newer than all of those, and runs nothing unknown.
  */
 import type { Clock } from '../../_lib/Clock.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
@@ -24,7 +23,7 @@
 const UNREPORTED = -1;
 
 /** What the lives tell their agent; the rest is for the sessions. */
-export interface LifeEvents extends Omit<SessionEvents, 'join' | 'findOtherLife'> {
+export interface LifeEvents extends Omit<SessionEvents, 'join' | 'settle' | 'findOtherLife'> {
   readonly openExecutor: (report: UpstreamReport) => TaskExecutor;
   /** A life takes work for the first time. */
   readonly noteJoined: (report: UpstreamReport) => void;
@@ -57,13 +56,12 @@
 
   /** Takes a report of any life. */
   noteReport(report: UpstreamReport): void {
-    const current = this.findNewest(report.id);
-    if (!current) return this.open(report, true);
-    if (!isLaterOrSame(report, current)) return this.passOver(report, 'of an earlier life');
-    if (current.name !== buildLifeName(report)) return this.open(report, true);
-    if (isSamePlace(report, current)) return this.describe(current, report);
-    if (current.isDescribed && current.isJoined) return this.passOver(report, 'of another place');
-    current.close('reported-elsewhere');
+    const known = this.sessions.get(buildLifeName(report));
+    if (!known || known.isClosed) return this.noteNewLife(report);
+    if (known.isSuperseded) return this.passOver(report, 'of an earlier life');
+    if (isSamePlace(report, known)) return this.describe(known, report);
+    if (known.isDescribed && known.isJoined) return this.passOver(report, 'of another place');
+    known.close('reported-elsewhere');
     this.open(report, true);
   }
 
@@ -74,10 +72,10 @@
    * @param bornAt - which life; undefined where it does not say
    */
   noteLeave(id: string, bornAt: number | undefined): void {
-    const current = this.findNewest(id);
-    if (!current) return;
-    if (bornAt === undefined || bornAt === current.bornAt) return current.leave();
-    this.events.log('leave-passed-over', { upstream: current.name, bornAt });
+    for (const session of this.listLives(id)) {
+      if (bornAt === undefined || bornAt === session.bornAt) session.leave();
+      else this.events.log('leave-passed-over', { upstream: session.name, bornAt });
+    }
   }
 
   /** Forgets lives that are over; what they held is told to have ended. */
@@ -86,40 +84,45 @@
       session.beginWaiting();
       const reportedAt = this.reportedAt.get(session.name) ?? now;
       if (!session.isReachable && now - reportedAt > FORGET_UPSTREAM_MS) session.close('forgotten');
-      if (session.isSuperseded && !this.findNewest(session.id)?.isReachable) this.end(session);
+      const isLast = !this.listLives(session.id).some(({ isReachable }) => isReachable);
+      if (session.isSuperseded && isLast) this.end(session);
     }
     for (const name of this.reportedAt.keys()) if (!this.sessions.has(name)) this.reportedAt.delete(name);
   }
 
-  /** The newest life of an upstream that is known. */
-  private findNewest(id: string): UpstreamSession | undefined {
-    return this.list().find((one) => one.id === id && !one.isSuperseded && !one.isClosed);
+  /** Lives of an upstream that may be there. */
+  private listLives(id: string): UpstreamSession[] {
+    return this.list().filter((one) => one.id === id && !one.isSuperseded && !one.isClosed);
+  }
+
+  /** Takes the report of a life that is not known; one that began before the life that answers is over. */
+  private noteNewLife(report: UpstreamReport): void {
+    const current = this.listLives(report.id).find(({ isJoined }) => isJoined);
+    if (current && isEarlier(report, current)) return this.passOver(report, 'of an earlier life');
+    this.open(report, true);
   }
 
-  /** Opens the session of a life, which supersedes that of the life before it. */
-  private open(report: UpstreamReport, isDescribed: boolean): void {
+  private open(report: UpstreamReport, isDescribed: boolean): UpstreamSession {
     const name = buildLifeName(report);
     const { clock, tokens, bounds } = this;
     const executor = this.events.openExecutor(report);
     const events = this.buildSessionEvents(() => session);
     const session = new UpstreamSession(report, isDescribed, executor, clock, tokens, bounds, events);
-    this.findNewest(report.id)?.supersede();
     this.sessions.set(name, session);
     this.reportedAt.set(name, clock.now());
     const { service, capacity, labels, isDraining } = report;
     const fields = { upstream: name, service, capacity, labels, isDraining, isDescribed };
     this.events.log('upstream-found', fields);
     void session.run().finally(() => this.forget(session));
+    return session;
   }
 
   private buildSessionEvents(findSession: () => UpstreamSession): SessionEvents {
     return {
       ...this.events,
       join: () => this.noteJoin(findSession()),
-      findOtherLife: (bornAt, clockMs) => {
-        const known = findSession().newestReport;
-        this.open({ ...known, bornAt, clockMs, sequence: UNREPORTED, isDraining: false }, false);
-      },
+      settle: (sentAt) => this.settle(findSession(), sentAt),
+      findOtherLife: (bornAt, clockMs) => this.noteOtherLife(findSession(), bornAt, clockMs),
     };
   }
 
@@ -131,10 +134,36 @@
     if (!wasDescribed && session.isJoined) this.events.noteJoined(report);
   }
 
-  /** A life has taken our token and runs nothing unknown: nothing that was ordered of earlier ones can run any more. */
+  /** A life other than the one that was meant has answered. What it has is not known before it reports itself. */
+  private noteOtherLife(meant: UpstreamSession, bornAt: number, clockMs: number): void {
+    const report = { ...meant.newestReport, bornAt, clockMs, sequence: UNREPORTED, isDraining: false };
+    const known = this.sessions.get(buildLifeName(report));
+    const isThere = known && !known.isClosed && !known.isSuperseded;
+    this.supersede(meant, isThere ? known : this.open(report, false));
+  }
+
   private noteJoin(session: UpstreamSession): void {
     if (session.isDescribed) this.events.noteJoined(session.newestReport);
-    for (const other of this.list()) if (other.id === session.id && other.isSuperseded) this.end(other);
+  }
+
+  private supersede(earlier: UpstreamSession, next: UpstreamSession): void {
+    earlier.supersede();
+    next.takeOver();
+  }
+
+  /**
+   * A life is there and runs nothing unknown: supersedes all others, and ends those for which a call that was sent since
+   * has shown that.
+   *
+   * @returns whether no other life is left
+   */
+  private settle(session: UpstreamSession, sentAt: number): boolean {
+    const others = this.list().filter((one) => one.id === session.id && one !== session);
+    for (const other of others) {
+      if (!other.isSuperseded) this.supersede(other, session);
+      else if ((other.supersededAt ?? sentAt) < sentAt) this.end(other);
+    }
+    return others.every(({ isClosed }) => isClosed);
   }
 
   private end(session: UpstreamSession): void {
@@ -155,10 +184,9 @@
   }
 }
 
-/** Whether a report is of the life known under its id, or of a later one; one without a start is of neither. */
-function isLaterOrSame({ bornAt }: UpstreamReport, current: UpstreamSession): boolean {
-  if (current.bornAt === undefined) return true;
-  return bornAt !== undefined && bornAt >= current.bornAt;
+/** Whether a report is of a life before the one that answers; where that tells its start, one without is of none. */
+function isEarlier({ bornAt }: UpstreamReport, current: UpstreamSession): boolean {
+  return current.bornAt !== undefined && (bornAt === undefined || bornAt < current.bornAt);
 }
 
 /** A life stays at its address and with its service. */
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -34,6 +34,7 @@
 import { SpeedMeter } from './SpeedMeter.js';
 import { TrustMeter } from './TrustMeter.js';
 import { UpstreamCalls } from './UpstreamCalls.js';
+import type { LeaseBounds } from './UpstreamCalls.js';
 
 /** Pause before a renewal that brought nothing is repeated, ms. */
 const REPEAT_PAUSE_MS = 15;
@@ -47,9 +48,7 @@
 const MAX_WAIT_MS = 8;
 
 /** Bounds of the platform that a session keeps to, ms. */
-export interface SessionBounds {
-  /** Lease that is given ahead. */
-  readonly leaseMs: number;
+export interface SessionBounds extends LeaseBounds {
   /** Time a stop may take at the upstream. */
   readonly stopMs: number;
 }
@@ -59,9 +58,11 @@
   /** A task is over. */
   readonly finish: (task: LocalTask, end: AttemptEnd, reason: string) => void;
   /**
-   * The upstream has answered for itself, knows our token, so that it refuses orders that were sent to an earlier life,
-   * and runs nothing that nobody here has ordered.
+   * The answer to a renewal that was sent then shows that this life is there and runs nothing that nobody here has
+   * ordered. Returns whether nothing of other lives can reach it any more.
    */
+  readonly settle: (sentAt: number) => boolean;
+  /** The same, for the first time: the life takes work once it is described. */
   readonly join: () => void;
   /** Another life answers under the same id. */
   readonly findOtherLife: (bornAt: number, clockMs: number) => void;
@@ -87,7 +88,7 @@
   private lastSequence = 0;
   private joined = false;
   private closed = false;
-  private superseded = false;
+  private supersededSince: number | undefined;
   private leaving = false;
   private reachable = true;
 
@@ -110,7 +111,7 @@
     private readonly events: SessionEvents,
   ) {
     const now = clock.now();
-    this.calls = new UpstreamCalls(executor, report.clockMs, bounds.leaseMs, clock, tokens, {
+    this.calls = new UpstreamCalls(executor, report.clockMs, bounds, clock, tokens, {
       changeAnswers: (answers) => {
         this.events.log('upstream-answers', { upstream: this.name, answers, tasks: this.load });
         this.events.change();
@@ -158,9 +159,14 @@
     return this.joined;
   }
 
-  /** Whether a later life of the upstream is known. */
+  /** Whether another life of the upstream has taken the place of this one. */
   get isSuperseded(): boolean {
-    return this.superseded;
+    return this.supersededSince !== undefined;
+  }
+
+  /** Since when that is known; undefined while it has not. */
+  get supersededAt(): number | undefined {
+    return this.supersededSince;
   }
 
   get service(): string {
@@ -188,7 +194,7 @@
   }
 
   get state(): UpstreamState {
-    if (this.closed || this.superseded || !this.reachable) return 'absent';
+    if (this.isOver || !this.reachable) return 'absent';
     if (this.report.isDraining || this.leaving) return 'draining';
     if (!this.joined || !this.described) return 'joining';
     return this.calls.isAnswering ? 'ready' : 'silent';
@@ -289,7 +295,7 @@
 
   /** Whether nothing more is sent to this life. */
   private get isOver(): boolean {
-    return this.closed || this.superseded;
+    return this.closed || this.isSuperseded;
   }
 
   /** Starts what fits and lets go what has waited too long. */
@@ -325,18 +331,24 @@
   }
 
   /**
-   * A later life of the upstream is known: this one is over, and nothing more is sent to it. What it ran ends with `close`,
-   * once the later life refuses orders that were meant for this one and may have been on their way.
+   * Another life of the upstream has taken the place of this one: nothing more is sent. What ran here ends with `close`,
+   * once it is certain that nothing of it runs in the other life, which orders may have reached.
    */
   supersede(): void {
-    if (this.closed || this.superseded) return;
-    this.superseded = true;
+    if (this.isOver) return;
+    this.supersededSince = this.clock.now();
     this.events.log('upstream-superseded', { upstream: this.name, tasks: this.load });
     this.dropWaiting('superseded');
     this.calls.close();
     this.events.change();
   }
 
+  /** Another session has sent calls until now that may have reached this life: the next one of ours has it refuse them. */
+  takeOver(): void {
+    this.calls.fenceOff();
+    this.calls.noteForeign();
+  }
+
   /** Ends the session: this life of the upstream is gone, and all that ran there with it. */
   close(reason: string): void {
     if (this.closed) return;
@@ -361,7 +373,7 @@
     for (const ended of answer.ended) this.noteEnd(ended, now);
     const unknown = this.noteRunning(answer.running, now);
     this.noteMissing(answer.running, sentAt);
-    if (!this.joined && unknown === 0) this.join();
+    if (unknown === 0 && this.events.settle(sentAt) && !this.joined) this.join();
     this.beginWaiting();
   }
 
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -16,6 +16,7 @@
     id: { type: 'string', pattern: '^[A-Za-z0-9._-]{1,64}$' },
     failureDomain: { type: 'string', pattern: '.', default: 'default' },
     failureDomains: { type: 'array', items: { type: 'string' }, default: [] },
+    service: { type: 'string', default: '' },
     address: { type: 'string', pattern: '.' },
     advertisedAddress: { type: 'string', default: '' },
     linkPort: PORT,
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -19,6 +19,8 @@
   readonly failureDomain: string;
   /** All failure domains of the deployment, so that an evacuation of any other is told to be wrong; empty if not known. */
   readonly failureDomains: readonly string[];
+  /** Service of the upstream beside an executor; empty if not known. */
+  readonly service: string;
   /** IP address of the VM. */
   readonly address: string;
   /** IP address under which other daemons reach a dispatcher, where that is not `address`; empty if it is. */
--- a/test/decoders.test.ts
+++ b/test/decoders.test.ts
@@ -36,7 +36,11 @@
 const BEAT = {
   service: 's',
   address: '10.0.0.1:80',
+  zone: 'x',
+  version: 'v1',
+  slots: 8,
   state: 'ready',
+  cold_remaining_ms: 0,
   capacity: { cpu: 1_000, mem_mb: 10, gpu: 0 },
   labels: ['a'],
   clock_ms: 5,
--- a/test/fakes/soakFaults.ts
+++ b/test/fakes/soakFaults.ts
@@ -82,6 +82,15 @@
 /** The same, and failure domains that are emptied and taken back. */
 export const DOMAIN_KINDS: readonly string[] = [...ALL_KINDS, 'evacuate', 'evacuate', 'evacuate'];
 
+/** The same, and upstreams that crash and start again under their ids. */
+export const RESTART_KINDS: readonly string[] = [
+  ...DOMAIN_KINDS,
+  'restartRunner',
+  'restartRunner',
+  'restartRunner',
+  'restartRunner',
+];
+
 /** Failure domains of the agents, by turns. */
 export const SOAK_DOMAINS = ['north', 'south'] as const;
 
@@ -119,6 +128,13 @@
     await sleep(ms);
     bench.proxies.get(proxy)?.setDelay(0);
   },
+  restartRunner: async (bench, { runner }, ms) => {
+    const id = `runner-${runner + 1}`;
+    if (bench.restarting.has(id)) return;
+    bench.restarting.add(id);
+    await bench.runners[runner]?.restart(ms / 2);
+    bench.restarting.delete(id);
+  },
   muteOrders: async (bench, { runner }) => {
     const one = bench.runners[runner];
     if (one) one.muteStarts = MUTED_STARTS;
