Where lives share an id, what an upstream runs counts as over only after the longest lease that it grants

Cause: a start that reaches the next life before that is known names a lease on another clock, and that life cuts it to the longest that it grants (1 s), not to the 585 ms that were meant. Change: UpstreamLease counts with the longest lease where reports tell a start; nothing changes elsewhere. A session that is opened again for a superseded life ends that one. Considered, not tried: no starts after one unanswered renewal, which would take work away where answers are being lost.

--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -10,6 +10,7 @@
   StopVerdict,
   TaskExecutor,
 } from '../../ports/TaskExecutor.js';
+import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import { AnswerWatch } from './AnswerWatch.js';
 import type { FencingTokens } from './FencingTokens.js';
 import { UpstreamLease } from './UpstreamLease.js';
@@ -46,7 +47,7 @@
 
   /**
    * @param executor - the way to the upstream
-   * @param clockMs - the upstream's clock in its first report
+   * @param report - the first that is known of the life
    * @param bounds - of leases
    * @param clock - of this process
    * @param tokens - of this process
@@ -54,14 +55,15 @@
    */
   constructor(
     private readonly executor: TaskExecutor,
-    clockMs: number,
+    report: Pick<UpstreamReport, 'clockMs' | 'bornAt'>,
     private readonly bounds: LeaseBounds,
     private readonly clock: Clock,
     private readonly tokens: FencingTokens,
     private readonly events: CallEvents,
   ) {
     const now = clock.now();
-    this.lease = new UpstreamLease(clockMs, now, bounds.leaseMs, bounds.maxLeaseMs);
+    const effectiveMs = report.bornAt === undefined ? bounds.leaseMs : bounds.maxLeaseMs;
+    this.lease = new UpstreamLease(report.clockMs, now, bounds.leaseMs, effectiveMs);
     this.answers = new AnswerWatch(now);
     this.renewalSentAt = now;
     this.fencingToken = tokens.take();
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -3,6 +3,9 @@
  *
  * Everything at an upstream is leased up to a time on the upstream's own clock, which may be up to 2% slow. The
  * estimate of that clock counts from the moment an answer arrived, so it is never ahead of it by more than drift.
+ *
+ * Where an upstream may start again under its id, a call may reach the next life before that is known. It then names a
+ * lease on another clock, which that life cuts to the longest that it grants.
  */
 
 /** An upstream's clock may be this much slower than ours. */
@@ -18,13 +21,13 @@
    * @param clockMs - the upstream's clock in its first report
    * @param heardAt - our monotonic time when the report came
    * @param leaseMs - how far ahead leases are given
-   * @param maxLeaseMs - the longest lease that an upstream grants
+   * @param effectiveMs - how long such a lease may hold: the longest that an upstream grants, where lives share an id
    */
   constructor(
     private clockMs: number,
     private heardAt: number,
     private readonly leaseMs: number,
-    private readonly maxLeaseMs: number,
+    private readonly effectiveMs: number,
   ) {
     this.aliveUntilMs = heardAt;
     this.noteForeign(heardAt);
@@ -35,12 +38,9 @@
     return this.aliveUntilMs;
   }
 
-  /**
-   * Calls that were meant for another life may have reached this one until now. They name a lease on another clock, which
-   * this life cuts to the longest that it grants, and it holds for all that runs there.
-   */
+  /** Calls that were meant for another life may have reached this one until now; their lease holds for all that runs. */
   noteForeign(now: number): void {
-    const lapse = this.maxLeaseMs * (1 + CLOCK_DRIFT);
+    const lapse = this.effectiveMs * (1 + CLOCK_DRIFT);
     this.aliveUntilMs = Math.max(this.aliveUntilMs, now + lapse + ORDER_MARGIN_MS);
   }
 
@@ -56,7 +56,7 @@
 
   /** Returns the end of a lease that is given now, on the upstream's clock, and remembers it. */
   extend(now: number): number {
-    const lapse = (this.leaseMs + (now - this.heardAt) * CLOCK_DRIFT) * (1 + CLOCK_DRIFT);
+    const lapse = (this.effectiveMs + (now - this.heardAt) * CLOCK_DRIFT) * (1 + CLOCK_DRIFT);
     this.aliveUntilMs = Math.max(this.aliveUntilMs, now + lapse + ORDER_MARGIN_MS);
     return Math.floor(this.estimate(now) + this.leaseMs);
   }
--- a/src/process/executor/UpstreamLives.ts
+++ b/src/process/executor/UpstreamLives.ts
@@ -108,6 +108,8 @@
     const executor = this.events.openExecutor(report);
     const events = this.buildSessionEvents(() => session);
     const session = new UpstreamSession(report, isDescribed, executor, clock, tokens, bounds, events);
+    // A superseded session of this life ends with what it holds.
+    this.sessions.get(name)?.close('superseded');
     this.sessions.set(name, session);
     this.reportedAt.set(name, clock.now());
     const { service, capacity, labels, isDraining } = report;
@@ -142,6 +144,7 @@
     this.supersede(meant, isThere ? known : this.open(report, false));
   }
 
+  /** A life takes work for the first time; one that was found by its answer is kept once it is described. */
   private noteJoin(session: UpstreamSession): void {
     if (session.isDescribed) this.events.noteJoined(session.newestReport);
   }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -111,7 +111,7 @@
     private readonly events: SessionEvents,
   ) {
     const now = clock.now();
-    this.calls = new UpstreamCalls(executor, report.clockMs, bounds, clock, tokens, {
+    this.calls = new UpstreamCalls(executor, report, bounds, clock, tokens, {
       changeAnswers: (answers) => {
         this.events.log('upstream-answers', { upstream: this.name, answers, tasks: this.load });
         this.events.change();
