--- a/bench/defects.ts
+++ b/bench/defects.ts
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url';
 
 import type { Defect } from './defect.js';
-import { DISPATCH_DEFECTS } from './dispatchDefects.js';
+import { DISPATCH_DEFECTS, LIFE_DEFECTS } from './dispatchDefects.js';
 
 const DIST = fileURLToPath(new URL('..', import.meta.url));
 const COPIES = path.join(DIST, '..', 'dist-defect');
@@ -108,7 +108,7 @@
 ];
 
 let missed = 0;
-const all = [...DEFECTS, ...DISPATCH_DEFECTS];
+const all = [...DEFECTS, ...DISPATCH_DEFECTS, ...LIFE_DEFECTS];
 const waiting = all.filter(({ name }) => name.includes(process.argv[2] ?? ''));
 await Promise.all(Array.from({ length: CONCURRENT }, seekNext));
 await rm(COPIES, { recursive: true, force: true });
@@ -133,7 +133,7 @@
   await symlink(path.join(DIST, '..', 'node_modules'), path.join(copy, 'node_modules')).catch(
     () => undefined,
   );
-  const output = await runSoak(copy, DISPATCH_DEFECTS.includes(defect) ? 'dispatch' : 'registrar');
+  const output = await runSoak(copy, findCore(defect));
   const cases = /failed after (\d+) test/.exec(output);
   if (!cases) return undefined;
   const batches = output.split('\n').filter((line) => line.startsWith('{"seed"')).length;
@@ -143,6 +143,12 @@
   return { caught: true, cases: batches * 200 + Number(cases[1]), by: broken?.[0] ?? '' };
 }
 
+/** Names the runs that look for a defect. */
+function findCore(defect: Defect): string {
+  if (LIFE_DEFECTS.includes(defect)) return 'restarts';
+  return DISPATCH_DEFECTS.includes(defect) ? 'dispatch' : 'registrar';
+}
+
 async function runSoak(copy: string, core: string): Promise<string> {
   const soak = path.join(copy, 'bench', 'soak.js');
   const args = [soak, '--core', core, '--seed', '1', '--minutes', String(MINUTES)];
--- a/bench/dispatchDefects.ts
+++ b/bench/dispatchDefects.ts
@@ -36,8 +36,8 @@
   {
     name: 'an agent takes work beside what an earlier life had started',
     file: 'src/process/executor/UpstreamSession.js',
-    find: 'if (!this.joined && unknown === 0)',
-    replace: 'if (!this.joined)',
+    find: 'if (unknown === 0 && this.events.settle(sentAt) && !this.joined)',
+    replace: 'if (this.events.settle(sentAt) && !this.joined)',
   },
   {
     name: 'an unanswered start counts as not run',
@@ -70,3 +70,37 @@
     replace: 'if (sends > 0) task.run += 1; const verdict = await this.calls.start(',
   },
 ];
+
+/** Defects that are planted in how lives of an upstream follow each other; found by runs in which they keep their id. */
+export const LIFE_DEFECTS: readonly Defect[] = [
+  {
+    name: 'a life of an upstream is known by its id only',
+    file: 'src/process/executor/buildLifeName.js',
+    find: 'return bornAt === undefined ? id : `${id}@${bornAt}`;',
+    replace: 'return id;',
+  },
+  {
+    name: 'what an earlier life ran counts as over before the next life is fenced',
+    file: 'src/process/executor/UpstreamLives.js',
+    find: 'earlier.supersede();',
+    replace: "earlier.close('superseded');",
+  },
+  {
+    name: 'a next life takes work beside what has reached it',
+    file: 'src/process/executor/UpstreamLives.js',
+    find: 'return others.every(({ isClosed }) => isClosed);',
+    replace: 'return true;',
+  },
+  {
+    name: 'a lease that a call of another session has given is not reckoned with',
+    file: 'src/process/executor/UpstreamLease.js',
+    find: 'const lapse = this.effectiveMs * (1 + CLOCK_DRIFT);',
+    replace: 'const lapse = 0;',
+  },
+  {
+    name: 'a start that reaches the next life counts as over after our lease',
+    file: 'src/process/executor/UpstreamCalls.js',
+    find: 'report.bornAt === undefined ? bounds.leaseMs : bounds.maxLeaseMs',
+    replace: 'bounds.leaseMs',
+  },
+];
--- a/src/process/executor/UpstreamLives.test.ts
+++ b/src/process/executor/UpstreamLives.test.ts
@@ -143,6 +143,19 @@
     expect(upstream.running.size).to.equal(0);
   });
 
+  it('have a next life take work only once a call that was sent since has found nothing of the earlier one', async () => {
+    upstream.taskMs = 5_000;
+    findOpen()?.offer(ORDER, 'entry');
+    await advance(60);
+    restart();
+    lives.noteReport(buildReport(upstream.bornAt, 1));
+    await clock.advance(1);
+    const next = lives.list().find(({ bornAt }) => bornAt === upstream.bornAt);
+    expect([upstream.renewals > 0, next?.state, ends]).to.deep.equal([true, 'joining', []]);
+    await advance(60);
+    expect([next?.state, ends]).to.deep.equal(['ready', ['0 lost']]);
+  });
+
   it('have a next life take calls though it has taken one with the token of the earlier life', async () => {
     restart();
     await advance(700);
