--- a/src/ports/TaskExecutor.ts
+++ b/src/ports/TaskExecutor.ts
@@ -78,7 +78,10 @@
   | { readonly verdict: 'other-life' }
   | { readonly verdict: 'refused' };
 
-/** Sends orders to one upstream; an id that is not there any more answers `other-life`. Every call rejects when no answer came in time. */
+/**
+ * Sends orders to one upstream; where another id is there, calls are answered `other-life`. Every call rejects when no
+ * answer came in time.
+ */
 export abstract class TaskExecutor {
   abstract start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>>;
   abstract stop(name: RunName, fencingToken: number, timeoutMs: number): Promise<OrderAnswer<StopVerdict>>;
