--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -2,29 +2,16 @@
 
 import { FakeClock } from '../../../test/fakes/FakeClock.js';
 import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
-import type { StartOrder } from '../../connection/peer/peerMessages.js';
-import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import {
+  buildStartOrder,
+  buildUpstreamReport,
+  UPSTREAM_CAPACITY,
+} from '../../../test/fakes/upstreamFixtures.js';
 import { AgentCore } from './AgentCore.js';
 
 const VERSION = 7;
 const ENTRY = 'entry@1';
-const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
-
-const ORDER: StartOrder = {
-  type: 'start',
-  name: { job: 'job', step: 0, index: 0, attempt: 1 },
-  service: 'service',
-  spec: 'text',
-  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
-  estimateMs: 400,
-  rank: 0,
-  expiresAt: Infinity,
-};
-
-function buildReport(id: string, sequence: number): UpstreamReport {
-  const base = { id, bornAt: undefined, service: 'service', address: '127.0.0.1:1', labels: ['rack'] };
-  return { ...base, sequence, capacity: CAPACITY, isDraining: false, clockMs: 0 };
-}
+const ORDER = buildStartOrder(0, { estimateMs: 400 });
 
 describe('AgentCore', () => {
   let clock: FakeClock;
@@ -35,7 +22,8 @@
   let results: string[];
 
   function report(id: string, sequence: number): void {
-    core.noteReport({ ...buildReport(id, sequence), clockMs: upstream.clockMs });
+    const { clockMs } = upstream;
+    core.noteReport(buildUpstreamReport({ id, sequence, clockMs, labels: ['rack'] }));
   }
 
   beforeEach(async () => {
@@ -64,7 +52,7 @@
 
   it('tells a link its room once, and what has changed of it', async () => {
     const first = core.buildPing(ENTRY, VERSION).room;
-    expect(first?.description?.capacity).to.deep.equal(CAPACITY);
+    expect(first?.description?.capacity).to.deep.equal(UPSTREAM_CAPACITY);
     expect(core.buildPing(ENTRY, VERSION)).to.deep.equal({
       type: 'ping',
       at: clock.now(),
--- a/src/process/executor/UpstreamLives.test.ts
+++ b/src/process/executor/UpstreamLives.test.ts
@@ -3,29 +3,23 @@
 import { AddressExecutor } from '../../../test/fakes/AddressExecutor.js';
 import { FakeClock } from '../../../test/fakes/FakeClock.js';
 import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
-import type { StartOrder } from '../../connection/peer/peerMessages.js';
+import {
+  buildStartOrder,
+  buildUpstreamReport,
+  UPSTREAM_ADDRESS,
+  UPSTREAM_CAPACITY,
+} from '../../../test/fakes/upstreamFixtures.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import { FencingTokens } from './FencingTokens.js';
 import { UpstreamLives } from './UpstreamLives.js';
 import type { UpstreamSession } from './UpstreamSession.js';
 
-const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
-const ADDRESS = '127.0.0.1:1';
 const BORN_MS = 1_700_000_000_000;
 /** Clock of the first life, and of the next: it begins anew. */
 const FIRST_CLOCK_MS = 500_000;
 const NEXT_CLOCK_MS = 20;
 
-const ORDER: StartOrder = {
-  type: 'start',
-  name: { job: 'job', step: 0, index: 0, attempt: 1 },
-  service: 'service',
-  spec: 'text',
-  resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
-  estimateMs: 100,
-  rank: 0,
-  expiresAt: Infinity,
-};
+const ORDER = buildStartOrder(0);
 
 describe('UpstreamLives', () => {
   let clock: FakeClock;
@@ -36,8 +30,7 @@
   let passedOver: unknown[];
 
   function buildReport(bornAt: number | undefined, sequence: number): UpstreamReport {
-    const base = { id: 'u1', bornAt, service: 'service', address: ADDRESS, labels: [] };
-    return { ...base, capacity: CAPACITY, isDraining: false, clockMs: upstream.clockMs, sequence };
+    return buildUpstreamReport({ bornAt, sequence, clockMs: upstream.clockMs });
   }
 
   function findOpen(): UpstreamSession | undefined {
@@ -77,7 +70,8 @@
       tokens,
       { leaseMs: 500, maxLeaseMs: 1_000, stopMs: 50 },
       {
-        openExecutor: ({ address }) => new AddressExecutor(() => (address === ADDRESS ? upstream : nobody)),
+        openExecutor: ({ address }) =>
+          new AddressExecutor(() => (address === UPSTREAM_ADDRESS ? upstream : nobody)),
         noteJoined: ({ bornAt }) => void joined.push(String((bornAt ?? 0) - BORN_MS)),
         finish: (task, end) => void ends.push(`${task.order.name.index} ${end}`),
         change: () => undefined,
@@ -107,13 +101,13 @@
 
   it('take ends of a next life, though their numbers begin anew', async () => {
     for (let index = 0; index < 3; index += 1) {
-      findOpen()?.offer({ ...ORDER, name: { ...ORDER.name, index } }, 'entry');
+      findOpen()?.offer(buildStartOrder(index), 'entry');
     }
     await advance(300);
     restart();
     lives.noteReport(buildReport(upstream.bornAt, 1));
     await advance(60);
-    findOpen()?.offer({ ...ORDER, name: { ...ORDER.name, index: 3 } }, 'entry');
+    findOpen()?.offer(buildStartOrder(3), 'entry');
     await advance(300);
     expect(ends).to.deep.equal(['0 done', '1 done', '2 done', '3 done']);
   });
@@ -122,7 +116,10 @@
     restart();
     await advance(700);
     expect(findOpen()?.state).to.equal('joining');
-    lives.noteReport({ ...buildReport(upstream.bornAt, 1), capacity: { ...CAPACITY, cpuMilli: 500 } });
+    lives.noteReport({
+      ...buildReport(upstream.bornAt, 1),
+      capacity: { ...UPSTREAM_CAPACITY, cpuMilli: 500 },
+    });
     expect([findOpen()?.state, findOpen()?.free.cpuMilli]).to.deep.equal(['ready', 500]);
     expect(joined).to.deep.equal(['0', '1000']);
   });
@@ -209,7 +206,7 @@
     lives.noteReport({ ...buildReport(upstream.bornAt, 1), address: '127.0.0.1:9' });
     lives.noteReport(buildReport(upstream.bornAt, 2));
     await advance(60);
-    expect(findOpen()?.newestReport.address).to.equal(ADDRESS);
+    expect(findOpen()?.newestReport.address).to.equal(UPSTREAM_ADDRESS);
     expect(findOpen()?.state).to.equal('ready');
   });
 
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -2,40 +2,15 @@
 
 import { FakeClock } from '../../../test/fakes/FakeClock.js';
 import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
-import type { StartOrder } from '../../connection/peer/peerMessages.js';
-import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import {
+  buildStartOrder,
+  buildUpstreamReport,
+  UPSTREAM_CAPACITY,
+} from '../../../test/fakes/upstreamFixtures.js';
 import { FencingTokens } from './FencingTokens.js';
 import { UpstreamSession } from './UpstreamSession.js';
 
 const FIRST_TOKEN = 1_000_000;
-const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
-
-function buildOrder(index: number, change: Partial<StartOrder> = {}): StartOrder {
-  return {
-    type: 'start',
-    name: { job: 'job', step: 0, index, attempt: 1 },
-    service: 'service',
-    spec: 'text',
-    resources: { cpuMilli: 1_000, memoryMb: 10, gpus: 0 },
-    estimateMs: 100,
-    rank: 0,
-    expiresAt: Infinity,
-    ...change,
-  };
-}
-
-function buildReport(upstream: FakeUpstream): UpstreamReport {
-  const clockMs = upstream.clockMs;
-  const base = {
-    id: 'u1',
-    bornAt: undefined,
-    service: 'service',
-    address: '127.0.0.1:1',
-    labels: [],
-    sequence: 1,
-  };
-  return { ...base, capacity: CAPACITY, isDraining: false, clockMs };
-}
 
 class Bench {
   readonly clock = new FakeClock();
@@ -43,7 +18,7 @@
   readonly results: string[] = [];
   readonly tokens = new FencingTokens(FIRST_TOKEN, this.clock);
   readonly session = new UpstreamSession(
-    buildReport(this.upstream),
+    buildUpstreamReport({ clockMs: this.upstream.clockMs }),
     true,
     this.upstream,
     this.clock,
@@ -78,15 +53,15 @@
   it('starts a task, renews its lease and tells its end', async () => {
     await bench.start();
     bench.upstream.taskMs = 2_000;
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(2_100);
     expect(bench.results).to.deep.equal(['0 done done']);
-    expect(bench.session.free).to.deep.equal(CAPACITY);
+    expect(bench.session.free).to.deep.equal(UPSTREAM_CAPACITY);
   });
 
   it('never starts more than there is room for', async () => {
     await bench.start();
-    for (let index = 0; index < 6; index += 1) bench.session.offer(buildOrder(index), 'entry');
+    for (let index = 0; index < 6; index += 1) bench.session.offer(buildStartOrder(index), 'entry');
     await bench.clock.advance(20);
     expect(bench.upstream.running.size).to.equal(4);
     await bench.clock.advance(60);
@@ -97,7 +72,7 @@
   it('returns within a few ms what does not fit, without a tick', async () => {
     await bench.start();
     bench.upstream.taskMs = 500;
-    for (let index = 0; index < 5; index += 1) bench.session.offer(buildOrder(index), 'entry');
+    for (let index = 0; index < 5; index += 1) bench.session.offer(buildStartOrder(index), 'entry');
     await bench.clock.advance(12);
     expect(bench.results).to.deep.equal(['4 not-run full']);
   });
@@ -105,7 +80,7 @@
   it('sends an unanswered start again under the same run, and starts it once', async () => {
     await bench.start();
     bench.upstream.fates.push('unanswered');
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(400);
     expect(bench.upstream.starts).to.equal(1);
     expect(bench.results).to.deep.equal(['0 done done']);
@@ -115,7 +90,7 @@
     await bench.start();
     bench.upstream.taskMs = 20;
     bench.upstream.fates.push('unanswered');
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(600);
     expect(bench.upstream.starts).to.equal(1);
     expect(bench.results).to.deep.equal(['0 done done']);
@@ -124,7 +99,7 @@
   it('keeps the room of a task that is being stopped until its end is listed', async () => {
     await bench.start();
     bench.upstream.taskMs = 5_000;
-    for (let index = 0; index < 4; index += 1) bench.session.offer(buildOrder(index), 'entry');
+    for (let index = 0; index < 4; index += 1) bench.session.offer(buildStartOrder(index), 'entry');
     await bench.clock.advance(20);
     bench.upstream.fates.push('lost', 'lost');
     bench.session.stop('job/0/0', 1, 'entry', 'moved');
@@ -138,7 +113,7 @@
   it('asks an upstream that answers nothing to stop a task no more often than it takes to doubt it', async () => {
     await bench.start();
     bench.upstream.taskMs = 5_000;
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(50);
     bench.upstream.silent = true;
     bench.session.stopAll('test');
@@ -152,7 +127,7 @@
   it('says that a withdrawn start has not run once the upstream has confirmed it', async () => {
     await bench.start();
     bench.upstream.fates.push('lost', 'lost', 'lost', 'lost');
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(1_000);
     expect(bench.results).to.deep.equal(['0 not-run start-unanswered']);
     expect(bench.upstream.starts).to.equal(0);
@@ -161,7 +136,7 @@
   it('takes what runs for lost only after every lease is over', async () => {
     await bench.start();
     bench.upstream.taskMs = 5_000;
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(100);
     bench.upstream.silent = true;
     await bench.clock.advance(400);
@@ -181,7 +156,7 @@
     await bench.clock.advance(300);
     expect(bench.session.state).to.equal('ready');
     bench.upstream.fates.push('unanswered');
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     bench.upstream.silent = true;
     await bench.clock.advance(130);
     expect(bench.session.state).to.equal('silent');
@@ -191,9 +166,9 @@
     await bench.start();
     bench.upstream.taskMs = 2_000;
     bench.upstream.fates.push('unanswered');
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(10);
-    bench.session.offer(buildOrder(1), 'entry');
+    bench.session.offer(buildStartOrder(1), 'entry');
     for (let ms = 0; ms < 200; ms += 5) {
       await bench.clock.advance(5);
       expect(bench.session.state).to.equal('ready');
@@ -216,10 +191,10 @@
   it('sends a start again soon where answers usually come at once', async () => {
     await bench.start();
     bench.upstream.taskMs = 30;
-    for (let index = 0; index < 4; index += 1) bench.session.offer(buildOrder(index), 'entry');
+    for (let index = 0; index < 4; index += 1) bench.session.offer(buildStartOrder(index), 'entry');
     await bench.clock.advance(100);
     bench.upstream.fates.push('lost');
-    bench.session.offer(buildOrder(9), 'entry');
+    bench.session.offer(buildStartOrder(9), 'entry');
     await bench.clock.advance(60);
     expect(bench.upstream.starts).to.equal(5);
   });
@@ -234,7 +209,7 @@
     expect(bench.session.state).to.equal('joining');
     expect([...bench.upstream.running.keys()]).to.deep.equal(['old/0/0']);
     await bench.clock.advance(100);
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(100);
     expect(bench.session.state).to.equal('ready');
     expect([...bench.upstream.running.keys()]).to.deep.equal(['job/0/0']);
@@ -245,7 +220,7 @@
     bench.upstream.beginForeign({ job: 'job', step: 0, index: 0, run: 7 });
     await bench.start();
     await bench.clock.advance(200);
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(200);
     expect(bench.results).to.deep.equal(['0 done done']);
     expect(bench.upstream.doubled).to.equal(0);
@@ -263,7 +238,7 @@
     await bench.start();
     bench.upstream.lateMs = 3_000;
     bench.upstream.fates.push('late');
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     bench.upstream.silent = true;
     await bench.clock.advance(2_000);
     expect(bench.results).to.deep.equal(['0 lost start-unanswered']);
@@ -275,10 +250,12 @@
 
   it('takes no work while the upstream drains, and lets what runs end', async () => {
     await bench.start();
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(10);
-    bench.session.update({ ...buildReport(bench.upstream), isDraining: true, sequence: 2 });
-    bench.session.offer(buildOrder(1), 'entry');
+    bench.session.update(
+      buildUpstreamReport({ clockMs: bench.upstream.clockMs, isDraining: true, sequence: 2 }),
+    );
+    bench.session.offer(buildStartOrder(1), 'entry');
     await bench.clock.advance(200);
     bench.session.beginWaiting();
     expect(bench.results).to.have.members(['0 done done', '1 not-run full']);
@@ -286,7 +263,7 @@
 
   it('waits for the ends of what still runs at an upstream that has said goodbye', async () => {
     await bench.start();
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(20);
     bench.session.leave();
     expect(bench.results).to.deep.equal([]);
@@ -307,7 +284,7 @@
     bench.upstream.fails = true;
     for (let index = 0; index < 8; index += 1) {
       bench.session.offer(
-        buildOrder(index, { name: { job: `j${index}`, step: 0, index, attempt: 1 } }),
+        buildStartOrder(index, { name: { job: `j${index}`, step: 0, index, attempt: 1 } }),
         'entry',
       );
       await bench.clock.advance(10);
@@ -319,7 +296,7 @@
   it('reports a speed near 0 while tasks stand still', async () => {
     await bench.start();
     bench.upstream.hangs = true;
-    bench.session.offer(buildOrder(0), 'entry');
+    bench.session.offer(buildStartOrder(0), 'entry');
     await bench.clock.advance(500);
     expect(bench.session.readSpeed()).to.be.lessThan(0.1);
   });
--- a/test/decoders.test.ts
+++ b/test/decoders.test.ts
@@ -13,6 +13,7 @@
 import { PEER_SCHEMAS } from '../src/connection/peer/peerSchemas.js';
 import { checkDispatchSettings } from '../src/process/settings/readDispatchSettings.js';
 import { buildValidatorModules } from '../bench/buildValidatorModules.js';
+import { HEARTBEAT } from './fakes/upstreamFixtures.js';
 import { readFile } from 'node:fs/promises';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -33,19 +34,6 @@
   ],
   best_effort: true,
 };
-const BEAT = {
-  service: 's',
-  address: '10.0.0.1:80',
-  zone: 'x',
-  version: 'v1',
-  slots: 8,
-  state: 'ready',
-  cold_remaining_ms: 0,
-  capacity: { cpu: 1_000, mem_mb: 10, gpu: 0 },
-  labels: ['a'],
-  clock_ms: 5,
-  call_seq: 7,
-};
 const ROUTE = { name: 'r', host: 'A.example', path_prefix: '/q/', service: 's', priority: 1, stretch: 1.6 };
 const CONFIGURATION = { version: 3, routes: [ROUTE], limits: { max_body_bytes: 9, idle_timeout_ms: 9 } };
 const START = {
@@ -113,7 +101,7 @@
   });
 
   it('reads changed and cut inputs without an exception', () => {
-    const valid = fc.constantFrom<unknown>(JOB, BEAT, CONFIGURATION, START);
+    const valid = fc.constantFrom<unknown>(JOB, HEARTBEAT, CONFIGURATION, START);
     const property = fc.property(valid, fc.nat(60), ODD, fc.nat(400), (value, at, to, cut) => {
       const text = JSON.stringify(mutate(value, at, to));
       readInTime(text);
@@ -145,7 +133,7 @@
       [2, []],
       [1, [0]],
     ]);
-    expect(parseBeat('i', JSON.stringify(BEAT)).report).to.deep.include({ id: 'i', sequence: 7 });
+    expect(parseBeat('i', JSON.stringify(HEARTBEAT)).report).to.deep.include({ id: 'i', sequence: 7 });
     const { configuration, findings } = parseConfiguration(JSON.stringify(CONFIGURATION));
     expect([configuration?.version, configuration?.routes[0]?.host, findings]).to.deep.equal([
       3,
--- a/test/otherWriters.test.ts
+++ b/test/otherWriters.test.ts
@@ -11,22 +11,9 @@
 import type { UpstreamReport } from '../src/ports/UpstreamRegistry.js';
 import { OperatorExchange } from '../src/process/OperatorExchange.js';
 import { PlatformBench } from './fakes/PlatformBench.js';
+import { HEARTBEAT } from './fakes/upstreamFixtures.js';
 import { StoreStandin } from '../standins/protocol/StoreStandin.js';
 
-const BEAT = {
-  service: 's',
-  address: '10.0.0.1:80',
-  zone: 'x',
-  version: 'v1',
-  slots: 8,
-  state: 'ready',
-  cold_remaining_ms: 0,
-  capacity: { cpu: 1_000, mem_mb: 10, gpu: 0 },
-  labels: ['a', 'r1'],
-  clock_ms: 5,
-  call_seq: 7,
-  born: 9,
-};
 /** Fields without which a heartbeat names no upstream. */
 const NEEDED = [
   'service',
@@ -81,25 +68,25 @@
     it('name no upstream', async () => {
       const bodies: (Buffer | string)[] = [UNREADABLE, Buffer.from([0]), '', 'null', '[]', '{', '"ready"'];
       for (const field of [...NEEDED, ...COUNTED]) {
-        bodies.push(JSON.stringify({ ...BEAT, [field]: undefined }));
-        bodies.push(JSON.stringify({ ...BEAT, [field]: null }));
+        bodies.push(JSON.stringify({ ...HEARTBEAT, [field]: undefined }));
+        bodies.push(JSON.stringify({ ...HEARTBEAT, [field]: null }));
       }
-      for (const field of Object.keys(BEAT)) bodies.push(JSON.stringify({ ...BEAT, [field]: ODD }));
-      bodies.push(JSON.stringify({ ...BEAT, state: 'paused' }));
-      bodies.push(JSON.stringify({ ...BEAT, service: '' }));
-      bodies.push(JSON.stringify({ ...BEAT, address: '10.0.0.1:99999' }));
-      bodies.push(JSON.stringify({ ...BEAT, capacity: { mem_mb: 10 } }));
-      bodies.push(JSON.stringify({ ...BEAT, capacity: { ...BEAT.capacity, cpu: -1 } }));
-      bodies.push(JSON.stringify({ ...BEAT, labels: ['a', 5] }));
-      bodies.push(JSON.stringify({ ...BEAT, born: 1.5 }));
-      const bytes = Buffer.from(JSON.stringify(BEAT));
+      for (const field of Object.keys(HEARTBEAT)) bodies.push(JSON.stringify({ ...HEARTBEAT, [field]: ODD }));
+      bodies.push(JSON.stringify({ ...HEARTBEAT, state: 'paused' }));
+      bodies.push(JSON.stringify({ ...HEARTBEAT, service: '' }));
+      bodies.push(JSON.stringify({ ...HEARTBEAT, address: '10.0.0.1:99999' }));
+      bodies.push(JSON.stringify({ ...HEARTBEAT, capacity: { mem_mb: 10 } }));
+      bodies.push(JSON.stringify({ ...HEARTBEAT, capacity: { ...HEARTBEAT.capacity, cpu: -1 } }));
+      bodies.push(JSON.stringify({ ...HEARTBEAT, labels: ['a', 5] }));
+      bodies.push(JSON.stringify({ ...HEARTBEAT, born: 1.5 }));
+      const bytes = Buffer.from(JSON.stringify(HEARTBEAT));
       bytes[bytes.indexOf('"s"') + 1] = 0xff;
       bodies.push(bytes);
       for (const body of bodies) expect(await send(`${BEAT_PREFIX}i-1`, body), String(body)).to.equal(400);
-      expect(await send(BEAT_PREFIX, JSON.stringify(BEAT))).to.equal(400);
+      expect(await send(BEAT_PREFIX, JSON.stringify(HEARTBEAT))).to.equal(400);
       expect(await send(`${LEAVE_PREFIX}i-1`, UNREADABLE)).to.equal(400);
       expect([reports, left, rejected]).to.deep.equal([[], [], bodies.length + 2]);
-      expect(await send(`${BEAT_PREFIX}i-1`, JSON.stringify({ ...BEAT, new: ODD }))).to.equal(200);
+      expect(await send(`${BEAT_PREFIX}i-1`, JSON.stringify({ ...HEARTBEAT, new: ODD }))).to.equal(200);
       expect(reports.map(({ id }) => id)).to.deep.equal(['i-1']);
     });
   });
@@ -116,7 +103,7 @@
     afterEach(() => bench.stop());
 
     it('leaves that upstream in use', async () => {
-      const later = { ...BEAT, call_seq: 1_000_000, address: '127.0.0.1:9' };
+      const later = { ...HEARTBEAT, call_seq: 1_000_000, address: '127.0.0.1:9' };
       const nobody = { ...later, service: 'nobody' };
       await bench.waitFor(async () => {
         await bench.sendHeartbeat('agent-1', 'i-9', nobody);
