--- a/test/otherWriters.test.ts
+++ b/test/otherWriters.test.ts
@@ -28,6 +28,8 @@
 ];
 /** Numbers that a heartbeat counts by; a missing one would pass for the first. */
 const COUNTED = ['clock_ms', 'call_seq'];
+/** A loopback address of this process alone, so that no other one holds the port. */
+const CONTROL = `127.41.${process.pid % 250}.1:8166`;
 /** Of another type than any field has. */
 const ODD = { odd: true };
 /** Not UTF-8. */
@@ -41,13 +43,12 @@
     let reports: UpstreamReport[];
     let left: string[];
     let rejected: number;
-    const port = 20_000 + (process.pid % 20_000);
 
     beforeEach(async () => {
       reports = [];
       left = [];
       rejected = 0;
-      registry = new HttpUpstreamRegistry(`127.0.0.1:${port}`);
+      registry = new HttpUpstreamRegistry(CONTROL);
       await registry.start({
         report: (report) => void reports.push(report),
         leave: (id) => void left.push(id),
@@ -61,7 +62,7 @@
     afterEach(() => registry.stop());
 
     async function send(path: string, body: Buffer | string): Promise<number> {
-      const { status } = await fetch(`http://127.0.0.1:${port}${path}`, { method: 'POST', body });
+      const { status } = await fetch(`http://${CONTROL}${path}`, { method: 'POST', body });
       return status;
     }
 
