Seeds that showed faults of the change stand as tests

Change: each is played up to the run that broke, unchanged. No product code: the bundle is the same byte for byte.

--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -11,6 +11,12 @@
 /** Runs in CI; `npm run soak -- --core dispatch` does more. */
 const RUNS = 40;
 const SEED = 20261202;
+/** Seeds of runs that broke a promise, and as many runs as it takes. */
+const RESTART_SEEDS = [
+  { seed: 100_014, runs: 170 },
+  { seed: 700_004, runs: 190 },
+  { seed: 800_004, runs: 160 },
+];
 
 describe('the promises of dispatchers and agents, under random failures', function () {
   this.timeout(300_000);
@@ -39,6 +45,15 @@
     expect(totals['interrupted']).to.be.greaterThan(0);
   });
 
+  // Each seed showed a fault of the change to a session a life: a start beyond the room of a next life (the 165th run), and
+  // a task beside its second start (the 186th and the 155th), as a call of the earlier session had given a longer lease.
+  for (const { seed, runs } of RESTART_SEEDS) {
+    it(`hold when upstreams start again under their id, seed ${seed}`, async () => {
+      const totals = await runDispatchWorld(restartCommands, seed, runs, false, true);
+      expect(totals['completed']).to.be.greaterThan(0);
+    });
+  }
+
   // The 62nd run of this seed kills an entry that is frozen and was to hear of a domain: the runs had its dead life tell the
   // next one an older list.
   it('hold when an entry dies before it hears of a domain', async () => {
