Settings and messages that the parts on hard load share; agents and jobs of a dispatcher are tables of their own

Cause: the parts (order and admission, room by demand, speed, crashing tasks, large configurations) touch the same files; what they share is settled before they begin. Change: settings taskOrder, admission, roomSharing, speedMeasure, crashLimit, linkMbps, with today's behaviour as default; echoes and demand notices may tell the processor room that waiting tasks ask for.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -122,11 +122,15 @@
   readonly typicalSpeed: number;
   /** Whether tasks wait at the entry, so that it is told at once of room that comes free. */
   readonly isWaiting: boolean;
+  /** Processor room that those tasks ask for, thousandths of a core. Entries of earlier versions tell none. */
+  readonly waitingCpuMilli?: number | undefined;
 }
 
 /** Tasks have begun to wait at the entry; the next echo tells whether they still do. */
 export interface DemandNotice {
   readonly type: 'demand';
+  /** Processor room that they ask for, thousandths of a core. Entries of earlier versions tell none. */
+  readonly waitingCpuMilli?: number | undefined;
 }
 
 /** Room that changed between two pings. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -107,9 +107,9 @@
       typicalSpeed: { type: 'number', minimum: 0 },
       isWaiting: { type: 'boolean' },
     },
-    { emptiedRevision: FINITE },
+    { waitingCpuMilli: NEED, emptiedRevision: FINITE },
   ),
-  demand: buildObject({}),
+  demand: buildObject({}, { waitingCpuMilli: NEED }),
   room: buildObject({ at: FINITE, room: ROOM }),
   start: buildObject({
     name: NAME,
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -17,11 +17,15 @@
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
 import type { JobBounds } from '../../request/dispatch/JobBounds.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
-import { AgentView, buildAgentId } from './AgentView.js';
+import { AgentTable } from './AgentTable.js';
+import { buildAgentId } from './AgentView.js';
+import type { AgentView } from './AgentView.js';
 import { Backlog } from './Backlog.js';
-import { buildAttemptName, createDispatchJob, findTask, isOut, stepTask } from './dispatchJob.js';
+import { buildAttemptName, createDispatchJob, isOut, stepTask } from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
 import { ANSWER_MARGIN_MS, findGiveUpReason } from './findGiveUpReason.js';
+import { JobTable } from './JobTable.js';
+import type { Submission } from './JobTable.js';
 import { needsMove } from './needsMove.js';
 import type { Placement, PlacementContext } from './Placement.js';
 import type { SendWindow } from './SendWindow.js';
@@ -66,22 +70,11 @@
   readonly nextRandom: () => number;
 }
 
-interface Submission {
-  readonly submission: JobSubmission;
-  readonly caller: Caller;
-  readonly deadlineAt: number;
-}
-
 /** Dispatches the jobs of one entry. */
 export class Dispatcher {
-  readonly agents = new Map<string, AgentView>();
-  private readonly jobs = new Map<string, DispatchJob>();
-  /** Jobs submitted again while tasks of the earlier submission may still run. */
-  private readonly successors = new Map<string, Submission>();
+  private readonly agents: AgentTable;
+  private readonly jobs = new JobTable();
   private readonly backlog = new Backlog();
-  /** Failure domains in which nothing is started. */
-  private emptied: readonly string[] = [];
-  private median = 1;
   /** Mean time from sending a task to hearing that it was not run, ms. */
   private returnMs = FIRST_RETURN_MS;
   /** Attempts of all jobs: a job may be submitted again while results of its earlier attempts are on their way. */
@@ -90,18 +83,18 @@
   constructor(
     private readonly options: DispatchOptions,
     private readonly effects: DispatchEffects,
-  ) {}
+  ) {
+    this.agents = new AgentTable(options.pingMs * STALE_PINGS);
+  }
 
   /** Typical work per ms of the upstreams, in ms of estimates. */
   get typicalSpeed(): number {
-    return this.median;
+    return this.agents.typicalSpeed;
   }
 
   /** Jobs whose caller waits. */
   get openJobs(): number {
-    let open = this.successors.size;
-    for (const job of this.jobs.values()) if (!job.answered) open += 1;
-    return open;
+    return this.jobs.countOpen();
   }
 
   /** Tasks that wait for an agent. */
@@ -111,17 +104,12 @@
 
   /** Whether an agent of any service is linked and takes work. */
   hasAgents(now: number): boolean {
-    for (const agent of this.agents.values()) {
-      if (agent.isEmptied) continue;
-      if (agent.linked && agent.room?.state === 'ready' && now - agent.heardAt <= this.staleMs) return true;
-    }
-    return false;
+    return this.agents.hasReady(now);
   }
 
   /** The operators have emptied these failure domains, and no others: nothing is placed there. */
   setEmptied(domains: readonly string[]): void {
-    this.emptied = domains;
-    for (const agent of this.agents.values()) agent.isEmptied = domains.includes(agent.failureDomain);
+    this.agents.setEmptied(domains);
   }
 
   /** Takes a job; its answer comes through the caller. */
@@ -131,46 +119,42 @@
       this.effects.log('reject', { job: submission.id, findings });
       return caller.answer({ kind: 'rejected', reason: 'too-large', findings });
     }
-    const known = this.jobs.get(submission.id);
+    const known = this.jobs.find(submission.id);
     if (!known) return this.admit({ submission, caller, deadlineAt: now + submission.patienceMs }, now);
     this.effects.log('job-again', { job: submission.id, answered: known.answered });
-    this.successors.get(submission.id)?.caller.answer(SUPERSEDED);
-    this.successors.set(submission.id, { submission, caller, deadlineAt: now + submission.patienceMs });
+    this.jobs.successors.get(submission.id)?.caller.answer(SUPERSEDED);
+    this.jobs.successors.set(submission.id, { submission, caller, deadlineAt: now + submission.patienceMs });
     this.endJob(known, SUPERSEDED, now);
   }
 
   /** The caller is gone: what waits is dropped and what runs is stopped. */
   abandon(jobId: string, caller: Caller, now: number): void {
-    const successor = this.successors.get(jobId);
-    if (successor?.caller === caller) this.successors.delete(jobId);
-    const job = this.jobs.get(jobId);
-    if (!job || job.caller !== caller || job.answered) return;
+    const { successors } = this.jobs;
+    if (successors.get(jobId)?.caller === caller) successors.delete(jobId);
+    const job = this.jobs.findOpen(jobId);
+    if (!job || job.caller !== caller) return;
     this.effects.log('job-abandoned', { job: jobId, ageMs: Math.round(now - job.arrivedAt) });
     this.endJob(job, { kind: 'interrupted', reason: 'caller-gone' }, now);
   }
 
   /** Cancels a job on request. */
   cancel(jobId: string, now: number): boolean {
-    const job = this.jobs.get(jobId);
-    if (!job || job.answered) return false;
+    const job = this.jobs.findOpen(jobId);
+    if (!job) return false;
     this.endJob(job, { kind: 'interrupted', reason: 'cancelled' }, now);
     return true;
   }
 
   /** State of a job whose caller waits. */
   findState(jobId: string): JobState | undefined {
-    const job = this.jobs.get(jobId);
-    if (!job || job.answered) return undefined;
+    const job = this.jobs.findOpen(jobId);
+    if (!job) return undefined;
     return job.offered ? 'running' : 'pending';
   }
 
   /** Jobs of a queue that were never offered to an agent. */
   countPending(routeName: string): number {
-    let count = 0;
-    for (const job of this.jobs.values()) {
-      if (!job.answered && !job.offered && job.submission.route.name === routeName) count += 1;
-    }
-    return count;
+    return this.jobs.countPending(routeName);
   }
 
   /**
@@ -180,18 +164,14 @@
    */
   handleHello(hello: AgentHello, ownLife: string, now: number): string {
     const id = buildAgentId(hello);
-    const known = this.agents.get(id);
-    for (const other of this.agents.values()) {
-      if (other.agent === hello.agent && other.id !== id) other.linked = false;
-    }
+    const known = this.agents.find(id);
+    this.agents.unlinkOthers(hello);
     if (!known) {
-      const agent = new AgentView(hello, now);
-      agent.isEmptied = this.emptied.includes(agent.failureDomain);
-      this.agents.set(id, agent);
+      this.agents.add(hello, now);
       this.effects.log('agent-linked', { agent: id, again: false });
       return id;
     }
-    const tasks = this.listTasksAt(id).length;
+    const tasks = this.jobs.listTasksAt(id).length;
     this.effects.log('agent-linked', {
       agent: id,
       again: true,
@@ -201,23 +181,23 @@
     });
     known.reopen(now);
     if (hello.entryLife === ownLife) this.compareHeld(id, hello, now);
-    else for (const task of this.listTasksAt(id)) this.settle(task, 'lost', 'link-broke', now);
+    else for (const task of this.jobs.listTasksAt(id)) this.settle(task, 'lost', 'link-broke', now);
     return id;
   }
 
   /** A link has closed; what runs there is waited for. */
   handleClose(agentId: string, reason: string, now: number): void {
-    const agent = this.agents.get(agentId);
+    const agent = this.agents.find(agentId);
     if (!agent) return;
     agent.linked = false;
-    const tasks = this.listTasksAt(agentId).length;
+    const tasks = this.jobs.listTasksAt(agentId).length;
     const heardMs = Math.round(now - agent.heardAt);
     this.effects.log('agent-unlinked', { agent: agentId, reason, tasks, heardMs });
   }
 
   /** Takes a ping. */
   handlePing(agentId: string, ping: Ping, now: number): void {
-    const agent = this.agents.get(agentId);
+    const agent = this.agents.find(agentId);
     if (!agent) return;
     // The greeting of an earlier life that was held up had this one count as gone; its pings come on an open link.
     agent.linked = true;
@@ -229,7 +209,7 @@
 
   /** Takes room that changed between pings. */
   handleRoom(agentId: string, { room, at }: RoomChange, now: number): void {
-    const agent = this.agents.get(agentId);
+    const agent = this.agents.find(agentId);
     if (!agent) return;
     agent.heardAt = now;
     agent.noteClock(at, now);
@@ -238,9 +218,9 @@
 
   /** Takes the end of an attempt. */
   handleResult(agentId: string, { name, end, reason }: AttemptResult, now: number): void {
-    const task = this.findNamed(name);
+    const task = this.jobs.findTask(name);
     if (!task || task.attempt !== name.attempt || task.agent !== agentId || !isOut(task)) return;
-    const agent = this.agents.get(agentId);
+    const agent = this.agents.find(agentId);
     if (agent) agent.heardAt = now;
     if (end === 'not-run' && reason === 'expired') this.options.window.noteExpired(now);
     if (agent && end === 'not-run') {
@@ -256,8 +236,8 @@
     this.backlog.prune();
     if (this.backlog.size === 0) return;
     const context = this.buildContext(now);
-    const agents = [...this.agents.values()];
-    let onTheWay = this.sumOnTheWay(now);
+    const agents = this.agents.list();
+    let onTheWay = this.agents.sumBytesOnTheWay(now);
     let smallestMissed = Infinity;
     for (const task of this.backlog.list(now, this.typicalSpeed)) {
       const { cpuMilli } = task.need.resources;
@@ -272,12 +252,12 @@
 
   /** Does what time brings. */
   tick(now: number): void {
-    this.median = findMedianSpeed(this.agents.values());
-    for (const agent of [...this.agents.values()]) this.expireAgent(agent, now);
-    for (const job of [...this.jobs.values()]) this.reviewJob(job, now);
-    for (const [id, { deadlineAt, caller }] of [...this.successors]) {
+    this.agents.updateSpeed();
+    for (const agent of this.agents.list()) this.expireAgent(agent, now);
+    for (const job of this.jobs.list()) this.reviewJob(job, now);
+    for (const [id, { deadlineAt, caller }] of [...this.jobs.successors]) {
       if (now < deadlineAt - ANSWER_MARGIN_MS) continue;
-      this.successors.delete(id);
+      this.jobs.successors.delete(id);
       caller.answer({ kind: 'refused', reason: 'deadline', retryAfterMs: RETRY_AFTER_MS });
     }
   }
@@ -287,11 +267,7 @@
    * its tasks and callers may have gone to other entries.
    */
   endAll(reason: string, now: number): void {
-    for (const job of [...this.jobs.values()]) this.giveUp(job, reason, now);
-  }
-
-  private get staleMs(): number {
-    return this.options.pingMs * STALE_PINGS;
+    for (const job of this.jobs.list()) this.giveUp(job, reason, now);
   }
 
   private admit({ submission, caller, deadlineAt }: Submission, now: number): void {
@@ -303,7 +279,7 @@
       return caller.answer({ kind: 'refused', reason: 'full', retryAfterMs: RETRY_AFTER_MS });
     }
     const job = createDispatchJob({ ...submission, patienceMs }, caller, timing);
-    this.jobs.set(job.id, job);
+    this.jobs.add(job);
     for (const task of job.tasks) if (task.phase === 'waiting') this.backlog.add(task);
     if (job.left === 0) return this.endJob(job, { kind: 'completed' }, now);
     this.reviewJob(job, now);
@@ -315,15 +291,6 @@
     if (reason !== undefined) this.giveUp(job, reason, now);
   }
 
-  /** Bytes of starts on their way; what was sent to an agent that says nothing may never arrive, and is not counted. */
-  private sumOnTheWay(now: number): number {
-    let bytes = 0;
-    for (const agent of this.agents.values()) {
-      if (agent.linked && now - agent.heardAt <= this.staleMs) bytes += agent.unseenBytes;
-    }
-    return bytes;
-  }
-
   /** Sends a start, and returns how many bytes it takes. */
   private send(task: DispatchTask, agent: AgentView, now: number): number {
     const { job, need } = task;
@@ -431,12 +398,9 @@
 
   private forgetIfOver(job: DispatchJob, now: number): void {
     if (job.out > 0) return;
-    this.jobs.delete(job.id);
+    const successor = this.jobs.delete(job.id);
     this.options.bounds.release(job.submission);
-    const successor = this.successors.get(job.id);
-    if (!successor) return;
-    this.successors.delete(job.id);
-    this.admit(successor, now);
+    if (successor) this.admit(successor, now);
   }
 
   /** A job that has not run is refused; one that may have is interrupted. */
@@ -450,17 +414,15 @@
   /** Nothing of ours can run at an agent that has not been heard for so long. */
   private expireAgent(agent: AgentView, now: number): void {
     if (now <= agent.heardAt + agent.orphanMs) return;
-    for (const task of this.listTasksAt(agent.id)) this.settle(task, 'lost', 'agent-silent', now);
-    if (!agent.linked && now > agent.heardAt + FORGET_AGENT_MS) this.agents.delete(agent.id);
+    for (const task of this.jobs.listTasksAt(agent.id)) this.settle(task, 'lost', 'agent-silent', now);
+    this.agents.forgetIfGone(agent, now);
   }
 
   /** A life of an agent takes work only after it has stopped, and fenced, what earlier lives had started. */
   private expireEarlierLives(agent: AgentView, now: number): void {
     if (agent.room?.state !== 'ready') return;
-    for (const earlier of this.agents.values()) {
-      if (earlier.agent !== agent.agent || earlier === agent) continue;
-      if (earlier.room?.upstream !== agent.room.upstream) continue;
-      for (const task of this.listTasksAt(earlier.id)) this.settle(task, 'lost', 'agent-replaced', now);
+    for (const earlier of this.agents.listOtherLives(agent)) {
+      for (const task of this.jobs.listTasksAt(earlier.id)) this.settle(task, 'lost', 'agent-replaced', now);
       this.agents.delete(earlier.id);
     }
   }
@@ -468,7 +430,7 @@
   /** Moves a task that stands still or crawls, if it can be in time elsewhere. */
   private reviewProgress(agent: AgentView, progress: AttemptProgress, now: number): void {
     const { name, percent, stalledMs } = progress;
-    const task = this.findNamed(name);
+    const task = this.jobs.findTask(name);
     if (!task || task.phase !== 'sent' || task.attempt !== name.attempt || task.agent !== agent.id) return;
     const speed = agent.room?.speed ?? 1;
     if (!needsMove(task, progress, speed, this.typicalSpeed, now)) return;
@@ -485,56 +447,32 @@
   }
 
   private hasOtherPlace(task: DispatchTask, from: AgentView, now: number): boolean {
-    const others = [...this.agents.values()].filter((agent) => agent !== from);
+    const others = this.agents.list().filter((agent) => agent !== from);
     return this.options.placement.choose(task, others, this.buildContext(now)) !== undefined;
   }
 
   private buildContext(now: number): PlacementContext {
-    const { typicalSpeed, staleMs, returnMs } = this;
-    return { now, typicalSpeed, staleMs, returnMs, nextRandom: this.options.nextRandom };
-  }
-
-  private findNamed({ job: id, step, index }: AttemptResult['name']): DispatchTask | undefined {
-    const job = this.jobs.get(id);
-    return job && findTask(job, step, index);
+    const { typicalSpeed, staleMs } = this.agents;
+    return { now, typicalSpeed, staleMs, returnMs: this.returnMs, nextRandom: this.options.nextRandom };
   }
 
   /** Brings what we have at an agent and what it holds for us together: orders and results may have been lost. */
   private compareHeld(id: string, hello: AgentHello, now: number): void {
     for (const result of hello.results) this.handleResult(id, result, now);
     const holding = new Set(hello.holding.map((name) => buildAttemptKey(name)));
-    for (const task of this.listTasksAt(id)) {
+    for (const task of this.jobs.listTasksAt(id)) {
       if (!holding.has(buildAttemptKey(buildAttemptName(task)))) this.settle(task, 'lost', 'link-broke', now);
     }
     for (const name of hello.holding) {
-      const task = this.findNamed(name);
+      const task = this.jobs.findTask(name);
       const isWanted = task?.phase === 'sent' && task.attempt === name.attempt && task.agent === id;
       if (!isWanted) this.effects.send(id, { type: 'stop', name });
     }
   }
-
-  private listTasksAt(agentId: string): DispatchTask[] {
-    const tasks: DispatchTask[] = [];
-    for (const job of this.jobs.values()) {
-      for (const task of job.tasks) if (task.agent === agentId && isOut(task)) tasks.push(task);
-    }
-    return tasks;
-  }
 }
 
-/** Agents that have been gone for so long are forgotten, ms. */
-const FORGET_AGENT_MS = 10_000;
-
 const SUPERSEDED: JobOutcome = { kind: 'interrupted', reason: 'submitted-again' };
 
 function buildAttemptKey({ job, step, index, attempt }: AttemptResult['name']): string {
   return `${job}/${step}/${index}/${attempt}`;
 }
-
-function findMedianSpeed(agents: Iterable<AgentView>): number {
-  const speeds: number[] = [];
-  for (const { linked, room, isEmptied } of agents)
-    if (linked && !isEmptied && room && room.state === 'ready') speeds.push(room.speed);
-  speeds.sort((left, right) => left - right);
-  return Math.max(0.2, speeds[Math.floor(speeds.length / 2)] ?? 1);
-}
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -13,6 +13,18 @@
  */
 export type SendWindowKind = 'open' | 'loss' | 'delay';
 
+/** Orders in which tasks wait. `deadline`: by the last moment to start in time; `fair`: and by shares of queues. */
+export type TaskOrderKind = 'deadline' | 'fair';
+
+/** When a job is refused. `patience`: by its own clock; `forecast`: also by what the room is expected to serve in time. */
+export type AdmissionKind = 'patience' | 'forecast';
+
+/** What an executor tells of its room. `open`: all of it to each dispatcher; `demand`: parts, by what waits at each. */
+export type RoomSharingKind = 'open' | 'demand';
+
+/** How an executor measures its upstream's speed. `mean`: of all work; `median`: of tasks, which one long task does not move. */
+export type SpeedMeasureKind = 'mean' | 'median';
+
 /** Settings that both daemons share. Durations have their unit in the name. */
 export interface DispatchSettings {
   readonly id: string;
@@ -65,6 +77,18 @@
   readonly resubmitMs: number;
   /** How much longer a task takes away from the rack that holds its data; 1 for no longer. */
   readonly farFactor: number;
+  /** Bandwidth of the VM's link, Mbit/s. */
+  readonly linkMbps: number;
+  /** How a dispatcher orders what waits. */
+  readonly taskOrder: TaskOrderKind;
+  /** How a dispatcher decides what to refuse. */
+  readonly admission: AdmissionKind;
+  /** How an executor divides its room among dispatchers. */
+  readonly roomSharing: RoomSharingKind;
+  /** How an executor measures the speed of its upstream. */
+  readonly speedMeasure: SpeedMeasureKind;
+  /** Upstreams that may crash under one task until its job is failed; 0 for any number. */
+  readonly crashLimit: number;
   /** How a dispatcher chooses agents. */
   readonly placement: PlacementKind;
   /** How a dispatcher bounds what it has on its way to agents. */
