--- a/src/_lib/errors.ts
+++ b/src/_lib/errors.ts
@@ -13,5 +13,8 @@
 /** The platform could not be reached, or did not understand. */
 export const PlatformError = MarblehallError.subclass('PlatformError');
 
+/** No answer came in time: the connection may carry nothing any more, and others of its age neither. */
+export const NoAnswerError = PlatformError.subclass('NoAnswerError');
+
 /** Settings are missing or wrong; the message lists every finding. */
 export const SettingsError = MarblehallError.subclass('SettingsError');
