Configurations travel packed, in pieces that leave the links to other messages

Cause: every executor that was behind asked a dispatcher for the whole configuration over its link, again every 150 ms, though executors use only the names of services.

Change: a process that is behind asks for a summary (version and services), then pulls the deflated text piece by piece. Senders pace pieces over all links to a fifth of linkMbps, receivers ask at the same pace; dispatchers that are behind go first, executors wait until nothing new was written for one to two seconds. Executors keep the text only. Peers of the version before are answered whole, paced, and what they send whole is taken. A dispatcher that has something new tells other dispatchers the version and no longer all of it.

--- a/src/connection/peer/parsePeerMessage.ts
+++ b/src/connection/peer/parsePeerMessage.ts
@@ -25,6 +25,8 @@
   result: validators.validateResult,
   'configuration-request': validators.validateConfigurationRequest,
   configuration: validators.validateConfiguration,
+  'configuration-summary': validators.validateConfigurationSummary,
+  'configuration-piece': validators.validateConfigurationPiece,
   'emptied-request': validators.validateEmptiedRequest,
   emptied: validators.validateEmptied,
   members: validators.validateMembers,
--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -191,17 +191,48 @@
   readonly reason: string;
 }
 
-/** Asks for the newest configuration the peer knows, which is newer than the sender's. */
+/**
+ * Asks for the newest configuration the peer knows, which is newer than the sender's: with a version for a piece of it,
+ * with a position only for its summary. Processes of earlier versions name neither, ask for all of it in one message, and
+ * answer so.
+ */
 export interface ConfigurationRequest {
   readonly type: 'configuration-request';
+  /** Version that a piece is asked of; undefined where it is not known. */
+  readonly version?: number | undefined;
+  /** Characters of the packed text that the sender has. */
+  readonly position?: number | undefined;
+  /** Most characters that the sender wants at once. */
+  readonly length?: number | undefined;
+  /** Whether the sender cannot serve without it. */
+  readonly isUrgent?: boolean | undefined;
 }
 
-/** Newest configuration the sender knows. */
+/** Newest configuration the sender knows, whole: the answer to processes of earlier versions. */
 export interface ConfigurationNotice {
   readonly type: 'configuration';
   readonly configuration: Configuration;
 }
 
+/** What all need of the newest configuration at once. */
+export interface ConfigurationSummary {
+  readonly type: 'configuration-summary';
+  readonly version: number;
+  /** Services that its routes name; undefined where they are too many for a message that is sent at once. */
+  readonly services?: readonly string[] | undefined;
+}
+
+/** A part of a packed configuration. */
+export interface ConfigurationPiece {
+  readonly type: 'configuration-piece';
+  readonly version: number;
+  /** Of the first character of the piece. */
+  readonly position: number;
+  /** Characters of the whole. */
+  readonly length: number;
+  readonly text: string;
+}
+
 /** Asks for the newest list of emptied failure domains the peer knows, which is newer than the sender's. */
 export interface EmptiedRequest {
   readonly type: 'emptied-request';
@@ -221,7 +252,13 @@
 
 /** Messages that both sides of a link send: what the operators have written, and who is there. */
 export type SharedMessage =
-  ConfigurationRequest | ConfigurationNotice | EmptiedRequest | EmptiedNotice | MembersNotice;
+  | ConfigurationRequest
+  | ConfigurationNotice
+  | ConfigurationSummary
+  | ConfigurationPiece
+  | EmptiedRequest
+  | EmptiedNotice
+  | MembersNotice;
 
 /** Messages of agents. */
 export type AgentMessage = AgentHello | Ping | RoomChange | AttemptResult | SharedMessage;
--- a/src/connection/peer/peerValidators.generated.d.ts
+++ b/src/connection/peer/peerValidators.generated.d.ts
@@ -13,6 +13,8 @@
 export declare const validateResult: ValidateFunction;
 export declare const validateConfigurationRequest: ValidateFunction;
 export declare const validateConfiguration: ValidateFunction;
+export declare const validateConfigurationSummary: ValidateFunction;
+export declare const validateConfigurationPiece: ValidateFunction;
 export declare const validateEmptiedRequest: ValidateFunction;
 export declare const validateEmptied: ValidateFunction;
 export declare const validateMembers: ValidateFunction;
--- a/src/process/ConfigurationExchange.test.ts
+++ b/src/process/ConfigurationExchange.test.ts
@@ -1,25 +1,49 @@
 import { expect } from 'chai';
 
+import { buildRoutes } from '../../test/fakes/buildRoutes.js';
+import { FakeTimeline } from '../../test/fakes/FakeTimeline.js';
 import type { PeerMessage } from '../connection/peer/peerMessages.js';
+import { encodeConfiguration } from '../connection/peer/packedConfiguration.js';
 import type { Configuration } from '../version/configuration.js';
 import { ConfigurationExchange } from './ConfigurationExchange.js';
+import type { PeerChannel } from './NewestExchange.js';
 
 const LIMITS = { maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 };
+/** Longer than an executor puts off the text of a version that nothing follows. */
+const SETTLED_MS = 2_500;
+const SUMMARY_REQUEST = { type: 'configuration-request', position: 0, isUrgent: true };
 
-function createConfiguration(version: number): Configuration {
-  return { version, routes: [], limits: LIMITS };
+function createConfiguration(version: number, routes = 0): Configuration {
+  return { version, routes: routes === 0 ? [] : buildRoutes(routes, version), limits: LIMITS };
 }
 
 describe('ConfigurationExchange', () => {
   let sent: PeerMessage[];
+  let time: FakeTimeline;
+  let faults: string[];
+  let adopted: number[];
   const channel = { send: (message: PeerMessage): unknown => sent.push(message) };
 
   beforeEach(() => {
     sent = [];
+    faults = [];
+    adopted = [];
+    time = new FakeTimeline();
   });
 
+  function createExchange(usesRoutes = true): ConfigurationExchange {
+    return new ConfigurationExchange(
+      { usesRoutes, linkMbps: 100, timeline: time, nextRandom: () => 0.5 },
+      {
+        adopted: (version) => adopted.push(version),
+        noteServices: () => undefined,
+        noteFault: (_, problem) => faults.push(problem),
+      },
+    );
+  }
+
   it('never goes back', () => {
-    const exchange = new ConfigurationExchange();
+    const exchange = createExchange();
     expect(exchange.adopt(createConfiguration(4))).to.equal(true);
     expect(exchange.adopt(createConfiguration(3))).to.equal(false);
     expect(exchange.adopt(createConfiguration(4))).to.equal(false);
@@ -27,31 +51,221 @@
   });
 
   it('asks a peer that is ahead, and one peer at a time', () => {
-    const exchange = new ConfigurationExchange();
+    const exchange = createExchange();
     exchange.adopt(createConfiguration(4));
     exchange.compareVersion(4, channel, 0);
     expect(sent).to.deep.equal([]);
     exchange.compareVersion(7, channel, 10);
     exchange.compareVersion(7, channel, 20);
-    expect(sent).to.deep.equal([{ type: 'configuration-request' }]);
+    expect(sent).to.deep.equal([SUMMARY_REQUEST]);
     exchange.compareVersion(7, channel, 200);
     expect(sent).to.have.length(2);
   });
 
+  it('asks ever more seldom for a version that nobody can deliver', () => {
+    const exchange = createExchange();
+    for (let now = 0; now < 60_000; now += 50) {
+      exchange.compareVersion(7, channel, now);
+      exchange.takeSummary({ type: 'configuration-summary', version: -1 }, channel);
+    }
+    expect(sent.length).to.be.within(12, 20);
+  });
+
   it('asks again at once for what is newer than an answer', () => {
-    const exchange = new ConfigurationExchange();
+    const exchange = createExchange();
     exchange.compareVersion(7, channel, 10);
     exchange.adopt(createConfiguration(7));
     exchange.compareVersion(9, channel, 20);
     expect(sent).to.have.length(2);
   });
 
-  it('tells what it has, if anything', () => {
-    const exchange = new ConfigurationExchange();
+  it('tells which version it has and what that names, if any, and not the routes', () => {
+    const exchange = createExchange();
     exchange.tell(channel);
     expect(sent).to.deep.equal([]);
-    exchange.adopt(createConfiguration(4));
+    exchange.adopt(createConfiguration(4, 2));
     exchange.tell(channel);
-    expect(sent).to.deep.equal([{ type: 'configuration', configuration: createConfiguration(4) }]);
+    const services = ['service-of-4', 'service-1'];
+    expect(sent).to.deep.equal([{ type: 'configuration-summary', version: 4, services }]);
+  });
+
+  it('tells all of it to a peer of an earlier version, whichever form it keeps', () => {
+    for (const usesRoutes of [true, false]) {
+      sent = [];
+      const exchange = createExchange(usesRoutes);
+      exchange.adopt(createConfiguration(4, 3));
+      exchange.answer({ type: 'configuration-request' }, channel);
+      expect(sent).to.deep.equal([{ type: 'configuration', configuration: createConfiguration(4, 3) }]);
+    }
+  });
+
+  describe('between processes', () => {
+    /** Messages take a ms; what a test cuts or changes on their way. */
+    let change: (message: PeerMessage) => PeerMessage | undefined;
+    let pieces: number;
+
+    beforeEach(() => {
+      change = (message) => message;
+      pieces = 0;
+    });
+
+    /** Links two; returns the channels that each has to the other. */
+    function link(a: ConfigurationExchange, b: ConfigurationExchange): [PeerChannel, PeerChannel] {
+      const toB: PeerChannel = { send: (message) => pass(message, b, () => toA) };
+      const toA: PeerChannel = { send: (message) => pass(message, a, () => toB) };
+      return [toB, toA];
+    }
+
+    function pass(message: PeerMessage, to: ConfigurationExchange, back: () => PeerChannel): void {
+      if (message.type === 'configuration-piece') pieces += 1;
+      const changed = change(message);
+      if (!changed) return;
+      time.schedule(1, () => {
+        if (changed.type === 'configuration-request') to.answer(changed, back());
+        if (changed.type === 'configuration-summary') to.takeSummary(changed, back());
+        if (changed.type === 'configuration-piece') to.takePiece(changed, back());
+        if (changed.type === 'configuration') to.adopt(changed.configuration);
+      });
+    }
+
+    /** Has one hear what others hold, as echoes tell it, for some ms. */
+    function echo(
+      to: ConfigurationExchange,
+      from: readonly (readonly [ConfigurationExchange, PeerChannel])[],
+      ms: number,
+    ): void {
+      const until = time.now() + ms;
+      while (time.now() < until) {
+        for (const [peer, channel] of from) to.compareVersion(peer.version, channel, time.now());
+        time.runUntil(Math.min(until, time.now() + 100));
+      }
+    }
+
+    function create(version: number, routes = 1_500, usesRoutes = true): ConfigurationExchange {
+      const exchange = createExchange(usesRoutes);
+      if (version > 0) exchange.adopt(createConfiguration(version, routes));
+      return exchange;
+    }
+
+    it('fetches a version piece by piece, and passes it on from one that keeps the text only', () => {
+      const [source, relay, last] = [create(3), create(0, 0, false), create(0)];
+      const [fromSource] = link(source, relay).reverse();
+      echo(relay, [[source, fromSource as PeerChannel]], 300);
+      expect([relay.version, relay.services?.has('service-of-3')]).to.deep.equal([-1, true]);
+      echo(relay, [[source, fromSource as PeerChannel]], SETTLED_MS);
+      expect([relay.version, relay.newest]).to.deep.equal([3, undefined]);
+      const [, toRelay] = link(relay, last);
+      echo(last, [[relay, toRelay]], 1_000);
+      expect(last.newest).to.deep.equal(createConfiguration(3, 1_500));
+      expect(adopted).to.deep.equal([3, 3]);
+    });
+
+    it('goes on at another peer when the first one is cut off in the middle, and asks nothing twice', () => {
+      const [first, second, reader] = [create(3), create(3), create(0)];
+      const [, toFirst] = link(first, reader);
+      const [, toSecond] = link(second, reader);
+      change = (message) => (message.type === 'configuration-piece' && pieces > 2 ? undefined : message);
+      echo(reader, [[first, toFirst]], 200);
+      expect(reader.version).to.equal(-1);
+      const whole = Math.ceil(encodeConfiguration(createConfiguration(3, 1_500)).length / 8_192);
+      change = (message) => message;
+      reader.noteClosed(toFirst);
+      echo(reader, [[second, toSecond]], 1_000);
+      expect(reader.version).to.equal(3);
+      // One piece was lost with the link.
+      expect(pieces).to.equal(whole + 1);
+    });
+
+    it('asks another peer when one that is alive sends no piece', () => {
+      const [first, second, reader] = [create(3), create(3), create(0)];
+      const [, toFirst] = link(first, reader);
+      const [, toSecond] = link(second, reader);
+      change = (message) => (message.type === 'configuration-piece' && pieces === 1 ? undefined : message);
+      echo(
+        reader,
+        [
+          [first, toFirst],
+          [second, toSecond],
+        ],
+        3_000,
+      );
+      expect([reader.version, faults]).to.deep.equal([3, ['sends nothing']]);
+    });
+
+    it('drops what it has of a version when a newer one is there', () => {
+      const [source, reader] = [create(3), create(0)];
+      const [, toSource] = link(source, reader);
+      change = (message) => {
+        if (pieces === 2) source.adopt(createConfiguration(9, 1_500));
+        return message;
+      };
+      echo(reader, [[source, toSource]], 2_000);
+      expect([reader.version, adopted, faults]).to.deep.equal([9, [9], []]);
+    });
+
+    it('keeps what it holds when a text does not unpack, and asks another peer', () => {
+      for (const usesRoutes of [true, false]) {
+        faults = [];
+        const [wrong, right] = [create(7), create(7)];
+        const reader = create(3, 10, usesRoutes);
+        const [, toWrong] = link(wrong, reader);
+        const [, toRight] = link(right, reader);
+        change = (message) =>
+          message.type === 'configuration-piece'
+            ? { ...message, text: 'A'.repeat(message.text.length) }
+            : message;
+        echo(reader, [[wrong, toWrong]], SETTLED_MS + 1_000);
+        expect([reader.version, faults.length]).to.deep.equal([3, 1]);
+        change = (message) => message;
+        echo(reader, [[wrong, toWrong]], 1_000);
+        expect(reader.version, 'asked again at once').to.equal(3);
+        echo(reader, [[right, toRight]], SETTLED_MS);
+        expect(reader.version).to.equal(7);
+      }
+    });
+
+    it('takes an earlier version when nobody has the newest any more', () => {
+      const [newest, other, reader] = [create(9), create(7), create(3)];
+      const [, toNewest] = link(newest, reader);
+      const [, toOther] = link(other, reader);
+      change = (message) => (message.type === 'configuration-piece' ? undefined : message);
+      echo(reader, [[newest, toNewest]], 300);
+      reader.noteClosed(toNewest);
+      change = (message) => message;
+      echo(reader, [[other, toOther]], 7_000);
+      expect(reader.version).to.equal(7);
+    });
+
+    it('takes what a peer of an earlier version sends whole', () => {
+      const [source, reader] = [create(7), create(3, 10, false)];
+      const [, toSource] = link(source, reader);
+      // A process of an earlier version knows no fields of a request.
+      change = (message) => (message.type === 'configuration-request' ? { type: message.type } : message);
+      echo(reader, [[source, toSource]], 2_000);
+      expect([reader.version, reader.services?.has('service-of-7')]).to.deep.equal([7, true]);
+    });
+
+    it('reads long lists of services from the text', () => {
+      const routes = buildRoutes(200, 7).map((route, at) => ({ ...route, service: `one-of-many-${at}` }));
+      const source = createExchange();
+      source.adopt({ version: 7, routes, limits: LIMITS });
+      const reader = create(3, 10, false);
+      const [, toSource] = link(source, reader);
+      echo(reader, [[source, toSource]], SETTLED_MS + 500);
+      expect([reader.version, reader.services?.size]).to.deep.equal([7, 200]);
+    });
+
+    it('serves a peer that cannot serve without it before others', () => {
+      const source = create(3);
+      const order: string[] = [];
+      const listen = (name: string): PeerChannel => ({
+        send: ({ type }) => type === 'configuration-piece' && order.push(name),
+      });
+      const request = { type: 'configuration-request', version: 3, position: 0 } as const;
+      for (const name of ['a', 'b']) source.answer(request, listen(name));
+      source.answer({ ...request, isUrgent: true }, listen('urgent'));
+      time.runUntil(1_000);
+      expect(order).to.deep.equal(['a', 'urgent', 'b']);
+    });
   });
 });
--- a/src/process/OperatorExchange.ts
+++ b/src/process/OperatorExchange.ts
@@ -7,7 +7,10 @@
 import type { Configuration } from '../version/configuration.js';
 import { applyDomainChange } from '../version/emptiedDomains.js';
 import type { DomainChange, EmptiedDomains } from '../version/emptiedDomains.js';
+import { ClockTimeline } from '../_lib/Timeline.js';
+import { SteadyClock } from '../_lib/Clock.js';
 import { ConfigurationExchange } from './ConfigurationExchange.js';
+import type { ExchangeOptions } from './ConfigurationExchange.js';
 import { DomainExchange } from './DomainExchange.js';
 import type { PeerChannel } from './NewestExchange.js';
 
@@ -19,8 +22,22 @@
   readonly changeConfiguration: (configuration: Configuration, before: number, from: WordSource) => void;
   /** The list is newer than the one before; it may name the same domains. */
   readonly changeEmptied: (emptied: EmptiedDomains, from: WordSource) => void;
+  /** A version has come whole to a process that keeps it only to pass it on. */
+  readonly keepConfiguration?: (version: number, before: number) => void;
+  /** The services of a version are known. */
+  readonly noteServices?: (version: number, count: number) => void;
+  /** A configuration could not be had of a peer. */
+  readonly noteFault?: (version: number, problem: string) => void;
 }
 
+/** A process that uses the routes, on a link that pieces never fill. */
+const DEFAULT_OPTIONS: ExchangeOptions = {
+  usesRoutes: true,
+  linkMbps: 1_000,
+  timeline: new ClockTimeline(new SteadyClock()),
+  nextRandom: () => 0.5,
+};
+
 /** Versions that both sides of a link tell. */
 export interface ToldVersions {
   /** Of the configuration; -1 for none. */
@@ -31,10 +48,19 @@
 
 /** The operators' word in one process. */
 export class OperatorExchange {
-  private readonly configurations = new ConfigurationExchange();
+  private readonly configurations: ConfigurationExchange;
   private readonly domains = new DomainExchange();
 
-  constructor(private readonly events: OperatorEvents) {}
+  constructor(
+    private readonly events: OperatorEvents,
+    options: ExchangeOptions = DEFAULT_OPTIONS,
+  ) {
+    this.configurations = new ConfigurationExchange(options, {
+      adopted: (version, before) => this.noteAdopted(version, before),
+      noteServices: (version, count) => this.events.noteServices?.(version, count),
+      noteFault: (version, problem) => this.events.noteFault?.(version, problem),
+    });
+  }
 
   /**
    * The configuration in force; undefined until it is also known which failure domains are emptied, since nothing may
@@ -44,6 +70,11 @@
     return this.domains.newest && this.configurations.newest;
   }
 
+  /** Services of the newest configuration that is known, held whole or not; undefined before the first. */
+  get services(): ReadonlySet<string> | undefined {
+    return this.configurations.services;
+  }
+
   /** Emptied failure domains, undefined until they are known. */
   get emptied(): EmptiedDomains | undefined {
     return this.domains.newest;
@@ -57,8 +88,9 @@
   /** Takes a configuration, unless it is older than the one that is held. */
   adoptConfiguration(configuration: Configuration, from: WordSource): void {
     const before = this.configurations.version;
-    if (this.configurations.adopt(configuration))
-      this.events.changeConfiguration(configuration, before, from);
+    if (!this.configurations.adopt(configuration)) return;
+    if (this.configurations.newest) this.events.changeConfiguration(configuration, before, from);
+    else this.events.keepConfiguration?.(configuration.version, before);
   }
 
   /** Takes a list of emptied failure domains, unless it is older than the one that is held. */
@@ -78,7 +110,12 @@
     if (emptiedRevision !== undefined) this.domains.compareVersion(emptiedRevision, channel, now);
   }
 
-  /** Sends all that is known to a peer. */
+  /** A link is gone. */
+  noteClosed(channel: PeerChannel): void {
+    this.configurations.noteClosed(channel);
+  }
+
+  /** Tells a peer what is known: all emptied failure domains, and which configuration. */
   tell(channel: PeerChannel): void {
     this.domains.tell(channel);
     this.configurations.tell(channel);
@@ -92,7 +129,13 @@
   receive(message: PeerMessage, channel: PeerChannel): boolean {
     switch (message.type) {
       case 'configuration-request':
-        this.configurations.tell(channel);
+        this.configurations.answer(message, channel);
+        return true;
+      case 'configuration-summary':
+        this.configurations.takeSummary(message, channel);
+        return true;
+      case 'configuration-piece':
+        this.configurations.takePiece(message, channel);
         return true;
       case 'emptied-request':
         this.domains.tell(channel);
@@ -107,4 +150,11 @@
         return false;
     }
   }
+
+  /** What has come in pieces is in force like what has come from the store. */
+  private noteAdopted(version: number, before: number): void {
+    const { newest } = this.configurations;
+    if (newest) this.events.changeConfiguration(newest, before, 'peer');
+    else this.events.keepConfiguration?.(version, before);
+  }
 }
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { SteadyClock } from '../../_lib/Clock.js';
+import { ClockTimeline } from '../../_lib/Timeline.js';
 import { createRandom } from '../../_lib/createRandom.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
@@ -75,11 +76,7 @@
   private readonly listener: PeerListener;
   private readonly peers: EntryPeers;
   private readonly members = new MemberTable();
-  private readonly exchange = new OperatorExchange({
-    changeConfiguration: (configuration, before, from) =>
-      this.applyConfiguration(configuration, before, from),
-    changeEmptied: (emptied, from) => this.applyEmptied(emptied, from),
-  });
+  private readonly exchange: OperatorExchange;
   private readonly pauseGuard: PauseGuard;
   private readonly channels = new Map<string, LineChannel>();
   private readonly agentIds = new Map<LineChannel, string>();
@@ -101,6 +98,7 @@
     this.place = { address: `${host}:${linkPort}`, failureDomain };
     this.logger = createLogger(peer, settings.logLevel, createLogSink());
     const nextRandom = createRandom(Date.now() % 1_000_000);
+    this.exchange = this.createExchange(nextRandom);
     const { pingMs, orphanAfterMs } = deriveDispatchTimes(settings);
     this.pingMs = pingMs;
     const bounds = new JobBounds(settings);
@@ -225,6 +223,19 @@
     this.turn(() => this.dispatcher.submit(submission, caller, now));
   }
 
+  private createExchange(nextRandom: () => number): OperatorExchange {
+    const { linkMbps } = this.settings;
+    return new OperatorExchange(
+      {
+        changeConfiguration: (configuration, before, from) =>
+          this.applyConfiguration(configuration, before, from),
+        changeEmptied: (emptied, from) => this.applyEmptied(emptied, from),
+        noteFault: (version, problem) => this.logger.warn('configuration-not-had', { version, problem }),
+      },
+      { usesRoutes: true, linkMbps, timeline: new ClockTimeline(this.clock), nextRandom },
+    );
+  }
+
   /** A leaving process serves what the balancer still sends as long as the job will probably end before the process. */
   private canStillServe({ steps }: JobSubmission, now: number): boolean {
     if (this.leavingAt === undefined) return true;
@@ -344,6 +355,7 @@
 
   private closeChannel(channel: LineChannel, reason: string): void {
     this.entryChannels.delete(channel);
+    this.exchange.noteClosed(channel);
     const id = this.agentIds.get(channel);
     this.agentIds.delete(channel);
     if (id === undefined) this.logger.info('link-closed', { reason });
--- a/src/process/dispatcher/EntryPeers.ts
+++ b/src/process/dispatcher/EntryPeers.ts
@@ -96,6 +96,8 @@
   }
 
   private noteClosed(address: string, reason: string): void {
+    const channel = this.channels.get(address);
+    if (channel) this.exchange.noteClosed(channel);
     this.channels.delete(address);
     this.events.log('peer-unlinked', { address, reason });
   }
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -93,6 +93,7 @@
       smallFleet: 6,
       linkPort,
       pingMs: PING_MS,
+      linkMbps: 1_000,
     };
     const log = (event: string): number => logged.push(event);
     const core = createCore(() => note('echo'));
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -3,13 +3,13 @@
  * on it, and gives up links that are not wanted any more or say nothing.
  */
 import type { Clock } from '../../_lib/Clock.js';
+import { ClockTimeline } from '../../_lib/Timeline.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
 import type { AttemptResult, EntryWelcome, PeerMessage } from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
 import type { LogFields } from '../logger.js';
 import { OperatorExchange } from '../OperatorExchange.js';
-import type { Configuration } from '../../version/configuration.js';
 import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import type { AgentCore } from './AgentCore.js';
 import { EntryDirectory } from './EntryDirectory.js';
@@ -51,6 +51,8 @@
   readonly linkPort: number;
   /** Time between two pings of a link, ms. */
   readonly pingMs: number;
+  /** Bandwidth of the VM's link, Mbit/s. */
+  readonly linkMbps: number;
 }
 
 interface EntryLink {
@@ -90,10 +92,17 @@
     nextRandom: () => number,
   ) {
     this.directory = new EntryDirectory(options.agent, options.maxLinks, options.smallFleet);
-    this.exchange = new OperatorExchange({
-      changeConfiguration: () => undefined,
-      changeEmptied: (emptied) => this.noteEmptied(emptied),
-    });
+    const { linkMbps } = options;
+    this.exchange = new OperatorExchange(
+      {
+        changeConfiguration: () => undefined,
+        changeEmptied: (emptied) => this.noteEmptied(emptied),
+        keepConfiguration: (version, before) => this.log('configuration-kept', { version, before }),
+        noteServices: (version, services) => this.log('services-known', { version, services }),
+        noteFault: (version, problem) => this.log('configuration-not-had', { version, problem }),
+      },
+      { usesRoutes: false, linkMbps, timeline: new ClockTimeline(clock), nextRandom },
+    );
     const events = {
       open: (address: string, channel: LineChannel) => this.open(address, channel),
       receive: (address: string, message: PeerMessage) => this.receive(address, message),
@@ -102,9 +111,14 @@
     this.dialer = new PeerDialer(events, clock, nextRandom, FIRST_ECHO_MS);
   }
 
-  /** The configuration that is passed on between dispatchers here; undefined while none is known. */
-  get configuration(): Configuration | undefined {
-    return this.exchange.configuration;
+  /** Services of the newest configuration; undefined while none is known. */
+  get services(): ReadonlySet<string> | undefined {
+    return this.exchange.services;
+  }
+
+  /** Version of the configuration that is kept here for dispatchers; -1 for none. */
+  get keptVersion(): number {
+    return this.exchange.versions.version;
   }
 
   /** Takes the VMs that the settings name, `host:port`; only the host is used. */
@@ -233,6 +247,7 @@
     const link = this.links.get(address);
     clearTimeout(link?.roomTimer);
     this.links.delete(address);
+    if (link) this.exchange.noteClosed(link.channel);
     const life = link?.life ?? '';
     const silentMs = Math.round(this.directory.findSilence(address, this.clock.now()));
     this.log('entry-unlinked', { address, life, reason, silentMs, held: this.core.countHeld(life) });
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -76,14 +76,18 @@
     );
     this.metrics = new ServedMetrics(
       settings.metricsAddress,
-      buildExecutorMetrics(() => this.core.load),
+      buildExecutorMetrics(
+        () => this.core.load,
+        () => this.links.keptVersion,
+      ),
     );
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs) });
       this.links.notePause();
     });
-    const { id: agent, failureDomain, maxLinks, smallFleet, linkPort } = settings;
-    const options = { agent, failureDomain, maxLinks, smallFleet, linkPort, pingMs: times.pingMs };
+    const { id: agent, failureDomain, maxLinks, smallFleet, linkPort, linkMbps } = settings;
+    const { pingMs } = times;
+    const options = { agent, failureDomain, maxLinks, smallFleet, linkPort, pingMs, linkMbps };
     const nextRandom = createRandom(Date.now() % 1_000_000);
     const log = (event: string, fields: LogFields): void => this.logDecision(event, fields);
     this.links = new EntryLinks(options, this.core, this.clock, log, nextRandom);
@@ -144,7 +148,7 @@
   }
 
   private isOfKnownService(report: UpstreamReport): boolean {
-    if (isKnownService(report.service, this.settings.service, this.links.configuration)) return true;
+    if (isKnownService(report.service, this.settings.service, this.links.services)) return true;
     const fields = {
       upstream: buildLifeName(report),
       reason: 'of an unknown service',
