The store is asked only where its topic ends, routes are checked in slices and found by an index

Cause: each dispatcher read the newest records whole after three empty polls, some 300 KB each 1.8 s, and decoded and checked them; findRoute looked at every route for each request; an answer that takes longer than the time-out on a thin link never came whole.

Change: after three empty polls the store is asked for the end of the topic behind all keys, and read whole only when the end differs. A record whose offset was read is not read again. Bytes of any kind on a link count against its silence for 1.5 s at most (EchoWatch); proof of life still comes from echoes.

The stand-in of the store honours a position that is no key, counts whole reads, can hide records from reads, and can answer slowly.

--- a/src/connection/peer/EchoWatch.test.ts
+++ b/src/connection/peer/EchoWatch.test.ts
@@ -60,6 +60,28 @@
     expect(watch.isOverdue(81)).to.equal(true);
   });
 
+  it('does not give up a connection on which other bytes come, for a while', () => {
+    watch.notePing(0);
+    for (let now = 0; now <= 1_500; now += 100) {
+      watch.noteArrival(now);
+      expect(watch.isOverdue(now + 99), `at ${now}`).to.equal(now + 99 > 1_500);
+    }
+  });
+
+  it('gives up a connection on which bytes came and then nothing', () => {
+    watch.notePing(0);
+    watch.noteArrival(150);
+    expect(watch.isOverdue(150 + FIRST_MS)).to.equal(false);
+    expect(watch.isOverdue(150 + FIRST_MS + 1)).to.equal(true);
+  });
+
+  it('counts no bytes of the connection before', () => {
+    watch.noteArrival(100);
+    watch.noteOpened();
+    watch.notePing(0);
+    expect(watch.isOverdue(FIRST_MS + 1)).to.equal(true);
+  });
+
   it('counts anew after a pause of this process', () => {
     watch.notePing(0);
     watch.notePause(5_000);
--- a/src/connection/peer/EchoWatch.ts
+++ b/src/connection/peer/EchoWatch.ts
@@ -15,11 +15,19 @@
  */
 const MAX_ECHO_MS = 1_500;
 
+/**
+ * Longest time for which other bytes stand for an echo, ms: a connection that carries something is not dialed anew, as
+ * all that is on its way would be sent again, but one of which only our direction is gone is.
+ */
+const MAX_ARRIVALS_MS = 1_500;
+
 /** Watches the connections to one peer, one after another. */
 export class EchoWatch {
   private readonly timeout: AnswerTimeout;
   /** When the oldest ping without an echo was sent on the open connection. */
   private awaitedSince: number | undefined;
+  /** When anything came on it last. */
+  private arrivedAt = -Infinity;
 
   /** @param firstMs - how long the first echo of all is waited for, ms */
   constructor(firstMs: number) {
@@ -29,6 +37,12 @@
   /** A connection was opened: nothing is awaited on it yet. */
   noteOpened(): void {
     this.awaitedSince = undefined;
+    this.arrivedAt = -Infinity;
+  }
+
+  /** Bytes came, of an echo or of anything else. */
+  noteArrival(now: number): void {
+    this.arrivedAt = now;
   }
 
   /** A ping was sent. */
@@ -53,8 +67,12 @@
     if (this.awaitedSince !== undefined) this.awaitedSince = now;
   }
 
-  /** Whether an echo should have come by now. */
+  /** Whether an echo should have come by now, and nothing else has. */
   isOverdue(now: number): boolean {
-    return this.awaitedSince !== undefined && now - this.awaitedSince > this.timeout.read();
+    if (this.awaitedSince === undefined) return false;
+    const waitMs = this.timeout.read();
+    const awaitedMs = now - this.awaitedSince;
+    if (awaitedMs > Math.max(waitMs, MAX_ARRIVALS_MS)) return true;
+    return awaitedMs > waitMs && now - this.arrivedAt > waitMs;
   }
 }
--- a/src/connection/peer/LineChannel.ts
+++ b/src/connection/peer/LineChannel.ts
@@ -15,6 +15,8 @@
 export interface ChannelEvents {
   readonly receive: (message: PeerMessage) => void;
   readonly close: (reason: string) => void;
+  /** Bytes came, whether or not a message is whole by now. */
+  readonly noteBytes?: () => void;
 }
 
 /** A connection to a peer. */
@@ -73,6 +75,7 @@
   }
 
   private read(text: string): void {
+    this.events.noteBytes?.();
     const lines = (this.rest + text).split('\n');
     this.rest = lines.pop() ?? '';
     if (this.rest.length > MAX_LINE) return this.close('line too long');
--- a/src/connection/peer/PeerDialer.ts
+++ b/src/connection/peer/PeerDialer.ts
@@ -149,6 +149,7 @@
   private open(address: string, peer: DialedPeer, socket: Socket): void {
     if (this.peers.get(address) !== peer) return void socket.destroy();
     const channel = new LineChannel(socket, {
+      noteBytes: () => peer.echoes.noteArrival(this.clock.now()),
       receive: (message) => this.events.receive(address, message),
       close: (reason) => {
         peer.channel = undefined;
--- a/src/connection/peer/packedConfiguration.ts
+++ b/src/connection/peer/packedConfiguration.ts
@@ -11,8 +11,8 @@
 
 /** Longest text before it is deflated, bytes: a text that grows without end must not use up the memory. */
 const MAX_TEXT_BYTES = 16 * 1024 * 1024;
-/** Levels above save some bytes and take several times as long. */
-const LEVEL = 4;
+/** Levels above save a tenth of the bytes and take twice to three times as long. */
+const LEVEL = 3;
 
 /** A configuration, or why the text holds none. */
 export type ConfigurationDecode =
--- a/src/version/findRoute.ts
+++ b/src/version/findRoute.ts
@@ -1,4 +1,8 @@
 import type { Configuration, QueueRoute } from './configuration.js';
+import { RouteIndex } from './RouteIndex.js';
+
+/** Index of each version that requests are served by, built with the first of them. */
+const INDEXES = new WeakMap<Configuration, RouteIndex>();
 
 /**
  * Finds the queue of a request: the longest path prefix among the routes of its host.
@@ -11,11 +15,10 @@
  * findRoute(configuration, 'a.example', '/quotes/17')?.name; // 'quotes'
  */
 export function findRoute(configuration: Configuration, host: string, path: string): QueueRoute | undefined {
-  const wanted = host.toLowerCase();
-  let best: QueueRoute | undefined;
-  for (const route of configuration.routes) {
-    if (route.host !== wanted || !path.startsWith(route.pathPrefix)) continue;
-    if (!best || route.pathPrefix.length > best.pathPrefix.length) best = route;
+  let index = INDEXES.get(configuration);
+  if (!index) {
+    index = new RouteIndex(configuration.routes);
+    INDEXES.set(configuration, index);
   }
-  return best;
+  return index.find(host.toLowerCase(), path);
 }
--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -1,5 +1,6 @@
 /** Stand-in for the platform's store: the operator's topic only, with newest records, long polls and faults. */
 import type { ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import { writeJson } from '../../src/connection/http/writeJson.js';
 import { buildLogRecord } from '../../platform/buildLogRecord.js';
@@ -17,11 +18,22 @@
 /** What goes wrong at the store. */
 export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'forgotten';
 
+/** Time between two parts of an answer that goes out slowly, ms. */
+const PART_MS = 50;
+
 /** The store. */
 export class StoreStandin extends StandinServer {
   fault: StoreFault = 'none';
   /** Newest records that one answer holds. */
   pageItems = 500;
+  /** Answers that began with the first key. */
+  wholeReads = 0;
+  /** Answers that held no key. */
+  endReads = 0;
+  /** Rate at which answers about the operator's records go out, bytes a ms. */
+  bytesPerMs = Infinity;
+  /** Whether reads are told nothing of what is written, as on a path that lost it. */
+  hidesRecords = false;
   /** Put into each page of newest records before the others, as they are. */
   readonly strangeItems: unknown[] = [];
   private readonly records: Buffer[] = [];
@@ -93,8 +105,9 @@
     if (pathname !== LOG_READ_PATH) return writeJson(response, 404, '{}');
     const from = Number(searchParams.get('from'));
     if (from < this.first) return writeJson(response, 410, JSON.stringify({ first: this.first }));
-    if (from >= this.records.length) await this.waitForRecord(Number(searchParams.get('wait_ms')));
-    this.answerRecords(response, from);
+    const waitMs = Number(searchParams.get('wait_ms'));
+    if (from >= this.records.length || this.hidesRecords) await this.waitForRecord(waitMs);
+    this.answerRecords(response, this.hidesRecords ? this.records.length : from);
   }
 
   private append(partition: string, body: Buffer, response: ServerResponse): void {
@@ -112,19 +125,28 @@
   }
 
   private answerNewest(response: ServerResponse, after: string | null): void {
-    const keys = [...this.operatorKeys];
-    const begin = after === null ? 0 : keys.findIndex(([key]) => key === after) + 1;
-    const page = keys.slice(begin, begin + this.pageItems);
+    const keys = this.listKeysAfter(after);
+    const page = keys.slice(0, this.pageItems);
+    if (after === null) this.wholeReads += 1;
+    if (page.length === 0) this.endReads += 1;
     const items = page.map(([key, { value, offset }]) => {
       return { key, value: Buffer.from(value).toString('base64'), offset };
     });
-    const more = begin + page.length < keys.length;
+    const more = page.length < keys.length;
     const strange = this.strangeItems;
-    writeJson(
-      response,
-      200,
-      JSON.stringify({ items: [...strange, ...items], more, end: this.records.length }),
-    );
+    const text = JSON.stringify({ items: [...strange, ...items], more, end: this.records.length });
+    if (this.bytesPerMs === Infinity) return writeJson(response, 200, text);
+    void writeSlowly(response, text, this.bytesPerMs);
+  }
+
+  /** The operators' keys behind one, which need not be there. */
+  private listKeysAfter(
+    after: string | null,
+  ): [string, { readonly value: string; readonly offset: number }][] {
+    const keys = [...this.operatorKeys];
+    if (after === null) return keys;
+    const at = keys.findIndex(([key]) => key === after);
+    return at >= 0 ? keys.slice(at + 1) : keys.filter(([key]) => key > after);
   }
 
   private answerRecords(response: ServerResponse, from: number): void {
@@ -148,3 +170,14 @@
     });
   }
 }
+
+/** Writes an answer in parts, as a thin link carries it. */
+async function writeSlowly(response: ServerResponse, text: string, bytesPerMs: number): Promise<void> {
+  response.writeHead(200, { 'content-type': 'application/json' });
+  const part = Math.ceil(bytesPerMs * PART_MS);
+  for (let at = 0; at < text.length && !response.destroyed; at += part) {
+    response.write(text.slice(at, at + part));
+    await sleep(PART_MS);
+  }
+  response.end();
+}
--- a/test/operatorWord.test.ts
+++ b/test/operatorWord.test.ts
@@ -3,6 +3,7 @@
 
 import { LogConfigurationSource } from '../platform/LogConfigurationSource.js';
 import { OperatorExchange } from '../src/process/OperatorExchange.js';
+import { buildRoutes } from './fakes/buildRoutes.js';
 import { StoreStandin } from '../standins/protocol/StoreStandin.js';
 
 const LOOK_MS = 10;
@@ -123,6 +124,48 @@
     await waitForList('');
   });
 
+  it('hears of a change that its reads are told nothing of', async () => {
+    store.putConfiguration({ version: 3 });
+    start();
+    await waitFor(() => exchange.configuration?.version === 3);
+    store.hidesRecords = true;
+    store.putConfiguration({ version: 9 });
+    store.putEvacuation('north');
+    await waitForList('north');
+    expect(exchange.configuration?.version).to.equal(9);
+  });
+
+  it('reads nothing whole while nothing is written', async () => {
+    store.putConfiguration({ version: 3, routes: [{ name: 'wrong' }] });
+    start();
+    await waitFor(() => exchange.configuration?.version === 3);
+    await waitFor(() => store.endReads >= 2);
+    expect([store.wholeReads, rejected.length]).to.deep.equal([1, 1]);
+  });
+
+  it('reads a configuration once, also when all records are read again', async () => {
+    store.putConfiguration({ version: 3, routes: [{ name: 'wrong' }] });
+    start();
+    await waitFor(() => exchange.configuration?.version === 3);
+    store.hidesRecords = true;
+    store.putEvacuation('north');
+    await waitForList('north');
+    expect([store.wholeReads, rejected.length]).to.deep.equal([2, 1]);
+  });
+
+  it('takes the routes that are right of a large configuration that comes slowly, and says where others are wrong', async () => {
+    store.bytesPerMs = 250;
+    const routes = buildRoutes(1_500, 3).map(({ name, host, pathPrefix, service }, at) => {
+      return { name, host, path_prefix: pathPrefix, service: at % 500 === 7 ? 7 : service };
+    });
+    store.putConfiguration({ version: 3, routes });
+    start();
+    await waitFor(() => exchange.configuration?.version === 3);
+    expect(exchange.configuration?.routes).to.have.length(1_497);
+    expect(rejected).to.deep.equal(['configuration /routes/7/service']);
+    expect(states).to.deep.equal([]);
+  });
+
   it('reads all pages of the newest records', async () => {
     store.pageItems = 2;
     for (const domain of ['a', 'b', 'c', 'd', 'e']) store.putEvacuation(domain);
