Large configurations over real links: thin, cut, silent, superseded, and of peers of the version before

Tests over loopback with the real classes of both sides; the proxy can carry so many Mbit/s at most. Names follow docs/NAMING.md; configuration-not-had counts as a decision.

--- /dev/null
+++ b/src/connection/peer/packedConfiguration.test.ts
@@ -0,0 +1,47 @@
+import { deflateSync } from 'node:zlib';
+
+import { expect } from 'chai';
+
+import { buildRoutes } from '../../../test/fakes/buildRoutes.js';
+import { checkPacked, decodeConfiguration, encodeConfiguration } from './packedConfiguration.js';
+
+const LIMITS = { maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 };
+const CONFIGURATION = { version: 7, routes: buildRoutes(200, 7), limits: LIMITS };
+
+function pack(text: string): string {
+  return deflateSync(text).toString('base64');
+}
+
+describe('packedConfiguration', () => {
+  it('unpacks what was packed', () => {
+    const text = encodeConfiguration(CONFIGURATION);
+    expect(checkPacked(text)).to.equal('');
+    expect(decodeConfiguration(text)).to.deep.equal({ ok: true, configuration: CONFIGURATION });
+  });
+
+  it('finds a text that is cut off or changed', () => {
+    const text = encodeConfiguration(CONFIGURATION);
+    const middle = text.length / 2;
+    for (const wrong of [
+      '',
+      'no base64 at all',
+      text.slice(0, -8),
+      `${text.slice(0, middle)}${'A'.repeat(middle)}`,
+    ]) {
+      expect(checkPacked(wrong)).to.not.equal('');
+      expect(decodeConfiguration(wrong).ok).to.equal(false);
+    }
+  });
+
+  it('finds what is no configuration', () => {
+    for (const text of ['', '{', 'null', '[]', '{"version":1}', '{"version":1,"routes":[{}],"limits":{}}'])
+      expect(decodeConfiguration(pack(text)).ok, text).to.equal(false);
+  });
+
+  it('unpacks no text that would use up the memory', () => {
+    const text = pack(' '.repeat(64 * 1024 * 1024));
+    expect(text.length).to.be.lessThan(100_000);
+    expect(checkPacked(text)).to.not.equal('');
+    expect(decodeConfiguration(text).ok).to.equal(false);
+  });
+});
--- a/src/connection/peer/packedConfiguration.ts
+++ b/src/connection/peer/packedConfiguration.ts
@@ -40,7 +40,7 @@
 export function decodeConfiguration(text: string): ConfigurationDecode {
   let configuration: unknown;
   try {
-    configuration = JSON.parse(inflate(text).toString('utf8'));
+    configuration = JSON.parse(decodeBytes(text).toString('utf8'));
   } catch (error) {
     return { ok: false, problem: String(error) };
   }
@@ -58,13 +58,13 @@
  */
 export function checkPacked(text: string): string {
   try {
-    inflate(text);
+    decodeBytes(text);
     return '';
   } catch (error) {
     return String(error);
   }
 }
 
-function inflate(text: string): Buffer {
+function decodeBytes(text: string): Buffer {
   return inflateSync(Buffer.from(text, 'base64'), { maxOutputLength: MAX_TEXT_BYTES });
 }
--- a/src/process/ConfigurationExchange.test.ts
+++ b/src/process/ConfigurationExchange.test.ts
@@ -35,7 +35,7 @@
     return new ConfigurationExchange(
       { usesRoutes, linkMbps: 100, timeline: time, nextRandom: () => 0.5 },
       {
-        adopted: (version) => adopted.push(version),
+        noteAdopted: (version) => adopted.push(version),
         noteServices: () => undefined,
         noteFault: (_, problem) => faults.push(problem),
       },
--- a/src/process/ConfigurationExchange.ts
+++ b/src/process/ConfigurationExchange.ts
@@ -65,7 +65,7 @@
 /** What the exchange tells its process. */
 export interface ExchangeEvents {
   /** A version has come whole from a peer, and is held now. */
-  readonly adopted: (version: number, before: number) => void;
+  readonly noteAdopted: (version: number, before: number) => void;
   /** The services of a version are known, before or with its text. */
   readonly noteServices: (version: number, count: number) => void;
   /** A peer was of no use: its text does not unpack, or it sends none. */
@@ -108,7 +108,7 @@
     const patienceMs = usesRoutes ? URGENT_PATIENCE_MS : PATIENCE_MS;
     this.receiver = new PieceReceiver({ isUrgent: usesRoutes, patienceMs }, this.pace, timeline, {
       finish: (version, text, channel) => this.takeText(version, text, channel),
-      noteStalled: (version, channel) => this.avoid(channel, version, 'sends nothing'),
+      noteStalled: (version, channel) => this.noteFault(channel, version, 'sends nothing'),
     });
   }
 
@@ -137,8 +137,8 @@
     if (version <= this.version) return false;
     const { usesRoutes } = this.options;
     const text = usesRoutes ? undefined : encodeConfiguration(configuration);
-    this.hold({ version, configuration: usesRoutes ? configuration : undefined, text });
-    this.learnServices(version, listServices(configuration));
+    this.keepVersion({ version, configuration: usesRoutes ? configuration : undefined, text });
+    this.noteServices(version, listServices(configuration));
     return true;
   }
 
@@ -146,7 +146,7 @@
   compareVersion(version: number, channel: PeerChannel, now: number): void {
     if (version <= this.version || now < (this.avoidedUntil.get(channel) ?? -Infinity)) return;
     const { wanted } = this;
-    if (wanted && now - wanted.toldAt > FORGET_MS) return this.forgetWanted(wanted.version);
+    if (wanted && now - wanted.toldAt > FORGET_MS) return this.dropWanted(wanted.version);
     if (!wanted || version > wanted.version) return this.askSummary(channel, now);
     if (version < wanted.version) return;
     wanted.toldAt = now;
@@ -172,9 +172,9 @@
     const now = this.options.timeline.now();
     const { wanted } = this;
     if (version <= this.version || (wanted && version < wanted.version)) return this.receiver.drop(channel);
-    this.resetAsking();
-    if (services) this.learnServices(version, new Set(services));
-    if (!wanted || version > wanted.version) this.want(version, now);
+    this.noteAnswered();
+    if (services) this.noteServices(version, new Set(services));
+    if (!wanted || version > wanted.version) this.pursue(version, now);
     else wanted.toldAt = now;
     this.compareVersion(version, channel, now);
   }
@@ -201,39 +201,39 @@
     channel.send({ type: 'configuration-request', position: 0, isUrgent: this.options.usesRoutes });
   }
 
-  private resetAsking(): void {
+  private noteAnswered(): void {
     this.asked = undefined;
     this.askedAt = -Infinity;
     this.askAgainMs = ASK_AGAIN_MS;
   }
 
   /** A newer version is there: a transfer of an earlier one is given up. */
-  private want(version: number, now: number): void {
+  private pursue(version: number, now: number): void {
     this.wanted = { version, toldAt: now };
-    this.receiver.reset(version);
+    this.receiver.replace(version);
     this.behindSince ??= now;
     if (this.options.usesRoutes) return;
     const settleMs = SETTLE_MS * (1 + this.options.nextRandom());
     this.fetchFrom = Math.min(now + settleMs, Math.max(now, this.behindSince + LAST_SETTLE_MS));
   }
 
-  private forgetWanted(version: number): void {
+  private dropWanted(version: number): void {
     this.wanted = undefined;
-    this.receiver.reset(NO_VERSION);
-    this.resetAsking();
+    this.receiver.replace(NO_VERSION);
+    this.noteAnswered();
     this.events.noteFault(version, 'no peer has it any more');
   }
 
-  private hold(held: HeldVersion): void {
+  private keepVersion(held: HeldVersion): void {
     this.held = held;
-    this.resetAsking();
+    this.noteAnswered();
     if (this.wanted && this.wanted.version > held.version) return;
     this.wanted = undefined;
     this.behindSince = undefined;
-    this.receiver.reset(NO_VERSION);
+    this.receiver.replace(NO_VERSION);
   }
 
-  private learnServices(version: number, services: ReadonlySet<string>): void {
+  private noteServices(version: number, services: ReadonlySet<string>): void {
     if (this.known && version <= this.known.version) return;
     this.known = { version, services };
     this.events.noteServices(version, services.size);
@@ -242,8 +242,8 @@
   private takeText(version: number, text: string, channel: PeerChannel): void {
     const before = this.version;
     const problem = this.options.usesRoutes ? this.takeRoutes(version, text) : this.keepText(version, text);
-    if (problem !== '') return this.avoid(channel, version, problem);
-    this.events.adopted(version, before);
+    if (problem !== '') return this.noteFault(channel, version, problem);
+    this.events.noteAdopted(version, before);
   }
 
   /** @returns what is wrong with the text; empty for nothing */
@@ -252,8 +252,8 @@
     if (!decoded.ok) return decoded.problem;
     const { configuration } = decoded;
     if (configuration.version !== version) return `is of version ${configuration.version}`;
-    this.hold({ version, configuration, text });
-    this.learnServices(version, listServices(configuration));
+    this.keepVersion({ version, configuration, text });
+    this.noteServices(version, listServices(configuration));
     return '';
   }
 
@@ -261,17 +261,17 @@
   private keepText(version: number, text: string): string {
     if (this.known?.version === version) {
       const problem = checkPacked(text);
-      if (problem === '') this.hold({ version, configuration: undefined, text });
+      if (problem === '') this.keepVersion({ version, configuration: undefined, text });
       return problem;
     }
     const decoded = decodeConfiguration(text);
     if (!decoded.ok) return decoded.problem;
-    this.hold({ version, configuration: undefined, text });
-    this.learnServices(version, listServices(decoded.configuration));
+    this.keepVersion({ version, configuration: undefined, text });
+    this.noteServices(version, listServices(decoded.configuration));
     return '';
   }
 
-  private avoid(channel: PeerChannel, version: number, problem: string): void {
+  private noteFault(channel: PeerChannel, version: number, problem: string): void {
     this.avoidedUntil.set(channel, this.options.timeline.now() + AVOID_MS);
     this.events.noteFault(version, problem);
   }
@@ -289,7 +289,7 @@
 
   private buildPiece({ version, position = 0, length = Infinity }: ConfigurationRequest): SizedMessage {
     const held = this.held as HeldVersion;
-    if (held.version !== version) return sizeMessage(this.readSummary(held));
+    if (held.version !== version) return measureMessage(this.readSummary(held));
     const text = this.readText(held);
     const end = position + Math.min(length, this.pace.pieceLength);
     const piece = text.slice(position, end);
@@ -303,7 +303,7 @@
     const decoded = held.configuration
       ? { ok: true as const, configuration: held.configuration }
       : decodeConfiguration(this.readText(held));
-    if (decoded.ok) return sizeMessage({ type: 'configuration', configuration: decoded.configuration });
+    if (decoded.ok) return measureMessage({ type: 'configuration', configuration: decoded.configuration });
     this.events.noteFault(held.version, decoded.problem);
     return undefined;
   }
@@ -315,6 +315,6 @@
   }
 }
 
-function sizeMessage(message: PeerMessage): SizedMessage {
+function measureMessage(message: PeerMessage): SizedMessage {
   return { message, bytes: JSON.stringify(message).length };
 }
--- a/src/process/OperatorExchange.ts
+++ b/src/process/OperatorExchange.ts
@@ -56,7 +56,7 @@
     options: ExchangeOptions = DEFAULT_OPTIONS,
   ) {
     this.configurations = new ConfigurationExchange(options, {
-      adopted: (version, before) => this.noteAdopted(version, before),
+      noteAdopted: (version, before) => this.noteAdopted(version, before),
       noteServices: (version, count) => this.events.noteServices?.(version, count),
       noteFault: (version, problem) => this.events.noteFault?.(version, problem),
     });
--- a/src/process/PieceReceiver.ts
+++ b/src/process/PieceReceiver.ts
@@ -49,10 +49,10 @@
   }
 
   /** Gives up what has come, and fetches another version from now on; -1 for none. */
-  reset(version: number): void {
+  replace(version: number): void {
     this.wanted = version;
     this.source = undefined;
-    this.restart();
+    this.dropParts();
   }
 
   /** A peer has the version: asks it, unless pieces come from another one. */
@@ -95,17 +95,17 @@
   private end(channel: PeerChannel): void {
     const text = this.parts.join('');
     this.source = undefined;
-    this.restart();
+    this.dropParts();
     this.events.finish(this.wanted, text, channel);
   }
 
   /** The peer has packed the version in another way than the one before it. */
   private askFromStart(channel: PeerChannel): void {
-    this.restart();
+    this.dropParts();
     this.askNext(channel);
   }
 
-  private restart(): void {
+  private dropParts(): void {
     this.parts = [];
     this.position = 0;
     this.length = undefined;
--- /dev/null
+++ b/src/process/PieceSender.test.ts
@@ -0,0 +1,61 @@
+import { expect } from 'chai';
+
+import { FakeTimeline } from '../../test/fakes/FakeTimeline.js';
+import type { PeerChannel } from './NewestExchange.js';
+import { PiecePace } from './PiecePace.js';
+import { PieceSender } from './PieceSender.js';
+
+const MESSAGE = { type: 'configuration-request' } as const;
+
+describe('PieceSender', () => {
+  for (const mbps of [2, 17.5, 1_000]) {
+    it(`takes a fifth of a link of ${mbps} Mbit/s, and its pieces little of it at once`, () => {
+      const time = new FakeTimeline();
+      const pace = new PiecePace(mbps);
+      const sender = new PieceSender(pace, time);
+      const bytesPerMs = (mbps * 1_000) / 8;
+      expect(pace.pieceLength / bytesPerMs).to.be.at.most(8);
+      let bytes = 0;
+      const served = [0, 0, 0, 0];
+      served.forEach((_, at) => {
+        const channel: PeerChannel = {
+          send: () => {
+            bytes += pace.pieceLength;
+            served[at] = (served[at] ?? 0) + 1;
+            time.schedule(1, ask);
+          },
+        };
+        const ask = (): void => {
+          sender.add(channel, false, () => ({ message: MESSAGE, bytes: pace.pieceLength }));
+        };
+        ask();
+      });
+      time.runUntil(4_000);
+      expect(bytes / 4_000 / bytesPerMs).to.be.within(0.1, 0.2);
+      expect(Math.max(...served) - Math.min(...served)).to.be.at.most(1);
+    });
+  }
+
+  it('sends what was asked last, and nothing to a peer that is gone', () => {
+    const time = new FakeTimeline();
+    const sender = new PieceSender(new PiecePace(1), time);
+    const sent: string[] = [];
+    const listen = (name: string): PeerChannel => ({ send: () => sent.push(name) });
+    const [first, asksTwice, leaves] = [listen('first'), listen('asks-twice'), listen('leaves')];
+    const built: number[] = [];
+    const build = (number: number) => (): { message: typeof MESSAGE; bytes: number } => {
+      built.push(number);
+      return { message: MESSAGE, bytes: 100 };
+    };
+    sender.add(first, false, build(1));
+    sender.add(asksTwice, false, build(2));
+    sender.add(leaves, true, build(3));
+    sender.add(asksTwice, false, build(4));
+    sender.drop(leaves);
+    time.runUntil(1_000);
+    expect([sent, built]).to.deep.equal([
+      ['first', 'asks-twice'],
+      [1, 4],
+    ]);
+  });
+});
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -230,7 +230,7 @@
         changeConfiguration: (configuration, before, from) =>
           this.applyConfiguration(configuration, before, from),
         changeEmptied: (emptied, from) => this.applyEmptied(emptied, from),
-        noteFault: (version, problem) => this.logger.warn('configuration-not-had', { version, problem }),
+        noteFault: (version, problem) => this.logDecision('configuration-not-had', { version, problem }),
       },
       { usesRoutes: true, linkMbps, timeline: new ClockTimeline(this.clock), nextRandom },
     );
--- /dev/null
+++ b/test/configurationLinks.test.ts
@@ -0,0 +1,218 @@
+/** Large configurations over loopback, with the real classes of both sides: links that are thin, cut, or of old peers. */
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { expect } from 'chai';
+
+import { SteadyClock } from '../src/_lib/Clock.js';
+import { ClockTimeline } from '../src/_lib/Timeline.js';
+import type { LineChannel } from '../src/connection/peer/LineChannel.js';
+import { PeerListener } from '../src/connection/peer/PeerListener.js';
+import type { PeerMessage } from '../src/connection/peer/peerMessages.js';
+import type { AgentCore } from '../src/process/executor/AgentCore.js';
+import { EntryLinks } from '../src/process/executor/EntryLinks.js';
+import { OperatorExchange } from '../src/process/OperatorExchange.js';
+import { NO_RESOURCES } from '../src/request/dispatch/resources.js';
+import type { Configuration } from '../src/version/configuration.js';
+import { buildRoutes } from './fakes/buildRoutes.js';
+import { LoopbackProxy } from './fakes/LoopbackProxy.js';
+
+const HOST = '127.0.0.1';
+const LOOK_MS = 20;
+const PING_MS = 100;
+const ROUTES = 1_500;
+const LIMITS = { maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 };
+const ROOM = {
+  description: undefined,
+  state: 'ready',
+  trust: 'healthy',
+  free: NO_RESOURCES,
+  startsSeen: 0,
+  speed: 1,
+} as const;
+
+function createConfiguration(version: number): Configuration {
+  return { version, routes: buildRoutes(ROUTES, version), limits: LIMITS };
+}
+
+/** What the links ask of the agent's decisions. */
+function createCore(): AgentCore {
+  const holding = { holding: [], results: [], entryLife: '', orphanMs: 1_000 };
+  const hello = { type: 'agent-hello', agent: 'a1', life: '1', failureDomain: 'x', ...holding } as const;
+  const core = {
+    buildHello: () => hello,
+    buildPing: (_: string, version: number) => {
+      return { type: 'ping', at: Math.floor(performance.now()), version, room: ROOM, progress: undefined };
+    },
+    noteWelcome: () => undefined,
+    noteEntryReplaced: () => undefined,
+    setHome: () => undefined,
+    setEmptied: () => undefined,
+    noteEcho: () => undefined,
+    countHeld: () => 0,
+    takeRoomChange: () => undefined,
+  };
+  return core as unknown as AgentCore;
+}
+
+/** The side of a dispatcher: echoes pings, and says what it holds as the daemon does. */
+class Entry {
+  readonly received: PeerMessage[] = [];
+  exchange: OperatorExchange;
+  hellos = 0;
+  /** Asks on each message as processes of the version before do: without a position. */
+  asksWhole = false;
+  /** Whether it answers as processes of the version before do: all of it at once, whatever is asked. */
+  isOld = false;
+  private readonly clock = new SteadyClock();
+  private readonly listener = new PeerListener({
+    receive: (channel, message) => this.receive(channel, message),
+    close: (channel) => this.exchange.noteClosed(channel),
+  });
+
+  constructor(linkMbps: number) {
+    const timeline = new ClockTimeline(this.clock);
+    this.exchange = new OperatorExchange(
+      { changeConfiguration: () => undefined, changeEmptied: () => undefined },
+      { usesRoutes: true, linkMbps, timeline, nextRandom: () => 0 },
+    );
+    this.exchange.adoptEmptied({ revision: 0, domains: [] }, 'store');
+  }
+
+  start(port: number): Promise<number> {
+    return this.listener.start(HOST, port);
+  }
+
+  stop(): Promise<void> {
+    return this.listener.stop();
+  }
+
+  private receive(channel: LineChannel, message: PeerMessage): void {
+    this.received.push(message);
+    if (message.type === 'agent-hello') this.welcome(channel);
+    if (message.type === 'ping') {
+      const { versions } = this.exchange;
+      channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed: 1, isWaiting: false });
+      if (!this.isOld) this.exchange.compareVersions(message, channel, this.clock.now());
+    }
+    if (this.asksWhole) channel.send({ type: 'configuration-request' });
+    const { configuration } = this.exchange;
+    if (!this.isOld) this.exchange.receive(message, channel);
+    else if (message.type === 'configuration-request' && configuration)
+      channel.send({ type: 'configuration', configuration });
+  }
+
+  private welcome(channel: LineChannel): void {
+    this.hellos += 1;
+    const place = { address: `${HOST}:1`, failureDomain: 'x' };
+    channel.send({ type: 'entry-welcome', entry: 'e1', life: 'e1@1', place });
+  }
+}
+
+describe('a large configuration on real links', function () {
+  this.timeout(60_000);
+  let entry: Entry;
+  let proxy: LoopbackProxy;
+  let links: EntryLinks;
+  let timer: NodeJS.Timeout;
+  let logged: string[];
+
+  /** Opens an executor whose one link, of so many Mbit/s, passes a proxy. */
+  async function open(mbps: number): Promise<void> {
+    logged = [];
+    entry = new Entry(mbps);
+    proxy = new LoopbackProxy(HOST, 0, HOST, await entry.start(0));
+    proxy.setRate(mbps);
+    const linkPort = await proxy.start();
+    const fleet = { maxLinks: 3, smallFleet: 6, linkPort };
+    const options = { agent: 'a1', failureDomain: 'x', ...fleet, pingMs: PING_MS, linkMbps: mbps };
+    const log = (event: string): number => logged.push(event);
+    links = new EntryLinks(options, createCore(), new SteadyClock(), log, () => 0);
+    links.noteSeeds([`${HOST}:1`]);
+    timer = setInterval(() => {
+      links.ping();
+      links.keep();
+    }, PING_MS / 3);
+    await waitFor(() => entry.received.some(({ type }) => type === 'ping'));
+  }
+
+  afterEach(async () => {
+    clearInterval(timer);
+    links.stop();
+    proxy.stop();
+    await entry.stop();
+  });
+
+  async function waitFor(holds: () => boolean): Promise<void> {
+    while (!holds()) await sleep(LOOK_MS);
+  }
+
+  function countRequests(): number {
+    return entry.received.filter(({ type }) => type === 'configuration-request').length;
+  }
+
+  it('is kept by an executor on a thin link, and given back to a dispatcher that has lost it', async () => {
+    await open(2);
+    entry.exchange.adoptConfiguration(createConfiguration(7), 'store');
+    await waitFor(() => links.services?.has('service-of-7') ?? false);
+    expect(links.keptVersion).to.equal(-1);
+    await waitFor(() => links.keptVersion === 7);
+    expect(logged).to.not.include('entry-unlinked');
+    expect(logged).to.include.members(['services-known', 'configuration-kept']);
+    const { exchange } = new Entry(2);
+    entry.exchange = exchange;
+    await waitFor(() => exchange.configuration?.version === 7);
+    expect(exchange.configuration).to.deep.equal(createConfiguration(7));
+    expect(logged).to.not.include('entry-unlinked');
+  });
+
+  it('is fetched on after the link broke in the middle', async () => {
+    await open(2);
+    entry.exchange.adoptConfiguration(createConfiguration(7), 'store');
+    await waitFor(() => countRequests() > 5);
+    const before = countRequests();
+    proxy.resetAll();
+    await waitFor(() => links.keptVersion === 7);
+    const [next] = entry.received.filter(({ type }) => type === 'configuration-request').slice(before);
+    expect(next).to.include({ version: 7 });
+    expect((next as { position: number }).position, 'what had come is kept').to.be.greaterThan(0);
+    expect(logged).to.include('entry-unlinked');
+  });
+
+  it('is fetched on after the link went silent in the middle', async () => {
+    await open(2);
+    entry.exchange.adoptConfiguration(createConfiguration(7), 'store');
+    await waitFor(() => countRequests() > 5);
+    proxy.silenceOpen();
+    await waitFor(() => links.keptVersion === 7);
+    expect(entry.hellos).to.equal(2);
+  });
+
+  it('is superseded in the middle by a newer one', async () => {
+    await open(2);
+    entry.exchange.adoptConfiguration(createConfiguration(7), 'store');
+    await waitFor(() => countRequests() > 5);
+    entry.exchange.adoptConfiguration(createConfiguration(9), 'store');
+    await waitFor(() => links.services?.has('service-of-9') ?? false);
+    await waitFor(() => links.keptVersion === 9);
+    expect(logged.filter((event) => event === 'configuration-kept')).to.have.length(1);
+  });
+
+  it('is taken whole from a dispatcher of the version before, whose link is not given up meanwhile', async () => {
+    await open(4);
+    entry.isOld = true;
+    entry.exchange.adoptConfiguration(createConfiguration(7), 'store');
+    await waitFor(() => links.keptVersion === 7);
+    expect(links.services?.has('service-of-7')).to.equal(true);
+    expect(entry.hellos).to.equal(1);
+  });
+
+  it('is told whole to a dispatcher of the version before', async () => {
+    await open(17.5);
+    entry.exchange.adoptConfiguration(createConfiguration(7), 'store');
+    await waitFor(() => links.keptVersion === 7);
+    entry.asksWhole = true;
+    await waitFor(() => entry.received.some(({ type }) => type === 'configuration'));
+    const notice = entry.received.find(({ type }) => type === 'configuration');
+    expect(notice).to.deep.equal({ type: 'configuration', configuration: createConfiguration(7) });
+  });
+});
--- a/test/fakes/LoopbackProxy.ts
+++ b/test/fakes/LoopbackProxy.ts
@@ -1,4 +1,4 @@
-/** A TCP proxy on loopback that delays, holds up, resets or silences what passes. */
+/** A TCP proxy on loopback that delays, slows down, holds up, resets or silences what passes. */
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
@@ -14,10 +14,11 @@
   private readonly waiting: { readonly at: number; readonly run: () => void }[] = [];
   private timer: NodeJS.Timeout | undefined;
 
-  add(delayMs: number, run: () => void): void {
-    if (delayMs === 0 && this.waiting.length === 0) return run();
+  /** @param takesMs - time that it takes itself, behind what is before it */
+  add(delayMs: number, run: () => void, takesMs = 0): void {
+    if (delayMs === 0 && takesMs === 0 && this.waiting.length === 0) return run();
     const last = this.waiting.at(-1)?.at ?? 0;
-    this.waiting.push({ at: Math.max(last, performance.now() + delayMs), run });
+    this.waiting.push({ at: Math.max(last, performance.now() + delayMs) + takesMs, run });
     this.schedule();
   }
 
@@ -34,6 +35,9 @@
   }
 }
 
+/** Parts in which bytes pass a slow proxy, ms. */
+const PART_MS = 10;
+
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
@@ -45,6 +49,7 @@
 export class LoopbackProxy {
   private readonly modes: Record<Direction, DirectionMode> = { forth: 'pass', back: 'pass' };
   private delayMs = 0;
+  private bytesPerMs = Infinity;
   private readonly pairs = new Set<Pair>();
   private server: Server | undefined;
 
@@ -86,6 +91,11 @@
     this.delayMs = ms;
   }
 
+  /** Has each direction of a connection carry so many Mbit/s at most. */
+  setRate(mbps: number): void {
+    this.bytesPerMs = (mbps * 1_000) / 8;
+  }
+
   /** Resets all connections; what was held up on them is lost. */
   resetAll(): void {
     for (const { near, far } of [...this.pairs]) {
@@ -120,14 +130,23 @@
     this.pipe(far, near, 'back', pair);
   }
 
+  private split(bytes: Buffer): Buffer[] {
+    const length = Math.ceil(Math.min(bytes.length, this.bytesPerMs * PART_MS));
+    const count = Math.ceil(bytes.length / length);
+    return Array.from({ length: count }, (_, at) => bytes.subarray(at * length, (at + 1) * length));
+  }
+
   private pipe(source: Socket, sink: Socket, direction: Direction, pair: Pair): void {
     source.setNoDelay(true);
     if (this.modes[direction] === 'hold') source.pause();
     const line = new DelayLine();
     source.on('data', (bytes: Buffer) => {
-      line.add(this.delayMs, () => {
-        if (!sink.destroyed && !pair.isSilent) sink.write(bytes);
-      });
+      for (const part of this.split(bytes)) {
+        const write = (): void => {
+          if (!sink.destroyed && !pair.isSilent) sink.write(part);
+        };
+        line.add(this.delayMs, write, part.length / this.bytesPerMs);
+      }
     });
     source.on('error', () => undefined);
     source.on('close', () => {
