An executor that holds no configuration fetches one at once; all dispatchers restarted without the store get a large one

An executor puts the text off for one to two seconds only while it holds an earlier version: until then a deployment that has just started would have nobody to give the configuration to dispatchers that restart while the store is out.

--- a/src/process/ConfigurationExchange.ts
+++ b/src/process/ConfigurationExchange.ts
@@ -40,8 +40,8 @@
 /** A version that no peer tells any more is not waited for, ms: peers may hold an earlier one that is news here. */
 const FORGET_MS = 5_000;
 /**
- * Time without a newer version after which a process that uses no routes fetches the text, ms, to which up to as much is
- * added at random; and the longest for which it puts that off.
+ * Time without a newer version after which a process that uses no routes, and holds a version, fetches the text, ms, to
+ * which up to as much is added at random; and the longest for which it puts that off.
  */
 const SETTLE_MS = 1_000;
 const LAST_SETTLE_MS = 10_000;
@@ -212,7 +212,7 @@
     this.wanted = { version, toldAt: now };
     this.receiver.replace(version);
     this.behindSince ??= now;
-    if (this.options.usesRoutes) return;
+    if (this.options.usesRoutes || !this.held) return;
     const settleMs = SETTLE_MS * (1 + this.options.nextRandom());
     this.fetchFrom = Math.min(now + settleMs, Math.max(now, this.behindSince + LAST_SETTLE_MS));
   }
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -128,6 +128,29 @@
     expect((await bench.submit('entry-1', 'after', 4, 30)).status).to.equal(200);
   });
 
+  it('give all entries, restarted at once while the store is out, a large configuration', async () => {
+    const prefixes = Array.from({ length: 1_500 }, (_, at) => `/many/${at}/`);
+    bench.putConfiguration(['/q/', ...prefixes]);
+    const agents = ['agent-1', 'agent-2', 'agent-3'];
+    const isKept = (agent: string): boolean =>
+      bench
+        .readOutput(agent)
+        .split('\n')
+        .some((line) => line.includes('"configuration-kept"') && line.includes(`"version":${bench.version}`));
+    await bench.waitFor(() => agents.every(isKept), 'a kept text');
+    bench.store.fault = 'busy';
+    for (const entry of ['entry-1', 'entry-2']) bench.signal(entry, 'SIGKILL');
+    for (const entry of ['entry-1', 'entry-2']) {
+      await bench.waitForExit(entry);
+      await bench.startDaemon(entry);
+    }
+    for (const entry of ['entry-1', 'entry-2']) {
+      await bench.waitUntilReady(entry);
+      expect((await bench.get(entry, '/many/1499/')).body).to.equal('{"pending":0}');
+    }
+    expect((await bench.submit('entry-1', 'after', 4, 30)).status).to.equal(200);
+  });
+
   it('use the upstream of a restarted agent before it reports itself again', async () => {
     await bench.waitFor(() => bench.store.countKeys() === 3);
     for (const runner of bench.runners) runner.mute = true;
