Short configurations are fetched at once, by the length that a summary tells

Cause: executors waited one to two seconds for a newer version before they fetched a text, also one of a piece; a dispatcher that reads no store heard of a change by executors later than before. Change: the summary tells the length of the packed text; what fits one piece is not put off.

--- a/src/process/ConfigurationExchange.test.ts
+++ b/src/process/ConfigurationExchange.test.ts
@@ -86,7 +86,8 @@
     exchange.adopt(createConfiguration(4, 2));
     exchange.tell(channel);
     const services = ['service-of-4', 'service-1'];
-    expect(sent).to.deep.equal([{ type: 'configuration-summary', version: 4, services }]);
+    const { length } = encodeConfiguration(createConfiguration(4, 2));
+    expect(sent).to.deep.equal([{ type: 'configuration-summary', version: 4, services, length }]);
   });
 
   it('tells all of it to a peer of an earlier version, whichever form it keeps', () => {
@@ -160,6 +161,13 @@
       expect(adopted).to.deep.equal([3, 3]);
     });
 
+    it('puts off no short text', () => {
+      const [source, relay] = [create(3, 10), create(1, 10, false)];
+      const [, toSource] = link(source, relay);
+      echo(relay, [[source, toSource]], 300);
+      expect(relay.version).to.equal(3);
+    });
+
     it('puts off nothing while it holds nothing', () => {
       const [source, relay] = [create(3), create(0, 0, false)];
       const [, toSource] = link(source, relay);
