Tasks that crash upstreams are found, run apart and failed (crashLimit)

Cause: a task that crashes whatever runs it was started again for as long as its job lived, and again when its caller came back, with some twelve tasks of others lost each time.

Change: executors tell a crash (another life answers, or nobody listens when every lease is over, and no planned end) from other losses; dispatchers count crashes for each task, run suspects apart from each other, fail the job at crashLimit proofs or crashLimit + 2 crashes, blame nobody for crashes that come together, and tell each other. An executor whose dispatcher is gone tells another one.

With crashLimit 0 the task crashes more than 6 upstreams.

Ruled out: two crashes of any kind as proof (innocent tasks of a flapping fleet), memory in executors (a job comes again elsewhere).

decoders.test: two more types of message, so 18 in place of 16.

--- a/src/_lib/errors.ts
+++ b/src/_lib/errors.ts
@@ -13,5 +13,8 @@
 /** The platform could not be reached, or did not understand. */
 export const PlatformError = MarblehallError.subclass('PlatformError');
 
+/** Nobody listens where a connection was to go: nothing was sent. */
+export const ConnectionRefusedError = PlatformError.subclass('ConnectionRefusedError');
+
 /** Settings are missing or wrong; the message lists every finding. */
 export const SettingsError = MarblehallError.subclass('SettingsError');
--- a/src/connection/peer/mergeStarts.test.ts
+++ b/src/connection/peer/mergeStarts.test.ts
@@ -39,6 +39,13 @@
     expect(mergeStarts(starts)).to.deep.equal(starts);
   });
 
+  it('sends a suspect by itself', () => {
+    const suspect = { ...buildStart('a', 1, 2), isSuspect: true };
+    const starts = [buildStart('a', 0, 1), suspect, { ...suspect, name: { ...suspect.name, index: 2 } }];
+    expect(mergeStarts(starts)).to.deep.equal(starts);
+    expect(parsePeerMessage(JSON.stringify(suspect)).message).to.deep.equal(suspect);
+  });
+
   it('merges no start across a stop', () => {
     const stop: PeerMessage = { type: 'stop', name: { job: 'a', step: 0, index: 0, attempt: 1 } };
     const messages = [buildStart('a', 0, 1), stop, buildStart('a', 0, 2)];
--- a/src/connection/peer/mergeStarts.ts
+++ b/src/connection/peer/mergeStarts.ts
@@ -47,13 +47,16 @@
   });
 }
 
+/** A suspect travels alone: a batch does not tell that a task is one. */
 function canMerge(first: StartOrder, other: StartOrder): boolean {
   return (
     first.name.job === other.name.job &&
     first.service === other.service &&
     first.spec === other.spec &&
     first.rank === other.rank &&
-    first.expiresAt === other.expiresAt
+    first.expiresAt === other.expiresAt &&
+    first.isSuspect !== true &&
+    other.isSuspect !== true
   );
 }
 
--- a/src/connection/peer/parsePeerMessage.ts
+++ b/src/connection/peer/parsePeerMessage.ts
@@ -23,6 +23,8 @@
   starts: validators.validateStarts,
   stop: validators.validateStop,
   result: validators.validateResult,
+  crashes: validators.validateCrashes,
+  suspects: validators.validateSuspects,
   'configuration-request': validators.validateConfigurationRequest,
   configuration: validators.validateConfiguration,
   'emptied-request': validators.validateEmptiedRequest,
--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -152,6 +152,11 @@
   readonly rank: number;
   /** Not to be begun after this, on the agent's clock. */
   readonly expiresAt: number;
+  /**
+   * Whether upstreams have crashed under the task: one such task at a time runs at an upstream. Undefined for no; agents
+   * of earlier versions start it as any other.
+   */
+  readonly isSuspect?: boolean | undefined;
 }
 
 /** A task of a batch of starts; the fields are those of its start. */
@@ -191,6 +196,51 @@
   readonly reason: string;
 }
 
+/** Reason of a result that is lost: the upstream has crashed, and the task may have been at work there. */
+export const UPSTREAM_CRASHED = 'upstream-crashed';
+
+/** Reason of a result that is not run: the task is suspect, and another such task is at the upstream. */
+export const OTHER_SUSPECT = 'other-suspect';
+
+/** A task that may have been at work at an upstream when that crashed. */
+export interface CrashedTask {
+  readonly job: string;
+  readonly step: number;
+  readonly index: number;
+  readonly estimateMs: number;
+  /** Time from its first start until the crash was certain, ms. */
+  readonly ranMs: number;
+  /** Whether no other suspect was there. */
+  readonly isIsolated: boolean;
+}
+
+/** Crashes that an agent tells another entry, as the one that ordered the tasks does not answer any more. */
+export interface CrashNotice {
+  readonly type: 'crashes';
+  readonly tasks: readonly CrashedTask[];
+}
+
+/** A task under which upstreams have crashed, and what counts against it. */
+export interface SuspectTask {
+  readonly job: string;
+  readonly step: number;
+  readonly index: number;
+  /** Rises with each change: of two records of a task the one with the higher number holds. */
+  readonly revision: number;
+  /** Upstreams that have crashed under it. */
+  readonly crashes: number;
+  /** Those of them that did not crash together with many others. */
+  readonly blames: number;
+  /** Those of these at which it was the only suspect. */
+  readonly proofs: number;
+}
+
+/** What entries tell each other of tasks that may crash upstreams. */
+export interface SuspectNotice {
+  readonly type: 'suspects';
+  readonly tasks: readonly SuspectTask[];
+}
+
 /** Asks for the newest configuration the peer knows, which is newer than the sender's. */
 export interface ConfigurationRequest {
   readonly type: 'configuration-request';
@@ -224,11 +274,11 @@
   ConfigurationRequest | ConfigurationNotice | EmptiedRequest | EmptiedNotice | MembersNotice;
 
 /** Messages of agents. */
-export type AgentMessage = AgentHello | Ping | RoomChange | AttemptResult | SharedMessage;
+export type AgentMessage = AgentHello | Ping | RoomChange | AttemptResult | CrashNotice | SharedMessage;
 
 /** Messages of entries. */
 export type EntryMessage =
-  EntryWelcome | EntryHello | Pong | DemandNotice | StartOrder | StopOrder | SharedMessage;
+  EntryWelcome | EntryHello | Pong | DemandNotice | StartOrder | StopOrder | SuspectNotice | SharedMessage;
 
 /** Any message of a link. */
 export type PeerMessage = AgentMessage | EntryMessage;
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -51,6 +51,23 @@
   },
   { description: DESCRIPTION, isHome: { type: 'boolean' } },
 );
+const CRASHED = buildObject({
+  job: TEXT,
+  step: COUNT,
+  index: COUNT,
+  estimateMs: { type: 'number', minimum: 0 },
+  ranMs: { type: 'number', minimum: 0 },
+  isIsolated: { type: 'boolean' },
+});
+const SUSPECT = buildObject({
+  job: TEXT,
+  step: COUNT,
+  index: COUNT,
+  revision: COUNT,
+  crashes: COUNT,
+  blames: COUNT,
+  proofs: COUNT,
+});
 const START_TASK = buildObject({
   step: COUNT,
   index: COUNT,
@@ -111,15 +128,18 @@
   ),
   demand: buildObject({}, { waitingCpuMilli: NEED }),
   room: buildObject({ at: FINITE, room: ROOM }),
-  start: buildObject({
-    name: NAME,
-    service: TEXT,
-    spec: TEXT,
-    resources: buildResources(NEED),
-    estimateMs: { type: 'number', minimum: 0 },
-    rank: FINITE,
-    expiresAt: FINITE,
-  }),
+  start: buildObject(
+    {
+      name: NAME,
+      service: TEXT,
+      spec: TEXT,
+      resources: buildResources(NEED),
+      estimateMs: { type: 'number', minimum: 0 },
+      rank: FINITE,
+      expiresAt: FINITE,
+    },
+    { isSuspect: { type: 'boolean' } },
+  ),
   starts: buildObject({
     job: TEXT,
     service: TEXT,
@@ -130,6 +150,8 @@
   }),
   stop: buildObject({ name: NAME }),
   result: RESULT,
+  crashes: buildObject({ tasks: buildList(CRASHED) }),
+  suspects: buildObject({ tasks: buildList(SUSPECT) }),
   'configuration-request': buildObject({}),
   configuration: buildObject({ configuration: CONFIGURATION }),
   'emptied-request': buildObject({}),
--- a/src/connection/peer/peerValidators.generated.d.ts
+++ b/src/connection/peer/peerValidators.generated.d.ts
@@ -11,6 +11,8 @@
 export declare const validateStarts: ValidateFunction;
 export declare const validateStop: ValidateFunction;
 export declare const validateResult: ValidateFunction;
+export declare const validateCrashes: ValidateFunction;
+export declare const validateSuspects: ValidateFunction;
 export declare const validateConfigurationRequest: ValidateFunction;
 export declare const validateConfiguration: ValidateFunction;
 export declare const validateEmptiedRequest: ValidateFunction;
--- a/src/ports/TaskExecutor.ts
+++ b/src/ports/TaskExecutor.ts
@@ -80,7 +80,7 @@
 
 /**
  * Sends orders to one upstream; where another id is there, calls are answered `other-life`. Every call rejects when no
- * answer came in time.
+ * answer came in time; with a ConnectionRefusedError if nobody listens at the upstream's address, so that nothing was sent.
  */
 export abstract class TaskExecutor {
   abstract start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>>;
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -10,10 +10,13 @@
   AgentHello,
   AttemptProgress,
   AttemptResult,
+  CrashedTask,
   EntryMessage,
   Ping,
   RoomChange,
+  SuspectTask,
 } from '../../connection/peer/peerMessages.js';
+import { UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
 import type { JobBounds } from '../../request/dispatch/JobBounds.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
@@ -29,6 +32,7 @@
 import { needsMove } from './needsMove.js';
 import type { Placement, PlacementContext } from './Placement.js';
 import type { SendWindow } from './SendWindow.js';
+import { Suspects } from './Suspects.js';
 
 /** Time since an agent was last heard, in ping intervals, from which on it gets nothing new. */
 const STALE_PINGS = 2;
@@ -67,6 +71,8 @@
   readonly window: SendWindow;
   /** Bounds of what is held at once. */
   readonly bounds: JobBounds;
+  /** Upstreams that may crash under one task until its job is failed; 0 or undefined for any number. */
+  readonly crashLimit?: number;
   readonly nextRandom: () => number;
 }
 
@@ -75,6 +81,8 @@
   private readonly agents: AgentTable;
   private readonly jobs = new JobTable();
   private readonly backlog = new Backlog();
+  /** Tasks under which upstreams have crashed of late. */
+  readonly suspects: Suspects;
   /** Mean time from sending a task to hearing that it was not run, ms. */
   private returnMs = FIRST_RETURN_MS;
   /** Attempts of all jobs: a job may be submitted again while results of its earlier attempts are on their way. */
@@ -85,6 +93,8 @@
     private readonly effects: DispatchEffects,
   ) {
     this.agents = new AgentTable(options.pingMs * STALE_PINGS);
+    const { crashLimit = 0, placement } = options;
+    this.suspects = new Suspects(crashLimit, placement, this.agents, effects.log);
   }
 
   /** Typical work per ms of the upstreams, in ms of estimates. */
@@ -243,9 +253,11 @@
       const { cpuMilli } = task.need.resources;
       if (cpuMilli >= smallestMissed) continue;
       if (!this.options.window.hasRoom(onTheWay, now)) break;
-      const agent = this.options.placement.choose(task, agents, context);
+      const isSuspect = this.suspects.has(task);
+      const placement = isSuspect ? this.suspects.placement : this.options.placement;
+      const agent = placement.choose(task, agents, context);
       if (agent) onTheWay += this.send(task, agent, now);
-      else if (task.need.requiredLabel === '') smallestMissed = cpuMilli;
+      else if (task.need.requiredLabel === '' && !isSuspect) smallestMissed = cpuMilli;
     }
     this.backlog.prune();
   }
@@ -253,6 +265,7 @@
   /** Does what time brings. */
   tick(now: number): void {
     this.agents.updateSpeed();
+    this.suspects.tick(now);
     for (const agent of this.agents.list()) this.expireAgent(agent, now);
     for (const job of this.jobs.list()) this.reviewJob(job, now);
     for (const [id, { deadlineAt, caller }] of [...this.jobs.successors]) {
@@ -270,6 +283,19 @@
     for (const job of this.jobs.list()) this.giveUp(job, reason, now);
   }
 
+  /** An agent tells of crashes under tasks of a dispatcher that does not answer any more. */
+  handleCrashes(agentId: string, tasks: readonly CrashedTask[], now: number): void {
+    for (const task of tasks) this.suspects.noteCrash(agentId, task, now);
+    for (const { job } of tasks) this.reviewCrashes(job, now);
+  }
+
+  /** Takes what another dispatcher tells of suspects. Returns what of it is news, to be told on. */
+  adoptSuspects(tasks: readonly SuspectTask[], now: number): SuspectTask[] {
+    const news = this.suspects.adopt(tasks, now);
+    for (const { job } of news) this.reviewCrashes(job, now);
+    return news;
+  }
+
   private admit({ submission, caller, deadlineAt }: Submission, now: number): void {
     const timing = { now, typicalSpeed: this.typicalSpeed, priorityStepMs: PRIORITY_STEP_MS };
     const patienceMs = deadlineAt - now;
@@ -282,6 +308,7 @@
     this.jobs.add(job);
     for (const task of job.tasks) if (task.phase === 'waiting') this.backlog.add(task);
     if (job.left === 0) return this.endJob(job, { kind: 'completed' }, now);
+    this.reviewCrashes(job.id, now);
     this.reviewJob(job, now);
   }
 
@@ -301,6 +328,7 @@
     task.attempt = this.attempts;
     task.agent = agent.id;
     task.sentAt = now;
+    this.suspects.noteSent(task);
     job.offered = true;
     job.lastAgent = agent.id;
     job.lastSentAt = now;
@@ -311,7 +339,7 @@
     const { resources, estimateMs } = need;
     const rank = Math.round(job.rank - now);
     const order = { name, service: route.service, spec, resources, estimateMs, rank, expiresAt };
-    this.effects.send(agent.id, { type: 'start', ...order });
+    this.effects.send(agent.id, { type: 'start', ...order, ...(task.isIsolated && { isSuspect: true }) });
     this.effects.log('place', {
       job: id,
       task: `${task.step}/${task.index}`,
@@ -330,6 +358,7 @@
     const { job } = task;
     assertInvariant(isOut(task), 'only an attempt that is out can end');
     if (end !== 'not-run') job.begun = true;
+    this.suspects.noteEnd(task, end, reason, now);
     if (end !== 'done') {
       const { attempt, agent } = task;
       this.effects.log('attempt-over', {
@@ -351,6 +380,16 @@
     }
     stepTask(task, 'return');
     this.backlog.add(task);
+    if (reason === UPSTREAM_CRASHED) this.reviewCrashes(job.id, now);
+  }
+
+  /** Fails a job under whose tasks upstreams crash: nothing of it is started again, and its caller does not come again. */
+  private reviewCrashes(jobId: string, now: number): void {
+    const job = this.jobs.findOpen(jobId);
+    const condemned = job && this.suspects.findCondemned(jobId);
+    if (!condemned) return;
+    this.suspects.noteFailed(condemned);
+    this.endJob(job, { kind: 'failed', reason: 'crashes' }, now);
   }
 
   private finishTask(task: DispatchTask, now: number): void {
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -5,7 +5,7 @@
 import { createRandom } from '../../_lib/createRandom.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
-import type { EntryPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
+import type { EntryPlace, PeerMessage, SuspectTask } from '../../connection/peer/peerMessages.js';
 import type { Caller, CallerGateway, JobDesk, JobState } from '../../ports/CallerGateway.js';
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
@@ -108,6 +108,7 @@
       {
         pingMs,
         bounds,
+        crashLimit: settings.crashLimit,
         placement: createPlacement(settings),
         window: createSendWindow(settings),
         nextRandom,
@@ -121,6 +122,7 @@
     const gauges = {
       readOpenJobs: () => this.dispatcher.openJobs,
       readWaitingTasks: () => this.dispatcher.waitingTasks,
+      readSuspects: () => this.dispatcher.suspects.size,
       readAgents: () => this.channels.size,
       readConfigurationVersion: () => this.exchange.versions.version,
       readEmptiedDomains: () => this.exchange.emptied?.domains.length ?? 0,
@@ -142,6 +144,8 @@
       this.clock,
       {
         noteMembers: (entries) => this.noteMembers(entries, this.clock.now()),
+        noteSuspects: (tasks) => this.adoptSuspects(tasks),
+        greet: (channel) => this.greetWithSuspects(channel),
         log: (event, fields) => this.logger.info(event, fields),
       },
       nextRandom,
@@ -282,6 +286,7 @@
       const now = this.clock.now();
       this.dispatcher.place(now);
       this.tellDemand(now);
+      this.tellSuspects(this.dispatcher.suspects.takeNews());
     });
   }
 
@@ -293,6 +298,18 @@
     for (const channel of this.channels.values()) channel.send({ type: 'demand' });
   }
 
+  /** Callers may submit a job again at any entry, so all hear of suspects; they tell on what is news to them. */
+  private tellSuspects(tasks: readonly SuspectTask[]): void {
+    if (tasks.length === 0) return;
+    const notice = { type: 'suspects', tasks } as const;
+    for (const channel of this.entryChannels) channel.send(notice);
+    this.peers.tell(notice);
+  }
+
+  private adoptSuspects(tasks: readonly SuspectTask[]): void {
+    this.turn((now) => this.tellSuspects(this.dispatcher.adoptSuspects(tasks, now)));
+  }
+
   private receive(channel: LineChannel, message: PeerMessage): void {
     const now = this.clock.now();
     this.pauseGuard.look(now);
@@ -312,11 +329,13 @@
     if (message.type === 'entry-hello') return this.welcomeEntry(channel, message.place, now);
     if (this.exchange.receive(message, channel)) return;
     if (message.type === 'members') return this.noteMembers(message.entries, now);
+    if (message.type === 'suspects') return this.adoptSuspects(message.tasks);
     const agent = this.agentIds.get(channel);
     if (agent === undefined) return;
     if (message.type === 'ping') this.dispatcher.handlePing(agent, message, now);
     if (message.type === 'room') this.dispatcher.handleRoom(agent, message, now);
     if (message.type === 'result') this.dispatcher.handleResult(agent, message, now);
+    if (message.type === 'crashes') this.dispatcher.handleCrashes(agent, message.tasks, now);
   }
 
   private welcomeAgent(
@@ -340,6 +359,12 @@
     this.entryChannels.add(channel);
     this.noteMembers([place], now);
     this.exchange.tell(channel);
+    this.greetWithSuspects(channel);
+  }
+
+  private greetWithSuspects(channel: LineChannel): void {
+    const tasks = this.dispatcher.suspects.list();
+    if (tasks.length > 0) channel.send({ type: 'suspects', tasks });
   }
 
   private closeChannel(channel: LineChannel, reason: string): void {
--- a/src/process/dispatcher/EntryPeers.test.ts
+++ b/src/process/dispatcher/EntryPeers.test.ts
@@ -50,6 +50,8 @@
     const place = { address: `${HOST}:1`, failureDomain: 'x' };
     const events = {
       noteMembers: () => undefined,
+      noteSuspects: () => undefined,
+      greet: () => undefined,
       log: (event: string) => void logged.push(event),
     };
     const options = { id: 'e1', place, linkPort };
--- a/src/process/dispatcher/EntryPeers.ts
+++ b/src/process/dispatcher/EntryPeers.ts
@@ -5,7 +5,12 @@
 import type { Clock } from '../../_lib/Clock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
-import type { EntryPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
+import type {
+  EntryPlace,
+  PeerMessage,
+  SuspectNotice,
+  SuspectTask,
+} from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
 import type { LogFields } from '../logger.js';
 import type { OperatorExchange } from '../OperatorExchange.js';
@@ -25,6 +30,9 @@
 /** What the links tell their entry. */
 export interface EntryPeersEvents {
   readonly noteMembers: (entries: readonly EntryPlace[]) => void;
+  readonly noteSuspects: (tasks: readonly SuspectTask[]) => void;
+  /** A link to another entry is open. */
+  readonly greet: (channel: LineChannel) => void;
   readonly log: (event: string, fields: LogFields) => void;
 }
 
@@ -68,6 +76,11 @@
     }
   }
 
+  /** Tells all of tasks that may crash upstreams. */
+  tell(notice: SuspectNotice): void {
+    for (const channel of this.channels.values()) channel.send(notice);
+  }
+
   /** This process stood still. */
   notePause(): void {
     this.dialer.notePause();
@@ -83,6 +96,7 @@
     this.channels.set(address, channel);
     channel.send({ type: 'entry-hello', entry: id, place });
     this.exchange.tell(channel);
+    this.events.greet(channel);
   }
 
   private receive(address: string, message: PeerMessage): void {
@@ -90,6 +104,7 @@
     if (!channel) return;
     if (this.exchange.receive(message, channel)) return;
     if (message.type === 'members') return this.events.noteMembers(message.entries);
+    if (message.type === 'suspects') return this.events.noteSuspects(message.tasks);
     if (message.type !== 'pong') return;
     this.dialer.noteEcho(address, message.at);
     this.exchange.compareVersions(message, channel, this.clock.now());
--- a/src/process/dispatcher/dispatchJob.ts
+++ b/src/process/dispatcher/dispatchJob.ts
@@ -46,6 +46,8 @@
   /** Life of the agent that has the newest attempt. */
   agent: string;
   sentAt: number;
+  /** Whether the newest attempt was sent as a suspect, so that no other one is at its upstream. */
+  isIsolated: boolean;
   /** Agents that have failed, lost or held up the task. */
   readonly avoid: Set<string>;
 }
@@ -161,7 +163,19 @@
 
 function createTask(job: DispatchJob, need: StepNeed, step: number, index: number): DispatchTask {
   const phase = need.after.length === 0 ? 'waiting' : 'blocked';
-  return { job, step, index, need, phase, attempt: 0, failures: 0, agent: '', sentAt: 0, avoid: new Set() };
+  return {
+    job,
+    step,
+    index,
+    need,
+    phase,
+    attempt: 0,
+    failures: 0,
+    agent: '',
+    sentAt: 0,
+    isIsolated: false,
+    avoid: new Set(),
+  };
 }
 
 /**
--- a/src/process/dispatcher/dispatcherMetrics.ts
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -8,6 +8,7 @@
   readonly readOpenJobs: () => number;
   readonly readWaitingTasks: () => number;
   readonly readAgents: () => number;
+  readonly readSuspects: () => number;
   readonly readConfigurationVersion: () => number;
   readonly readEmptiedDomains: () => number;
   readonly readEmptiedRevision: () => number;
@@ -35,6 +36,11 @@
       read: gauges.readWaitingTasks,
     },
     dispatcher_agents: { kind: 'gauge', help: 'Agents with a link', read: gauges.readAgents },
+    dispatcher_suspects: {
+      kind: 'gauge',
+      help: 'Tasks under which upstreams have crashed of late',
+      read: gauges.readSuspects,
+    },
     dispatcher_configuration_version: {
       kind: 'gauge',
       help: 'Version of the configuration in force',
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -38,6 +38,7 @@
       {
         openExecutor: ({ id }) => otherLives.get(id) ?? upstream,
         sendResult: (_, { end, reason }) => void results.push(`${end} ${reason}`),
+        sendCrashes: (life, { tasks }) => void results.push(`${life} crashes ${tasks.length}`),
         noteJoined: () => undefined,
         noteChange: () => undefined,
         log: () => undefined,
@@ -201,4 +202,42 @@
     core.setEmptied(true);
     expect(results).to.deep.equal(['not-run domain-emptied']);
   });
+
+  it('runs one suspect at a time, and others beside it', async () => {
+    const isSuspect = true;
+    core.handleStart(ENTRY, { ...ORDER, isSuspect });
+    core.handleStart(ENTRY, buildStartOrder(1, { isSuspect }));
+    core.handleStart(ENTRY, buildStartOrder(2));
+    await clock.advance(20);
+    expect(results).to.deep.equal(['not-run other-suspect']);
+    expect(upstream.running.size).to.equal(2);
+    await clock.advance(400);
+    core.handleStart(ENTRY, buildStartOrder(1, { isSuspect, expiresAt: Infinity }));
+    await clock.advance(20);
+    expect(upstream.running.has('job/0/1')).to.equal(true);
+  });
+
+  it('tells another entry of a crash that the one which ordered the task cannot hear of', async () => {
+    const heir = 'entry-2@1';
+    core.handleStart(ENTRY, ORDER);
+    await clock.advance(20);
+    core.noteWelcome(heir, clock.now());
+    core.noteEntryReplaced(ENTRY);
+    upstream.refuses = true;
+    await clock.advance(1_500);
+    core.tick();
+    core.tick();
+    expect(results).to.deep.equal(['lost upstream-crashed', `${heir} crashes 1`]);
+  });
+
+  it('tells nobody else of a crash that the entry has heard of', async () => {
+    core.noteWelcome('entry-2@1', clock.now());
+    core.handleStart(ENTRY, ORDER);
+    await clock.advance(20);
+    upstream.refuses = true;
+    await clock.advance(1_500);
+    core.noteEcho(ENTRY, { type: 'pong', at: clock.now(), version: 1, typicalSpeed: 1, isWaiting: false });
+    core.noteEntryReplaced(ENTRY);
+    expect(results).to.deep.equal(['lost upstream-crashed']);
+  });
 });
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -5,11 +5,13 @@
  * `orphanAfterMs`, before any lease is renewed; so a lost, frozen or cut entry leaves nothing behind.
  */
 import type { Clock } from '../../_lib/Clock.js';
-import { buildTaskKey } from '../../connection/peer/peerMessages.js';
+import { buildTaskKey, OTHER_SUSPECT, UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import type {
   AgentHello,
   AttemptProgress,
   AttemptResult,
+  CrashedTask,
+  CrashNotice,
   Ping,
   Pong,
   RoomReport,
@@ -47,6 +49,8 @@
   readonly openExecutor: (report: UpstreamReport) => TaskExecutor;
   /** Sends a result to the entry's link, if it has one. */
   readonly sendResult: (entryLife: string, result: AttemptResult) => void;
+  /** Sends crashes to the link of an entry that did not order the tasks. */
+  readonly sendCrashes: (entryLife: string, notice: CrashNotice) => void;
   /** A life of an upstream takes work for the first time. */
   readonly noteJoined: (report: UpstreamReport) => void;
   /** Room has changed. */
@@ -64,7 +68,15 @@
   told: ToldRoom;
   /** Whether its link is to be given up, so that it must order nothing new. */
   isRetiring: boolean;
-  readonly results: { readonly at: number; readonly result: AttemptResult }[];
+  results: KeptResult[];
+}
+
+/** A result that was told of late. */
+interface KeptResult {
+  readonly at: number;
+  readonly result: AttemptResult;
+  /** Where it tells of a crash. */
+  readonly crash: CrashedTask | undefined;
 }
 
 /** What a link was last told. */
@@ -157,6 +169,7 @@
   /** An earlier life of an entry is over for sure. */
   noteEntryReplaced(entryLife: string): void {
     this.stopEntry(entryLife, 'entry-replaced');
+    this.deliverCrashes(entryLife);
     this.proofs.delete(entryLife);
   }
 
@@ -301,11 +314,37 @@
       const stopped = this.stopEntry(life, 'entry-silent');
       if (stopped > 0)
         this.effects.log('entry-silent', { entryLife: life, ageMs: Math.round(ageMs), stopped });
+      this.deliverCrashes(life);
       while (proof.results[0] && now - proof.results[0].at > KEEP_RESULTS_MS) proof.results.shift();
       if (ageMs > FORGET_ENTRY_MS) this.proofs.delete(life);
     }
   }
 
+  /**
+   * Crashes that an entry may not have heard of, as it has proved nothing since, are told another one: the callers of the
+   * tasks will submit them again there.
+   */
+  private deliverCrashes(entryLife: string): void {
+    const proof = this.findProof(entryLife, -Infinity);
+    const unheard = proof.results.filter(({ crash, at }) => crash && at > proof.provenAt);
+    if (unheard.length === 0) return;
+    const heir = this.findProvenEntry(entryLife);
+    if (heir === undefined) return;
+    proof.results = proof.results.filter((kept) => !unheard.includes(kept));
+    const tasks = unheard.flatMap(({ crash }) => crash ?? []);
+    this.effects.sendCrashes(heir, { type: 'crashes', tasks });
+    this.effects.log('crashes-handed-over', { entryLife, heir, tasks: tasks.length });
+  }
+
+  /** The entry, other than this one, that has proved last to be alive. */
+  private findProvenEntry(other: string): string | undefined {
+    const oldest = this.clock.now() - this.bounds.orphanAfterMs;
+    let [best, bestAt]: [string | undefined, number] = [undefined, oldest];
+    for (const [life, { provenAt }] of this.proofs)
+      if (life !== other && provenAt > bestAt) [best, bestAt] = [life, provenAt];
+    return best;
+  }
+
   private stopEntry(entryLife: string, reason: string): number {
     let stopped = 0;
     for (const session of this.lives.list()) stopped += session.stopOwner(entryLife, reason);
@@ -320,6 +359,7 @@
     const session = this.findSession();
     if (!session || session.state !== 'ready') return 'no-upstream';
     if (session.service !== order.service) return 'other-service';
+    if (order.isSuspect && session.hasSuspect) return OTHER_SUSPECT;
     return session;
   }
 
@@ -346,17 +386,25 @@
       const waitedMs = Math.round((task.sentAt ?? this.clock.now()) - task.receivedAt);
       this.effects.log('task-ended', { task: key, run, end, reason, percent: task.percent, waitedMs });
     }
-    this.tellResult(task.owner, result);
+    this.tellResult(task.owner, result, this.findCrash(task, reason));
+  }
+
+  private findCrash({ order, sentAt }: LocalTask, reason: string): CrashedTask | undefined {
+    if (reason !== UPSTREAM_CRASHED) return undefined;
+    const { job, step, index } = order.name;
+    const ranMs = Math.round(this.clock.now() - (sentAt ?? this.clock.now()));
+    const isIsolated = order.isSuspect === true;
+    return { job, step, index, estimateMs: order.estimateMs, ranMs, isIsolated };
   }
 
-  private tellResult(entryLife: string, result: AttemptResult): void {
+  private tellResult(entryLife: string, result: AttemptResult, crash?: CrashedTask): void {
     const now = this.clock.now();
     const proof = this.findProof(entryLife, -Infinity);
     const { results } = proof;
     // The entry takes the room of an attempt that has ended for free, until it is told the room again.
     proof.told = { ...proof.told, room: '' };
     while (results[0] && now - results[0].at > KEEP_RESULTS_MS) results.shift();
-    results.push({ at: now, result });
+    results.push({ at: now, result, crash });
     this.effects.sendResult(entryLife, result);
   }
 }
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -5,7 +5,12 @@
 import type { Clock } from '../../_lib/Clock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
-import type { AttemptResult, EntryWelcome, PeerMessage } from '../../connection/peer/peerMessages.js';
+import type {
+  AttemptResult,
+  CrashNotice,
+  EntryWelcome,
+  PeerMessage,
+} from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
 import type { LogFields } from '../logger.js';
 import { OperatorExchange } from '../OperatorExchange.js';
@@ -151,6 +156,11 @@
     }
   }
 
+  /** Sends crashes to an entry's link, if it has one. */
+  sendCrashes(life: string, notice: CrashNotice): void {
+    for (const link of this.links.values()) if (link.life === life) link.channel.send(notice);
+  }
+
   /**
    * Room has changed: tells it in its pace on the links of entries at which tasks wait. The others hear of it with the
    * next ping; they have room enough for what comes to them until then, or begin to wait and say so.
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -69,6 +69,7 @@
           this.metrics.increment('executor_task_ends', { end: result.end });
           this.links.sendResult(life, result);
         },
+        sendCrashes: (life, notice) => this.links.sendCrashes(life, notice),
         noteJoined: (report) => this.rememberUpstream(report),
         noteChange: () => this.links.scheduleRoom(),
         log: (event, fields) => this.logDecision(event, fields),
--- a/src/process/executor/RunOrders.ts
+++ b/src/process/executor/RunOrders.ts
@@ -5,6 +5,7 @@
  * nothing at the same life.
  */
 import type { Clock } from '../../_lib/Clock.js';
+import { ConnectionRefusedError } from '../../_lib/errors.js';
 import type { RunName, StartVerdict } from '../../ports/TaskExecutor.js';
 import { buildRunName } from './localTask.js';
 import type { LocalTask } from './localTask.js';
@@ -55,6 +56,7 @@
   async start(task: LocalTask): Promise<void> {
     for (let sends = 0; task.phase === 'starting' && !this.host.isOver(); sends += 1) {
       if (sends >= MAX_START_SENDS) return this.host.withdraw(task, 'start-unanswered');
+      task.openSends += 1;
       try {
         const verdict = await this.calls.start(buildRunName(task), task.order.spec);
         if (task.phase !== 'starting' || this.host.isOver()) return;
@@ -62,6 +64,7 @@
         if (task.phase !== 'starting' || this.host.isOver()) return;
         if (this.settleStart(task, verdict)) return;
       } catch (error) {
+        if (error instanceof ConnectionRefusedError) task.openSends -= 1;
         this.host.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
       }
       await this.clock.sleep(REPEAT_PAUSE_MS);
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -300,4 +300,60 @@
     await bench.clock.advance(500);
     expect(bench.session.readSpeed()).to.be.lessThan(0.1);
   });
+
+  describe('tells of what ran when the upstream was lost', () => {
+    beforeEach(async () => {
+      await bench.start();
+      bench.upstream.hangs = true;
+    });
+
+    it('that it crashed, if nobody listens when every lease is over', async () => {
+      bench.session.offer(buildStartOrder(0), 'entry');
+      await bench.clock.advance(50);
+      bench.upstream.refuses = true;
+      await bench.clock.advance(1_400);
+      expect(bench.results).to.deep.equal(['0 lost upstream-crashed']);
+    });
+
+    it('that it crashed, if the task was to be stopped meanwhile', async () => {
+      bench.session.offer(buildStartOrder(0), 'entry');
+      await bench.clock.advance(50);
+      bench.upstream.refuses = true;
+      bench.session.stop('job/0/0', 1, 'entry', 'moved');
+      await bench.clock.advance(1_400);
+      expect(bench.results).to.deep.equal(['0 lost upstream-crashed']);
+    });
+
+    it('that it crashed, if another life answers', async () => {
+      bench.session.offer(buildStartOrder(0), 'entry');
+      await bench.clock.advance(50);
+      bench.upstream.isReplaced = true;
+      await bench.clock.advance(300);
+      expect(bench.results).to.deep.equal(['0 lost upstream-crashed']);
+    });
+
+    it('that it was out of reach, if it only answers nothing', async () => {
+      bench.session.offer(buildStartOrder(0), 'entry');
+      await bench.clock.advance(50);
+      bench.upstream.silent = true;
+      await bench.clock.advance(1_400);
+      expect(bench.results).to.deep.equal(['0 lost unreachable']);
+    });
+
+    it('that it left, if it had said that it ends', async () => {
+      bench.session.offer(buildStartOrder(0), 'entry');
+      await bench.clock.advance(50);
+      bench.session.leave();
+      bench.upstream.isReplaced = true;
+      await bench.clock.advance(300);
+      expect(bench.results).to.deep.equal(['0 lost other-life']);
+    });
+
+    it('nothing against a task whose starts were all refused', async () => {
+      bench.upstream.refuses = true;
+      bench.session.offer(buildStartOrder(0), 'entry');
+      await bench.clock.advance(1_400);
+      expect(bench.results).to.deep.equal(['0 lost start-unanswered']);
+    });
+  });
 });
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -8,7 +8,7 @@
 import { assertInvariant } from '../../_lib/assertInvariant.js';
 import type { Clock } from '../../_lib/Clock.js';
 import { stepMachine } from '../../_lib/compileMachine.js';
-import { buildTaskKey } from '../../connection/peer/peerMessages.js';
+import { buildTaskKey, UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import type {
   AttemptEnd,
   StartOrder,
@@ -26,6 +26,7 @@
 import type { Resources } from '../../request/dispatch/submission.js';
 import { buildLifeName } from './buildLifeName.js';
 import { convertRunEnd } from './convertRunEnd.js';
+import { findLossReason, isCrash } from './crashes.js';
 import type { FencingTokens } from './FencingTokens.js';
 import { createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
@@ -293,6 +294,13 @@
     return this.waiting.length + this.tasks.size;
   }
 
+  /** Whether a task is here under which upstreams have crashed. */
+  get hasSuspect(): boolean {
+    if (this.waiting.some(({ order }) => order.isSuspect)) return true;
+    for (const { order } of this.tasks.values()) if (order.isSuspect) return true;
+    return false;
+  }
+
   /** Whether nothing more is sent to this life. */
   private get isOver(): boolean {
     return this.closed || this.isSuperseded;
@@ -355,7 +363,7 @@
     this.closed = true;
     this.events.log('upstream-gone', { upstream: this.name, reason, tasks: this.load });
     this.dropWaiting(reason);
-    for (const task of [...this.tasks.values()]) this.finish(task, 'lost', reason);
+    this.loseAll(reason, undefined);
     this.calls.close();
     this.events.change();
   }
@@ -435,12 +443,22 @@
     this.reachable = false;
     this.events.log('upstream-unreachable', { upstream: this.name, error: String(error), tasks: this.load });
     this.dropWaiting('unreachable');
-    for (const task of [...this.tasks.values()]) this.finish(task, 'lost', 'unreachable');
+    this.loseAll('unreachable', error);
     // A start without an answer may be carried out seconds later, after its task has been started elsewhere.
     this.calls.fenceOff();
     this.events.change();
   }
 
+  /** All that ran here is gone. */
+  private loseAll(reason: string, error: unknown): void {
+    const isPlanned = this.leaving || this.report.isDraining;
+    const crashed = !isPlanned && isCrash(reason, error);
+    if (crashed && this.tasks.size > 0)
+      this.events.log('upstream-crashed', { upstream: this.name, reason, tasks: this.tasks.size });
+    for (const task of [...this.tasks.values()])
+      this.finish(task, 'lost', crashed ? findLossReason(task, reason) : reason);
+  }
+
   private canBegin(task: LocalTask): boolean {
     if (this.state !== 'ready' || this.tasks.has(task.key)) return false;
     const trust = this.readTrust();
@@ -498,7 +516,8 @@
     this.used = subtractResources(this.used, task.order.resources);
     if (end === 'done') this.trustMeter.noteSuccess();
     if (end === 'failed') this.noteFailure(task, now);
-    this.events.finish(task, end, task.stopReason === '' ? reason : task.stopReason);
+    const isStopReason = task.stopReason !== '' && reason !== UPSTREAM_CRASHED;
+    this.events.finish(task, end, isStopReason ? task.stopReason : reason);
     this.events.change();
     if (this.isOver) return;
     if (this.leaving && this.load === 0) this.close('left');
--- a/src/process/executor/localTask.ts
+++ b/src/process/executor/localTask.ts
@@ -42,6 +42,8 @@
   run: number;
   /** When the first start was sent; undefined before. */
   sentAt: number | undefined;
+  /** Starts that were sent and not refused by the upstream's host: any of them may have been carried out. */
+  openSends: number;
   /** When the upstream confirmed the start, or was first seen running it. */
   confirmedAt: number | undefined;
   percent: number;
@@ -73,6 +75,7 @@
     phase: 'waiting',
     run: 0,
     sentAt: undefined,
+    openSends: 0,
     confirmedAt: undefined,
     percent: 0,
     percentAt: now,
--- a/src/request/dispatch/submission.ts
+++ b/src/request/dispatch/submission.ts
@@ -39,7 +39,7 @@
 /** The one answer of a job. */
 export type JobOutcome =
   | { readonly kind: 'completed' }
-  /** A task has failed as often as its queue allows. */
+  /** A task has failed as often as its queue allows, or upstreams crash under it. */
   | { readonly kind: 'failed'; readonly reason: string }
   /** The job is given up and parts of it may have run; submitted again it may run anew. */
   | { readonly kind: 'interrupted'; readonly reason: string }
--- a/test/decoders.test.ts
+++ b/test/decoders.test.ts
@@ -154,7 +154,7 @@
     expect(parsePeerMessage('{"type":"later"}')).to.deep.equal({ message: undefined, problem: '' });
     expect(parsePeerMessage(JSON.stringify({ ...START, extra: 1 })).problem).to.equal('');
     expect(parsePeerMessage(JSON.stringify({ ...START, rank: 'x' })).problem).to.include('/rank');
-    expect(Object.keys(PEER_SCHEMAS)).to.have.length(16);
+    expect(Object.keys(PEER_SCHEMAS)).to.have.length(18);
   });
 
   it('names every finding in settings', () => {
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -500,6 +500,7 @@
               this.toEntry(link, result);
           }
         },
+        sendCrashes: () => undefined,
         noteJoined: () => undefined,
         noteChange: () => undefined,
         log: () => undefined,
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -2,6 +2,7 @@
  * An upstream in memory that keeps to the platform's rules for runs, leases and fencing tokens, with switches for
  * what goes wrong: answers that are lost, orders that are carried out late, tasks that stand still or fail.
  */
+import { ConnectionRefusedError } from '../../src/_lib/errors.js';
 import { TaskExecutor } from '../../src/ports/TaskExecutor.js';
 import type {
   EndedRun,
@@ -48,6 +49,8 @@
   isReplaced = false;
   /** Whether the upstream answers at all. */
   silent = false;
+  /** Whether nobody listens at its address. */
+  refuses = false;
   /** How the next orders fare; `answered` when empty. */
   readonly fates: OrderFate[] = [];
   /** The next so many renewals are lost. */
@@ -132,6 +135,7 @@
 
   override async renew(renewal: LeaseRenewal, timeoutMs: number): Promise<LeaseAnswer> {
     this.renewals += 1;
+    this.checkListens();
     if (this.silent) await this.giveUp(timeoutMs);
     if (this.lostRenewals > 0) {
       this.lostRenewals -= 1;
@@ -146,6 +150,7 @@
     const until = this.clock.now() + renewal.waitMs;
     while (this.ended.length === 0 && this.clock.now() < until) {
       await this.clock.sleep(LOOK_MS);
+      this.checkListens();
       if (this.silent) await this.giveUp(timeoutMs);
       this.work();
     }
@@ -195,10 +200,15 @@
   }
 
   private async travel(timeoutMs: number): Promise<OrderFate> {
+    this.checkListens();
     if (this.silent) await this.giveUp(timeoutMs);
     return this.fates.shift() ?? 'answered';
   }
 
+  private checkListens(): void {
+    if (this.refuses) throw new ConnectionRefusedError('nobody listens');
+  }
+
   private async giveUp(timeoutMs: number): Promise<never> {
     await this.clock.sleep(timeoutMs);
     throw new Error('no answer');
--- /dev/null
+++ b/test/poisonTasks.test.ts
@@ -0,0 +1,102 @@
+import { expect } from 'chai';
+
+import { createRandom } from '../src/_lib/createRandom.js';
+import { CrashModel } from './fakes/CrashModel.js';
+import type { CrashPlay, ModelJob } from './fakes/CrashModel.js';
+
+const LIMIT = 2;
+const PLAY: CrashPlay = { seed: 1, crashLimit: LIMIT, upstreams: 18, domains: 3, entries: 3 };
+const SEEDS = [1, 2, 3, 4, 5];
+/** Jobs beside those that crash upstreams; each has two tasks. */
+const OTHERS = 100;
+/** A new job is submitted so often, ms; time in which all end, with what callers submit again. */
+const PACE_MS = 10;
+const REST_MS = 16_000;
+const TASK_MS = 200;
+
+/** Submits ordinary jobs in the pace, and jobs with a poison task among them. */
+function playJobs(model: CrashModel, poisons: number, act?: (now: number) => void): ModelJob[] {
+  const every = Math.floor(OTHERS / Math.max(1, poisons));
+  const poisoned: ModelJob[] = [];
+  let submitted = 0;
+  model.advance(OTHERS * PACE_MS, (now) => {
+    act?.(now);
+    if (now % PACE_MS !== 0) return;
+    model.submit(2, TASK_MS);
+    if (poisoned.length < poisons && submitted % every === 0) poisoned.push(model.submit(2, TASK_MS, 0));
+    submitted += 1;
+  });
+  model.advance(REST_MS, act);
+  return poisoned;
+}
+
+function countOutcomes(jobs: readonly ModelJob[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { outcome = 'none' } of jobs) counts[outcome] = (counts[outcome] ?? 0) + 1;
+  return counts;
+}
+
+function listInnocent({ jobs }: CrashModel): ModelJob[] {
+  return jobs.filter(({ poison }) => poison < 0);
+}
+
+describe('tasks that crash upstreams', function () {
+  this.timeout(120_000);
+
+  for (const seed of SEEDS) {
+    it(`take down a crowded one and ${LIMIT} more, and the others end, seed ${seed}`, () => {
+      const model = new CrashModel({ ...PLAY, seed });
+      const [job] = playJobs(model, 1);
+      expect(job?.outcome).to.equal('failed');
+      expect(job?.crashes).to.be.at.most(LIMIT + 1);
+      expect(countOutcomes(listInnocent(model))).to.deep.equal({ completed: OTHERS });
+    });
+
+    it(`are started three times at most after three crashes, though entries and agents die, seed ${seed}`, () => {
+      const model = new CrashModel({ ...PLAY, seed });
+      const nextRandom = createRandom(seed);
+      const poisoned = playJobs(model, 3, (now) => {
+        if (now % 900 === 0 && now < 6_000) model.killEntry(Math.floor(nextRandom() * PLAY.entries));
+        if (now % 700 === 0 && now < 6_000) model.killAgent(Math.floor(nextRandom() * PLAY.upstreams));
+      });
+      for (const { lateStarts } of poisoned) expect(lateStarts).to.be.at.most(3);
+      expect(countOutcomes(listInnocent(model))['failed'] ?? 0).to.equal(0);
+    });
+
+    it(`are told from those at upstreams that flap, seed ${seed}`, () => {
+      const model = new CrashModel({ ...PLAY, seed });
+      playJobs(model, 0, (now) => {
+        if (now < 8_000 && now % 1_000 === 0)
+          for (const number of [0, 4, 8, 12]) model.crash((number + now / 1_000) % 18);
+      });
+      expect(countOutcomes(model.jobs)).to.deep.equal({ completed: OTHERS });
+    });
+
+    for (const domain of ['d1', undefined]) {
+      it(`are not looked for when ${domain ?? 'everything'} loses its upstreams at once, seed ${seed}`, () => {
+        const model = new CrashModel({ ...PLAY, seed });
+        playJobs(model, 0, (now) => {
+          if (now === 500 || now === 4_500) model.crashDomain(domain);
+        });
+        expect(countOutcomes(model.jobs)).to.deep.equal({ completed: OTHERS });
+        expect(model.events.filter((line) => line.startsWith('job-crashes'))).to.deep.equal([]);
+      });
+    }
+  }
+
+  it('take one upstream after another down while crashes are not counted', () => {
+    const model = new CrashModel({ ...PLAY, crashLimit: 0 });
+    const [job] = playJobs(model, 1);
+    expect(job?.outcome).to.equal(undefined);
+    expect(job?.crashes).to.be.greaterThan(6);
+  });
+
+  it('are known at the next entry that their callers come to', () => {
+    const model = new CrashModel({ ...PLAY, crashLimit: 1 });
+    const job = model.submit(1, TASK_MS, 0);
+    model.advance(1_000);
+    model.killEntry(job.entry);
+    model.advance(8_000);
+    expect([job.outcome, job.crashes, job.submissions]).to.deep.equal(['failed', 2, 2]);
+  });
+});
