An executor may measure its upstream's speed by the median of its tasks (speedMeasure)

Cause: the speed was a ratio of sums, so one task of seven times its estimate made a sound upstream look slow.

Change: SpeedMeter is abstract with MeanSpeedMeter (as before, the default) and MedianSpeedMeter. Off in the platform's settings until jobs show it better.

--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -61,7 +61,12 @@
     this.logger = createLogger(peer, settings.logLevel, createLogSink());
     this.core = new AgentCore(
       { agent: settings.id, life: peer, failureDomain: settings.failureDomain, startedAt },
-      { ...times, maxLeaseMs: settings.maxLeaseMs, stopMs: settings.stopMs },
+      {
+        ...times,
+        maxLeaseMs: settings.maxLeaseMs,
+        stopMs: settings.stopMs,
+        speedMeasure: settings.speedMeasure,
+      },
       this.clock,
       {
         openExecutor: (report) => this.ports.registry.openExecutor(report),
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -27,12 +27,14 @@
 import { buildLifeName } from './buildLifeName.js';
 import { convertRunEnd } from './convertRunEnd.js';
 import { findLossReason, isCrash } from './crashes.js';
+import type { SpeedMeasureKind } from '../settings/dispatchSettings.js';
 import type { FencingTokens } from './FencingTokens.js';
 import { createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
 import { RunHistory } from './RunHistory.js';
 import { RunOrders } from './RunOrders.js';
-import { SpeedMeter } from './SpeedMeter.js';
+import { createSpeedMeter } from './SpeedMeter.js';
+import type { SpeedMeter } from './SpeedMeter.js';
 import { TrustMeter } from './TrustMeter.js';
 import { UpstreamCalls } from './UpstreamCalls.js';
 import type { LeaseBounds } from './UpstreamCalls.js';
@@ -52,6 +54,8 @@
 export interface SessionBounds extends LeaseBounds {
   /** Time a stop may take at the upstream. */
   readonly stopMs: number;
+  /** How the speed of an upstream is measured; `mean` if undefined. */
+  readonly speedMeasure?: SpeedMeasureKind;
 }
 
 /** What a session tells the agent. */
@@ -128,7 +132,7 @@
       noteOtherLife: () => this.close('other-life'),
       log: this.events.log,
     });
-    this.speedMeter = new SpeedMeter(now);
+    this.speedMeter = createSpeedMeter(bounds.speedMeasure ?? 'mean', now);
     this.told = describeReport(report);
   }
 
@@ -494,7 +498,9 @@
 
   private noteProgress(task: LocalTask, percent: number, now: number): void {
     const share = Math.max(0, percent - task.percent) / 100;
-    this.speedMeter.note(share, task.order.estimateMs, now - task.sampledAt, now);
+    const { key, order } = task;
+    const elapsedMs = now - task.sampledAt;
+    this.speedMeter.note({ key, share, estimateMs: order.estimateMs, elapsedMs }, now);
     task.sampledAt = now;
     if (share === 0) return;
     task.percent = percent;
@@ -513,6 +519,7 @@
     const now = this.clock.now();
     this.step(task, 'end');
     this.tasks.delete(task.key);
+    this.speedMeter.noteEnd(task.key, end === 'done', now);
     this.used = subtractResources(this.used, task.order.resources);
     if (end === 'done') this.trustMeter.noteSuccess();
     if (end === 'failed') this.noteFailure(task, now);
