--- a/src/_lib/errors.ts
+++ b/src/_lib/errors.ts
@@ -16,5 +16,8 @@
 /** No answer came in time: the connection may carry nothing any more, and others of its age neither. */
 export const NoAnswerError = PlatformError.subclass('NoAnswerError');
 
+/** Nobody listens where a connection was to go: nothing was sent. */
+export const ConnectionRefusedError = PlatformError.subclass('ConnectionRefusedError');
+
 /** Settings are missing or wrong; the message lists every finding. */
 export const SettingsError = MarblehallError.subclass('SettingsError');
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -61,7 +61,12 @@
     this.logger = createLogger(peer, settings.logLevel, createLogSink());
     this.core = new AgentCore(
       { agent: settings.id, life: peer, failureDomain: settings.failureDomain, startedAt },
-      { ...times, maxLeaseMs: settings.maxLeaseMs, stopMs: settings.stopMs },
+      {
+        ...times,
+        maxLeaseMs: settings.maxLeaseMs,
+        stopMs: settings.stopMs,
+        speedMeasure: settings.speedMeasure,
+      },
       this.clock,
       {
         openExecutor: (report) => this.ports.registry.openExecutor(report),
@@ -69,6 +74,7 @@
           this.metrics.increment('executor_task_ends', { end: result.end });
           this.links.sendResult(life, result);
         },
+        sendCrashes: (life, notice) => this.links.sendCrashes(life, notice),
         noteJoined: (report) => this.rememberUpstream(report),
         noteChange: () => this.links.scheduleRoom(),
         log: (event, fields) => this.logDecision(event, fields),
