Red tests: a VM that is suspended wakes with proofs, starts, leases and jobs that seem fresh

Cause: both daemons decide by performance.now(), which does not count the time in which a VM is suspended. Other processes count it, so a task that they hold for lost and start elsewhere is started or runs on here. The stand-in of a process can be suspended.

--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -2,6 +2,7 @@
  * An upstream in memory that keeps to the platform's rules for runs, leases and fencing tokens, with switches for
  * what goes wrong: answers that are lost, orders that are carried out late, tasks that stand still or fail.
  */
+import type { Clock } from '../../src/_lib/Clock.js';
 import { TaskExecutor } from '../../src/ports/TaskExecutor.js';
 import type {
   EndedRun,
@@ -14,7 +15,6 @@
   StartVerdict,
   StopVerdict,
 } from '../../src/ports/TaskExecutor.js';
-import type { FakeClock } from './FakeClock.js';
 
 /** Step in which a waiting renewal looks for an end, ms. */
 const LOOK_MS = 5;
@@ -68,7 +68,8 @@
   private sequence = 0;
 
   constructor(
-    private readonly clock: FakeClock,
+    /** Steady clock of its VM. */
+    private readonly clock: Pick<Clock, 'now' | 'sleep'>,
     /** Our clock is this far from the agent's, ms. */
     private readonly offsetMs = 500_000,
   ) {
--- a/test/fakes/ProcessGate.ts
+++ b/test/fakes/ProcessGate.ts
@@ -1,4 +1,7 @@
-/** A process of the randomised runs that can stand still: its timers, orders and answers wait meanwhile. */
+/**
+ * A process of the randomised runs that can stand still, or whose VM can be suspended: its timers, orders and answers
+ * wait meanwhile.
+ */
 import { Clock } from '../../src/_lib/Clock.js';
 import { TaskExecutor } from '../../src/ports/TaskExecutor.js';
 import type {
@@ -19,6 +22,8 @@
 export class ProcessGate extends Clock {
   frozenUntil = 0;
   dead = false;
+  /** Time in which the VM was suspended, which its steady clock does not count, ms. */
+  private suspendedMs = 0;
 
   constructor(private readonly base: FakeClock) {
     super();
@@ -29,12 +34,28 @@
   }
 
   override now(): number {
-    return this.base.now();
+    return this.readSteady();
+  }
+
+  /** Time without that in which the VM was suspended. */
+  readSteady(): number {
+    return this.base.now() - this.suspendedMs;
   }
 
   override async sleep(ms: number): Promise<void> {
+    const until = this.readSteady() + ms;
     await this.base.sleep(ms);
     await this.pass();
+    while (this.readSteady() < until) {
+      await this.base.sleep(until - this.readSteady());
+      await this.pass();
+    }
+  }
+
+  /** The VM is suspended from now on for so long. */
+  suspend(ms: number): void {
+    this.frozenUntil = this.base.now() + ms;
+    this.suspendedMs += ms;
   }
 
   /** Waits until the process runs; never returns in a dead one. */
--- /dev/null
+++ b/test/suspendedVms.test.ts
@@ -0,0 +1,199 @@
+/**
+ * VMs that are suspended for seconds: the steady clock does not count that time, but everyone else goes on meanwhile.
+ * Other processes take a suspended one for dead, so on waking it must hold to nothing that it knew before.
+ */
+import { expect } from 'chai';
+
+import { AgentCore } from '../src/process/executor/AgentCore.js';
+import { Dispatcher } from '../src/process/dispatcher/Dispatcher.js';
+import { PauseGuard } from '../src/process/PauseGuard.js';
+import { FencingTokens } from '../src/process/executor/FencingTokens.js';
+import { createPolicies, ROUTE, STEP } from './fakes/dispatchFixtures.js';
+import { FakeCaller } from './fakes/FakeCaller.js';
+import { FakeClock } from './fakes/FakeClock.js';
+import { FakeUpstream } from './fakes/FakeUpstream.js';
+import { GatedExecutor, ProcessGate } from './fakes/ProcessGate.js';
+import { buildStartOrder, buildUpstreamReport } from './fakes/upstreamFixtures.js';
+
+const ENTRY = 'entry@1';
+const OTHER_ENTRY = 'other@1';
+const SUSPENDED_MS = 3_000;
+const ORPHAN_AFTER_MS = 520;
+const LEASE_MS = 585;
+const START_EXPIRY_MS = 416;
+const PING_MS = 173;
+const LONG_TASK_MS = 60_000;
+
+describe('a VM that is suspended', () => {
+  let world: FakeClock;
+  let vm: ProcessGate;
+  let upstream: FakeUpstream;
+  let core: AgentCore;
+  let results: string[];
+
+  /** Creates an executor that an entry has proved itself to, with its upstream on the same VM or on another. */
+  async function createCore(isUpstreamThere: boolean): Promise<void> {
+    upstream = new FakeUpstream(
+      isUpstreamThere ? { now: () => vm.readSteady(), sleep: (ms) => vm.sleep(ms) } : world,
+    );
+    upstream.taskMs = LONG_TASK_MS;
+    core = new AgentCore(
+      { agent: 'agent', life: '1', failureDomain: 'x', startedAt: 1_000_000 },
+      { leaseMs: LEASE_MS, maxLeaseMs: 1_000, stopMs: 50, orphanAfterMs: ORPHAN_AFTER_MS },
+      vm,
+      {
+        openExecutor: () => new GatedExecutor(upstream, vm),
+        sendResult: (_, { name, end, reason }) => void results.push(`${name.index} ${end} ${reason}`),
+        noteJoined: () => undefined,
+        noteChange: () => undefined,
+        log: () => undefined,
+      },
+    );
+    core.noteReport(buildUpstreamReport({ clockMs: upstream.clockMs }));
+    await world.advance(50);
+    core.noteWelcome(ENTRY, vm.now());
+  }
+
+  /** Suspends the VM, and goes on until it has just woken. */
+  async function suspend(): Promise<void> {
+    vm.suspend(SUSPENDED_MS);
+    await world.advance(SUSPENDED_MS - 1);
+  }
+
+  function echo(entry: string): void {
+    core.noteEcho(entry, { type: 'pong', at: vm.now(), version: 1, typicalSpeed: 1, isWaiting: false });
+  }
+
+  beforeEach(() => {
+    world = new FakeClock();
+    vm = new ProcessGate(world);
+    results = [];
+  });
+
+  afterEach(() => core.close());
+
+  // The start was sent before; its dispatcher has counted it as over meanwhile and started the task elsewhere.
+  it('does not start what has waited in its socket', async () => {
+    await createCore(false);
+    const order = buildStartOrder(0, { expiresAt: vm.now() + START_EXPIRY_MS });
+    await suspend();
+    await world.advance(1);
+    core.handleStart(ENTRY, order);
+    await world.advance(20);
+    expect([results, upstream.starts]).to.deep.equal([['0 not-run expired'], 0]);
+  });
+
+  // The echo is from before, and its dispatcher may have ended its jobs since: no order of it can be new.
+  it('takes no order from a dispatcher that has not echoed since', async () => {
+    await createCore(false);
+    await suspend();
+    await world.advance(1);
+    core.handleStart(ENTRY, buildStartOrder(0));
+    await world.advance(20);
+    expect([results, upstream.starts]).to.deep.equal([['0 not-run entry-unproven'], 0]);
+  });
+
+  // The upstream was suspended too, so its leases have not run out. The task runs elsewhere by now.
+  it('renews no lease on waking, and stops what it ran', async () => {
+    await createCore(true);
+    core.handleStart(ENTRY, buildStartOrder(0));
+    await world.advance(100);
+    const { leaseUntil } = upstream;
+    await suspend();
+    await world.advance(100);
+    expect(upstream.leaseUntil).to.equal(leaseUntil);
+    expect(results).to.deep.equal(['0 stopped entry-silent']);
+  });
+
+  // A repeated start gives a near lease again, so its task would begin seconds after it was counted as over.
+  it('does not repeat an unanswered start on waking', async () => {
+    await createCore(false);
+    upstream.fates.push('lost', 'lost');
+    core.handleStart(ENTRY, buildStartOrder(0));
+    await world.advance(10);
+    await suspend();
+    await world.advance(300);
+    expect(upstream.starts).to.equal(0);
+  });
+
+  // The first ping after waking may be echoed before the next look at proofs: the echo is good for new orders only.
+  it('stops what ran before also for a dispatcher that echoes at once', async () => {
+    await createCore(true);
+    core.handleStart(ENTRY, buildStartOrder(0));
+    await world.advance(100);
+    await suspend();
+    vm.frozenUntil = world.now();
+    echo(ENTRY);
+    await world.advance(100);
+    expect(results).to.deep.equal(['0 stopped entry-silent']);
+  });
+
+  // A start gives a lease to all that runs there, so an order of one dispatcher would prolong what another had ordered.
+  it('stops what ran for a silent dispatcher before it starts a task of another', async () => {
+    await createCore(true);
+    core.handleStart(OTHER_ENTRY, buildStartOrder(0));
+    core.noteWelcome(OTHER_ENTRY, vm.now());
+    core.handleStart(OTHER_ENTRY, buildStartOrder(1));
+    await world.advance(100);
+    await suspend();
+    vm.frozenUntil = world.now();
+    echo(ENTRY);
+    core.handleStart(ENTRY, buildStartOrder(2));
+    await world.advance(100);
+    expect(results.slice(1)).to.deep.equal(['1 stopped entry-silent']);
+    expect([...upstream.running.keys()]).to.deep.equal(['job/0/2']);
+  });
+
+  it('takes fencing tokens that rise over it', async () => {
+    await createCore(false);
+    const tokens = new FencingTokens(1_000_000, vm);
+    const before = tokens.take();
+    await suspend();
+    await world.advance(1);
+    expect(tokens.take()).to.be.greaterThan(before);
+  });
+
+  // Agents have stopped its tasks meanwhile, and callers may have gone to other dispatchers.
+  it('ends the open jobs of its dispatcher', async () => {
+    await createCore(false);
+    const caller = new FakeCaller();
+    const dispatcher = new Dispatcher(
+      { pingMs: PING_MS, ...createPolicies(), nextRandom: () => 0.5 },
+      { send: () => undefined, log: () => undefined, noteOutcome: () => undefined },
+    );
+    const guard = new PauseGuard(vm.now(), (gapMs) => {
+      if (gapMs > ORPHAN_AFTER_MS) dispatcher.endAll('paused', vm.now());
+    });
+    const capacity = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+    const hello = {
+      agent: 'agent',
+      life: '1',
+      failureDomain: 'x',
+      holding: [],
+      results: [],
+      entryLife: 'me',
+    };
+    const agent = dispatcher.handleHello({ type: 'agent-hello', ...hello, orphanMs: 1_250 }, 'me', vm.now());
+    const description = { upstream: 'u1', service: ROUTE.service, labels: [], capacity };
+    const room = {
+      description,
+      state: 'ready',
+      trust: 'healthy',
+      free: capacity,
+      startsSeen: 0,
+      speed: 1,
+    } as const;
+    dispatcher.handlePing(agent, { type: 'ping', version: 1, at: 1, room, progress: [] }, vm.now());
+    const step = { ...STEP, count: 1 };
+    dispatcher.submit(
+      { id: 'job', route: ROUTE, spec: '', steps: [step], patienceMs: 60_000 },
+      caller,
+      vm.now(),
+    );
+    dispatcher.place(vm.now());
+    await suspend();
+    await world.advance(1);
+    guard.look(vm.now());
+    expect(caller.answers).to.deep.equal([{ kind: 'interrupted', reason: 'paused' }]);
+  });
+});
