Both daemons decide by a clock that counts the time in which their VM was suspended

Cause: performance.now() does not count it, so proofs, starts, leases and deadlines seemed fresh on waking. Change: BootClock adds suspended time to the steady clock. Each reading compares the time of day with the steady clock; the boot clock (os.uptime(): /proc/uptime, steps of 10 ms) is looked at when they drift 25 ms apart and four times a second. It is relied on after 40 looks at which it went as the steady clock; before, and where it does not, a step forward of the time of day counts as a suspension. Proofs expire before a newer echo or an order is taken and before a start is repeated. Leases at the upstream stay on the steady clock, as the upstream may have stood still as well (UpstreamLease). A dispatcher looks at the time before it places and cancels. Logs keep to the time of day after a suspension. Ruled out: leases at the upstream on the new clock (fails 'upstream there'); the boot clock alone (its pace is not that of the steady clock in every environment).

--- a/src/_lib/readClock.ts
+++ b/src/_lib/readClock.ts
@@ -30,3 +30,14 @@
   anchorMs += step;
   return ahead - step;
 }
+
+/**
+ * Moves the anchor by the time in which the VM was suspended, which the monotonic clock does not count.
+ *
+ * @param ms - that time
+ * @example
+ * noteSuspension(3_000);
+ */
+export function noteSuspension(ms: number): void {
+  anchorMs += ms;
+}
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -1,8 +1,9 @@
 /** The dispatcher as a process: callers, links to agents and other entries, configuration, life cycle. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { SteadyClock } from '../../_lib/Clock.js';
+import { BootClock } from '../../_lib/BootClock.js';
 import { createRandom } from '../../_lib/createRandom.js';
+import { noteSuspension } from '../../_lib/readClock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
 import type { EntryPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
@@ -66,7 +67,10 @@
 
 /** An entry process. */
 export class DispatcherDaemon implements JobDesk {
-  private readonly clock = new SteadyClock();
+  private readonly clock = new BootClock((event, fields) => {
+    if (event === 'suspended') noteSuspension(Number(fields['ms']));
+    queueMicrotask(() => this.logDecision(event, fields));
+  });
   private readonly life: string;
   private readonly place: EntryPlace;
   private readonly logger: ProcessLogger;
@@ -257,7 +261,9 @@
   }
 
   cancel(jobId: string): boolean {
-    return this.dispatcher.cancel(jobId, this.clock.now());
+    const now = this.clock.now();
+    this.pauseGuard.look(now);
+    return this.dispatcher.cancel(jobId, now);
   }
 
   countPending(routeName: string): number {
@@ -278,8 +284,9 @@
     this.placing = true;
     setImmediate(() => {
       this.placing = false;
-      if (this.pauseGuard.isCatchingUp) return this.schedulePlacing();
       const now = this.clock.now();
+      this.pauseGuard.look(now);
+      if (this.pauseGuard.isCatchingUp) return this.schedulePlacing();
       this.dispatcher.place(now);
       this.tellDemand(now);
     });
--- a/src/process/dispatcher/EntryPeers.test.ts
+++ b/src/process/dispatcher/EntryPeers.test.ts
@@ -46,7 +46,11 @@
     listener = new PeerListener({ receive, close: () => undefined });
     const linkPort = await listener.start(HOST, 0);
     const steady = new SteadyClock();
-    const clock: Clock = { now: () => steady.now() + skippedMs, sleep: (ms) => steady.sleep(ms) };
+    const clock: Clock = {
+      now: () => steady.now() + skippedMs,
+      readSteady: () => steady.now(),
+      sleep: (ms) => steady.sleep(ms),
+    };
     const place = { address: `${HOST}:1`, failureDomain: 'x' };
     const events = {
       noteMembers: () => undefined,
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -130,8 +130,7 @@
 
   /** A link to an entry is open and the entry has said which life it is. */
   noteWelcome(entryLife: string, provenAt: number): void {
-    const proof = this.findProof(entryLife, provenAt);
-    proof.provenAt = Math.max(proof.provenAt, provenAt);
+    const proof = this.prove(entryLife, provenAt);
     proof.startsSeen = 0;
     proof.told = NOTHING_TOLD;
     proof.isRetiring = false;
@@ -162,8 +161,7 @@
 
   /** The entry has echoed a ping. */
   noteEcho(entryLife: string, { at, typicalSpeed }: Pong): void {
-    const proof = this.findProof(entryLife, at);
-    proof.provenAt = Math.max(proof.provenAt, at);
+    const proof = this.prove(entryLife, at);
     proof.typicalSpeed = typicalSpeed;
   }
 
@@ -192,6 +190,7 @@
   /** An entry orders a task. */
   handleStart(entryLife: string, order: StartOrder): void {
     const now = this.clock.now();
+    this.expireEntries(now);
     const proof = this.findProof(entryLife, -Infinity);
     proof.startsSeen += 1;
     const refusal = this.findRefusal(order, proof, now);
@@ -333,6 +332,14 @@
     return best;
   }
 
+  /** Takes a newer proof; it counts for what is ordered from now on, and not for what it comes too late for. */
+  private prove(entryLife: string, provenAt: number): EntryProof {
+    this.expireEntries(this.clock.now());
+    const proof = this.findProof(entryLife, provenAt);
+    proof.provenAt = Math.max(proof.provenAt, provenAt);
+    return proof;
+  }
+
   private findProof(entryLife: string, provenAt: number): EntryProof {
     let proof = this.proofs.get(entryLife);
     if (!proof) this.proofs.set(entryLife, (proof = createProof(provenAt)));
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -97,7 +97,11 @@
     const log = (event: string): number => logged.push(event);
     const core = createCore(() => note('echo'));
     const steady = new SteadyClock();
-    const clock: Clock = { now: () => steady.now() + skippedMs, sleep: (ms) => steady.sleep(ms) };
+    const clock: Clock = {
+      now: () => steady.now() + skippedMs,
+      readSteady: () => steady.now(),
+      sleep: (ms) => steady.sleep(ms),
+    };
     links = new EntryLinks(options, core, clock, log, () => 0.5);
     links.noteSeeds([`${HOST}:1`]);
     await waitFor('ping');
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -1,8 +1,9 @@
 /** The agent as a process: links to entries, the upstream beside it, life cycle. */
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { SteadyClock } from '../../_lib/Clock.js';
+import { BootClock } from '../../_lib/BootClock.js';
 import { createRandom } from '../../_lib/createRandom.js';
+import { noteSuspension } from '../../_lib/readClock.js';
 import type { UpstreamMemory } from '../../ports/UpstreamMemory.js';
 import type { UpstreamRegistry, UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import { createIncarnation } from '../createIncarnation.js';
@@ -38,7 +39,10 @@
 
 /** An agent process. */
 export class ExecutorDaemon {
-  private readonly clock = new SteadyClock();
+  private readonly clock = new BootClock((event, fields) => {
+    if (event === 'suspended') noteSuspension(Number(fields['ms']));
+    queueMicrotask(() => this.logDecision(event, fields));
+  });
   private readonly logger: ProcessLogger;
   private readonly metrics: ServedMetrics;
   private readonly core: AgentCore;
--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -63,7 +63,7 @@
   ) {
     const now = clock.now();
     const effectiveMs = report.bornAt === undefined ? bounds.leaseMs : bounds.maxLeaseMs;
-    this.lease = new UpstreamLease(report.clockMs, now, bounds.leaseMs, effectiveMs);
+    this.lease = new UpstreamLease(report.clockMs, clock.readSteady(), bounds.leaseMs, effectiveMs);
     this.answers = new AnswerWatch(now);
     this.renewalSentAt = now;
     this.fencingToken = tokens.take();
@@ -74,9 +74,9 @@
     return this.answers.isAnswering;
   }
 
-  /** Until when, in our time, something at the upstream may still run. */
-  get aliveUntil(): number {
-    return this.lease.aliveUntil;
+  /** Whether every lease that was given is over since so many ms, so that nothing runs at the upstream any more. */
+  hasLapsedFor(ms: number): boolean {
+    return this.clock.readSteady() > this.lease.aliveUntil + ms;
   }
 
   /** When the newest answered renewal was sent. */
@@ -92,7 +92,7 @@
   /** Sends a start. Rejects when no answer came in time. */
   async start(name: RunName, spec: string): Promise<StartVerdict> {
     const sentAt = this.clock.now();
-    const leaseUntilMs = this.lease.extend(sentAt);
+    const leaseUntilMs = this.lease.extend(this.clock.readSteady());
     const order = { name, spec, leaseUntilMs, fencingToken: this.fencingToken };
     return this.watch(sentAt, () => this.executor.start(order, this.answers.timeoutMs));
   }
@@ -114,7 +114,7 @@
     const sentAt = this.clock.now();
     const waitMs = mayWait && this.isAnswering ? this.findRenewalWait(sentAt) : 0;
     const mayExtend = sentAt - this.renewalSentAt <= this.bounds.leaseMs;
-    const leaseUntilMs = mayExtend ? this.lease.extend(sentAt) : undefined;
+    const leaseUntilMs = mayExtend ? this.lease.extend(this.clock.readSteady()) : undefined;
     const renewal = { leaseUntilMs, fencingToken: this.fencingToken, lastSequence, waitMs };
     try {
       const answer = await this.executor.renew(renewal, waitMs + this.answers.timeoutMs);
@@ -129,7 +129,7 @@
 
   /** Calls that were meant for another life may have reached this one until now. */
   noteForeign(): void {
-    this.lease.noteForeign(this.clock.now());
+    this.lease.noteForeign(this.clock.readSteady());
   }
 
   /** Has the upstream refuse, from the next call on that it takes, what was sent until now and may still be on its way. */
@@ -179,7 +179,7 @@
 
   private noteAnswer(sentAt: number, clockMs: number | undefined, wasAtOnce: boolean): void {
     const now = this.clock.now();
-    if (clockMs !== undefined) this.lease.noteClock(clockMs, now);
+    if (clockMs !== undefined) this.lease.noteClock(clockMs, this.clock.readSteady());
     this.tellChange(() => this.answers.noteAnswer(now, wasAtOnce ? now - sentAt : undefined));
   }
 
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -4,6 +4,10 @@
  * Everything at an upstream is leased up to a time on the upstream's own clock, which may be up to 2% slow. The
  * estimate of that clock counts from the moment an answer arrived, so it is never ahead of it by more than drift.
  *
+ * All of this goes by our steady clock, which does not count the time in which the VM was suspended: the upstream may
+ * stand on the same VM, so that its clock and its leases stood still as well. Where it went on meanwhile, leases count
+ * for longer here than they hold there, and a lease that is given then ends early.
+ *
  * Where an upstream may start again under its id, a call may reach the next life before that is known. It then names a
  * lease on another clock, which that life cuts to the longest that it grants.
  */
@@ -19,7 +23,7 @@
 
   /**
    * @param clockMs - the upstream's clock in its first report
-   * @param heardAt - our monotonic time when the report came
+   * @param heardAt - our steady time when the report came
    * @param leaseMs - how far ahead leases are given
    * @param effectiveMs - how long such a lease may hold: the longest that an upstream grants, where lives share an id
    */
@@ -33,7 +37,7 @@
     this.noteForeign(heardAt);
   }
 
-  /** Until when, in our time, something at the upstream may still run: the latest lease given, and drift. */
+  /** Until when, in our steady time, something at the upstream may still run: the latest lease given, and drift. */
   get aliveUntil(): number {
     return this.aliveUntilMs;
   }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -68,7 +68,7 @@
   readonly findOtherLife: (bornAt: number, clockMs: number) => void;
   /** Room or state has changed. */
   readonly change: () => void;
-  /** Called before the lease of what runs is renewed: stop what may not run on. */
+  /** Called before the lease of what runs is renewed, by a start as well: stop what may not run on. */
   readonly revalidate: (now: number) => void;
   /** A decision, for the log. */
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
@@ -121,6 +121,7 @@
     this.orders = new RunOrders(this.calls, this.runs, clock, {
       isOver: () => this.isOver,
       isReachable: () => this.reachable,
+      revalidate: () => this.events.revalidate(this.clock.now()),
       confirm: (task) => this.confirm(task, this.clock.now()),
       withdraw: (task, reason) => this.stopTask(task, reason),
       noteRefused: (task) => this.noteFailure(task, this.clock.now()),
@@ -430,8 +431,7 @@
 
   /** No answer: once every lease that was given is over, nothing can run there any more. */
   private noteSilence(error: unknown): void {
-    const now = this.clock.now();
-    if (now <= this.calls.aliveUntil + this.bounds.stopMs || !this.reachable) return;
+    if (!this.reachable || !this.calls.hasLapsedFor(this.bounds.stopMs)) return;
     this.reachable = false;
     this.events.log('upstream-unreachable', { upstream: this.name, error: String(error), tasks: this.load });
     this.dropWaiting('unreachable');
--- a/test/fakes/FakeClock.ts
+++ b/test/fakes/FakeClock.ts
@@ -18,6 +18,10 @@
     return this.time;
   }
 
+  override readSteady(): number {
+    return this.time;
+  }
+
   override sleep(ms: number): Promise<void> {
     return new Promise((wake) => this.sleepers.push({ at: this.time + ms, wake }));
   }
--- a/test/fakes/ProcessGate.ts
+++ b/test/fakes/ProcessGate.ts
@@ -34,11 +34,10 @@
   }
 
   override now(): number {
-    return this.readSteady();
+    return this.base.now();
   }
 
-  /** Time without that in which the VM was suspended. */
-  readSteady(): number {
+  override readSteady(): number {
     return this.base.now() - this.suspendedMs;
   }
 
--- a/test/suspendedVms.test.ts
+++ b/test/suspendedVms.test.ts
@@ -30,6 +30,9 @@
   let upstream: FakeUpstream;
   let core: AgentCore;
   let results: string[];
+  /** Lease of the upstream when the newest end was told. */
+  let leaseAtEnd: number;
+  let logged: string[];
 
   /** Creates an executor that an entry has proved itself to, with its upstream on the same VM or on another. */
   async function createCore(isUpstreamThere: boolean): Promise<void> {
@@ -43,10 +46,13 @@
       vm,
       {
         openExecutor: () => new GatedExecutor(upstream, vm),
-        sendResult: (_, { name, end, reason }) => void results.push(`${name.index} ${end} ${reason}`),
+        sendResult: (_, { name, end, reason }) => {
+          results.push(`${name.index} ${end} ${reason}`);
+          leaseAtEnd = upstream.leaseUntil;
+        },
         noteJoined: () => undefined,
         noteChange: () => undefined,
-        log: () => undefined,
+        log: (event) => void logged.push(event),
       },
     );
     core.noteReport(buildUpstreamReport({ clockMs: upstream.clockMs }));
@@ -68,6 +74,7 @@
     world = new FakeClock();
     vm = new ProcessGate(world);
     results = [];
+    logged = [];
   });
 
   afterEach(() => core.close());
@@ -94,26 +101,30 @@
   });
 
   // The upstream was suspended too, so its leases have not run out. The task runs elsewhere by now.
-  it('renews no lease on waking, and stops what it ran', async () => {
+  it('stops what it ran on waking, before any lease is renewed', async () => {
     await createCore(true);
     core.handleStart(ENTRY, buildStartOrder(0));
     await world.advance(100);
     const { leaseUntil } = upstream;
     await suspend();
     await world.advance(100);
-    expect(upstream.leaseUntil).to.equal(leaseUntil);
     expect(results).to.deep.equal(['0 stopped entry-silent']);
+    expect(leaseAtEnd).to.equal(leaseUntil);
   });
 
   // A repeated start gives a near lease again, so its task would begin seconds after it was counted as over.
-  it('does not repeat an unanswered start on waking', async () => {
-    await createCore(false);
-    upstream.fates.push('lost', 'lost');
-    core.handleStart(ENTRY, buildStartOrder(0));
-    await world.advance(10);
-    await suspend();
-    await world.advance(300);
-    expect(upstream.starts).to.equal(0);
+  it('does not repeat an unanswered start on waking, whenever it was suspended', async () => {
+    for (let offsetMs = 5; offsetMs <= 300; offsetMs += 5) {
+      await createCore(true);
+      upstream.fates.push('lost', 'lost', 'lost', 'lost');
+      core.handleStart(ENTRY, buildStartOrder(0));
+      await world.advance(offsetMs);
+      upstream.fates.length = 0;
+      await suspend();
+      await world.advance(300);
+      expect(upstream.starts, `suspended after ${offsetMs} ms`).to.equal(0);
+      core.close();
+    }
   });
 
   // The first ping after waking may be echoed before the next look at proofs: the echo is good for new orders only.
@@ -144,6 +155,39 @@
     expect([...upstream.running.keys()]).to.deep.equal(['job/0/2']);
   });
 
+  // Between two looks at proofs, without any suspension: an order must not prolong what should have been stopped.
+  it('stops what ran for a silent dispatcher also when an order comes before the next look', async () => {
+    await createCore(true);
+    core.noteWelcome(OTHER_ENTRY, vm.now());
+    core.handleStart(OTHER_ENTRY, buildStartOrder(1));
+    await world.advance(ORPHAN_AFTER_MS - 20);
+    echo(ENTRY);
+    upstream.silent = true;
+    await world.advance(30);
+    core.handleStart(ENTRY, buildStartOrder(2));
+    expect(core.buildHello(OTHER_ENTRY).holding).to.have.length(1);
+    expect(logged).to.include('entry-silent');
+  });
+
+  // The upstream's leases stand still where it is suspended as well, and run out meanwhile where it is not.
+  for (const isUpstreamThere of [true, false]) {
+    it(`takes what ran for lost only once it cannot run, upstream ${isUpstreamThere ? 'there' : 'elsewhere'}`, async () => {
+      for (let offsetMs = 5; offsetMs <= 700; offsetMs += 35) {
+        await createCore(isUpstreamThere);
+        results.length = 0;
+        core.handleStart(ENTRY, buildStartOrder(0));
+        await world.advance(100);
+        upstream.silent = true;
+        await world.advance(offsetMs);
+        await suspend();
+        while (results.length === 0) await world.advance(5);
+        upstream.applyTime();
+        expect(upstream.running.size, `suspended after ${offsetMs} ms`).to.equal(0);
+        core.close();
+      }
+    });
+  }
+
   it('takes fencing tokens that rise over it', async () => {
     await createCore(false);
     const tokens = new FencingTokens(1_000_000, vm);
