--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -8,6 +8,7 @@
   domainCommands,
   lateWordCommands,
   restartCommands,
+  suspensionCommands,
 } from '../test/fakes/dispatchCommands.js';
 import { runDispatchWorld } from '../test/fakes/runDispatchWorld.js';
 import { runProcessSoak } from './runProcessSoak.js';
@@ -76,6 +77,7 @@
   late: lateWordCommands,
   domains: domainCommands,
   restarts: restartCommands,
+  suspensions: suspensionCommands,
 };
 
 const CORES =
--- a/src/_lib/BootClock.test.ts
+++ b/src/_lib/BootClock.test.ts
@@ -108,6 +108,14 @@
     expect(clock.now() - before).to.equal(3_000);
   });
 
+  it('counts a suspension that a step back hides also before it knows the boot clock', () => {
+    advance(1_000);
+    const before = clock.now();
+    suspend(2_000, -2_000);
+    advance(300);
+    expect(clock.now() - before).to.be.closeTo(2_300, CLOSE_MS);
+  });
+
   const oddClocks: Readonly<Record<string, () => number>> = {
     'stands still': () => 50_000,
     'goes back': () => -bootMs,
@@ -121,6 +129,7 @@
   for (const [how, read] of Object.entries(oddClocks)) {
     it(`relies on no boot clock that ${how}`, () => {
       boot = read;
+      advance(1_000);
       const before = clock.now();
       advance(60_000);
       expect(clock.now() - before).to.equal(60_000);
--- a/src/_lib/BootClock.ts
+++ b/src/_lib/BootClock.ts
@@ -60,8 +60,8 @@
  * The steady clock and all suspended time. Each reading compares the time of day with the steady clock; the boot clock is
  * looked at when the two drift apart, and every `LOOK_MS`.
  *
- * Where the boot clock cannot be relied on, each step forward of the time of day counts as a suspension: a wrong one costs
- * work, and a missed one may have a task run twice at once.
+ * Where the boot clock cannot be relied on, each step forward of the time of day counts as a suspension; until it has shown
+ * whether it can, a step of either does. A wrong one costs work, and a missed one may have a task run twice at once.
  */
 export class BootClock extends Clock {
   private suspendedMs = 0;
@@ -131,8 +131,10 @@
   private review(before: Look, after: Look): void {
     const dayDrift = findDrift(before, after, 'timeOfDay') ?? 0;
     const bootDrift = findDrift(before, after, 'boot');
+    const wasUnknown = this.trust === 'unknown';
     const isOdd = this.reviewTrust(bootDrift, dayDrift, after.steady - before.steady);
-    const suspended = this.isBootTrusted || isOdd ? (bootDrift ?? dayDrift) : dayDrift;
+    const relied = this.isBootTrusted || isOdd ? (bootDrift ?? dayDrift) : dayDrift;
+    const suspended = wasUnknown ? Math.max(bootDrift ?? 0, dayDrift) : relied;
     // A boot clock that is in order never drifts but by suspensions, so small ones add up; one in doubt begins anew.
     const keepsBoot = this.isBootTrusted && suspended <= DRIFT_MS && before.boot !== undefined;
     const boot = keepsBoot ? before.boot + (after.steady - before.steady) : after.boot;
@@ -175,8 +177,7 @@
 
   private addSuspended(ms: number, dayDrift: number): void {
     this.suspendedMs += ms;
-    const source = this.isBootTrusted ? 'boot clock' : 'time of day';
-    this.note('suspended', { ms: Math.round(ms), timeOfDayMs: Math.round(dayDrift), source });
+    this.note('suspended', { ms: Math.round(ms), timeOfDayMs: Math.round(dayDrift), bootClock: this.trust });
   }
 }
 
--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -5,12 +5,15 @@
   domainCommands,
   lateWordCommands,
   restartCommands,
+  suspensionCommands,
 } from './fakes/dispatchCommands.js';
 import { runDispatchWorld } from './fakes/runDispatchWorld.js';
 
 /** Runs in CI; `npm run soak -- --core dispatch` does more. */
 const RUNS = 40;
 const SEED = 20261202;
+/** Seeds of runs with suspended VMs are a range of their own, from here on. */
+const SUSPENSION_SEED = 50_000_001;
 /** Seeds of runs that broke a promise, and as many runs as it takes. */
 const RESTART_SEEDS = [
   { seed: 100_014, runs: 170 },
@@ -45,6 +48,12 @@
     expect(totals['interrupted']).to.be.greaterThan(0);
   });
 
+  it('hold when VMs are suspended, and their time of day is set', async () => {
+    const totals = await runDispatchWorld(suspensionCommands, SUSPENSION_SEED, RUNS, false);
+    expect(totals['completed']).to.be.greaterThan(0);
+    expect(totals['interrupted']).to.be.greaterThan(0);
+  });
+
   // Each seed showed a fault of the change to a session a life: a start beyond the room of a next life (the 165th run), and
   // a task beside its second start (the 186th and the 155th), as a call of the earlier session had given a longer lease.
   for (const { seed, runs } of RESTART_SEEDS) {
--- a/test/fakes/checkDispatchWorld.ts
+++ b/test/fakes/checkDispatchWorld.ts
@@ -16,6 +16,7 @@
     fake.applyTime();
     if (fake.doubled > 0) throw new Error('a run began beside another of its task');
     if (fake.running.size * STEP.resources.cpuMilli > CAPACITY.cpuMilli) throw new Error('beyond the room');
+    if (now < upstream.doubtfulUntil) continue;
     for (const [key, { name }] of fake.running) {
       if (atWork.has(key)) throw new Error(`${key} runs twice at once`);
       atWork.add(key);
--- a/test/fakes/dispatchCommands.ts
+++ b/test/fakes/dispatchCommands.ts
@@ -107,6 +107,22 @@
     ),
   );
 
+const step = fc.constantFrom(0, 0, 2_000, -2_000, -600, 3_600_000, -3_600_000);
+
+const suspend = fc
+  .tuple(kind, index, fc.constantFrom(100, 300, 600, 900, 2_500, 5_000), fc.boolean(), step)
+  .map(([what, at, ms, withUpstream, stepMs]) =>
+    createCommand(`suspend(${what},${at},${ms},${withUpstream},${stepMs})`, (world) =>
+      world.suspend(what, at, ms, withUpstream, stepMs),
+    ),
+  );
+
+const stepTimeOfDay = fc
+  .tuple(kind, index, step)
+  .map(([what, at, ms]) =>
+    createCommand(`stepTimeOfDay(${what},${at},${ms})`, (world) => world.stepTimeOfDay(what, at, ms)),
+  );
+
 const EARLIER_COMMANDS = [
   submit,
   submit,
@@ -144,3 +160,9 @@
   [...EARLIER_COMMANDS, replace, lateReport, restartUpstream, restartUpstream, restartUpstream],
   { maxCommands: MAX_COMMANDS, size: 'max' },
 );
+
+/** The same as the first, and VMs that are suspended, or whose time of day is set. */
+export const suspensionCommands = fc.commands(
+  [...EARLIER_COMMANDS, suspend, suspend, suspend, suspend, stepTimeOfDay],
+  { maxCommands: MAX_COMMANDS, size: 'max' },
+);
--- a/test/fakes/dispatchWorldState.ts
+++ b/test/fakes/dispatchWorldState.ts
@@ -61,6 +61,11 @@
   readonly id: string;
   readonly life: number;
   readonly fake: FakeUpstream;
+  /**
+   * Until when something may run there that its executor has had no time to stop: it was suspended along with it, which its
+   * leases do not count.
+   */
+  doubtfulUntil: number;
   /** Reports that this life has sent, where each life counts its own. */
   reports: number;
 }
