Starts go by an upstream's newest capacity, and entries hear of a change at once

Cause: a report with another capacity was taken, but what waited did not begin, entries heard of it with the next ping, a start without an answer was repeated though its room was gone, and a restarted executor went by the capacity of the first report. Change: UpstreamSession.followCapacity begins or returns what waits; RunOrders withdraws such a start; EntryLinks.tellCapacity tells all links; AgentView takes a change of capacity for no room that others took; the kept report is written again with each change, one after another. Ruled out: stopping tasks until the rest fits.

--- a/src/process/dispatcher/AgentView.test.ts
+++ b/src/process/dispatcher/AgentView.test.ts
@@ -15,9 +15,15 @@
 let now = 0;
 
 /** Tells the room some time after it was told before. */
-function tellFree(view: AgentView, cpuMilli: number, startsSeen = 0, upstream = 'u1'): void {
+function tellFree(
+  view: AgentView,
+  cpuMilli: number,
+  startsSeen = 0,
+  upstream = 'u1',
+  capacity = CAPACITY,
+): void {
   now += REPORT_MS;
-  const description = { upstream, service: 'service', labels: [], capacity: CAPACITY };
+  const description = { upstream, service: 'service', labels: [], capacity };
   const rest: Omit<RoomReport, 'description' | 'free'> = {
     state: 'ready',
     trust: 'healthy',
@@ -83,4 +89,12 @@
     expect(risks[0]).to.be.greaterThan(0);
     expect(risks[1]).to.be.closeTo(risks[0] ?? 0, 0.001);
   });
+
+  it('follows a capacity that changes, and takes that for no room that others took', () => {
+    tellFree(view, 4_000, 0, 'u1', buildAmount(4_000));
+    expect([view.free.cpuMilli, view.room?.capacity.cpuMilli]).to.deep.equal([4_000, 4_000]);
+    expect(view.estimateRisk(NEED, now + REPORT_MS)).to.equal(0);
+    tellFree(view, -2_000, 0, 'u1', buildAmount(1_000));
+    expect(view.free.cpuMilli).to.equal(-2_000);
+  });
 });
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -5,7 +5,12 @@
   RoomReport,
   UpstreamDescription,
 } from '../../connection/peer/peerMessages.js';
-import { addResources, NO_RESOURCES, subtractResources } from '../../request/dispatch/resources.js';
+import {
+  addResources,
+  equalResources,
+  NO_RESOURCES,
+  subtractResources,
+} from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
 
 /**
@@ -142,7 +147,7 @@
     if (!description) return;
     const { upstream, service, labels, capacity } = description;
     const freeBefore = this.free.cpuMilli;
-    const isSame = this.room?.upstream === upstream;
+    const isSame = this.room?.upstream === upstream && equalResources(this.room.capacity, capacity);
     this.room = { upstream, service, labels, capacity, ...rest };
     this.released = NO_RESOURCES;
     while (this.unseen[0] && this.unseen[0].number <= room.startsSeen) {
--- a/src/process/executor/AgentCore.test.ts
+++ b/src/process/executor/AgentCore.test.ts
@@ -20,10 +20,12 @@
   /** Lives of the upstream that answer for themselves; the others are `upstream`. */
   let otherLives: Map<string, FakeUpstream>;
   let results: string[];
+  /** Capacities that are to be told at once. */
+  let told: number[];
 
-  function report(id: string, sequence: number): void {
+  function report(id: string, sequence: number, capacity = UPSTREAM_CAPACITY): void {
     const { clockMs } = upstream;
-    core.noteReport(buildUpstreamReport({ id, sequence, clockMs, labels: ['rack'] }));
+    core.noteReport(buildUpstreamReport({ id, sequence, clockMs, labels: ['rack'], capacity }));
   }
 
   beforeEach(async () => {
@@ -31,6 +33,7 @@
     upstream = new FakeUpstream(clock);
     otherLives = new Map();
     results = [];
+    told = [];
     core = new AgentCore(
       { agent: 'agent', life: '1', failureDomain: 'x', startedAt: 1_000_000 },
       { leaseMs: 500, maxLeaseMs: 1_000, stopMs: 50, orphanAfterMs: 10_000 },
@@ -40,6 +43,7 @@
         sendResult: (_, { end, reason }) => void results.push(`${end} ${reason}`),
         noteJoined: () => undefined,
         noteChange: () => undefined,
+        noteCapacity: ({ capacity }) => void told.push(capacity.cpuMilli),
         log: () => undefined,
       },
     );
@@ -201,4 +205,14 @@
     core.setEmptied(true);
     expect(results).to.deep.equal(['not-run domain-emptied']);
   });
+
+  it('has a changed capacity told at once, and tells it with the room', () => {
+    core.buildPing(ENTRY, VERSION);
+    report('u1', 2, { ...UPSTREAM_CAPACITY, cpuMilli: 1_000 });
+    expect(told).to.deep.equal([1_000]);
+    const change = core.takeRoomChange(ENTRY);
+    expect([change?.free.cpuMilli, change?.description?.capacity.cpuMilli]).to.deep.equal([1_000, 1_000]);
+    report('u1', 3, { ...UPSTREAM_CAPACITY, cpuMilli: 1_000 });
+    expect(told).to.have.length(1);
+  });
 });
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -20,6 +20,7 @@
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import type { TaskExecutor } from '../../ports/TaskExecutor.js';
 import { NO_RESOURCES } from '../../request/dispatch/resources.js';
+import type { Resources } from '../../request/dispatch/submission.js';
 import { roundSpeed } from '../roundSpeed.js';
 import { FencingTokens } from './FencingTokens.js';
 import type { LocalTask } from './localTask.js';
@@ -51,6 +52,8 @@
   readonly noteJoined: (report: UpstreamReport) => void;
   /** Room has changed. */
   readonly noteChange: () => void;
+  /** The capacity of an upstream has changed. */
+  readonly noteCapacity: (report: UpstreamReport, before: Resources) => void;
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -101,6 +104,7 @@
       noteJoined: effects.noteJoined,
       finish: (task, end, reason) => this.finish(task, end, reason),
       change: () => effects.noteChange(),
+      changeCapacity: (report, before) => effects.noteCapacity(report, before),
       revalidate: (now) => this.expireEntries(now),
       log: effects.log,
     });
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -126,6 +126,12 @@
     expect(received).to.not.include('room');
   });
 
+  it('tells a changed capacity at once, also where no tasks wait', async () => {
+    received.length = 0;
+    links.tellCapacity();
+    await waitFor('room');
+  });
+
   it('learns from an echo that no tasks wait any more', async () => {
     entry.send({ type: 'demand' });
     await waitFor('room');
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -163,6 +163,11 @@
     }
   }
 
+  /** Capacity has changed: tells it at once on all links, as entries count on what they were told. */
+  tellCapacity(): void {
+    for (const link of this.links.values()) if (link.life !== '') this.tellRoom(link);
+  }
+
   /** Tells every entry which ones this agent has a working link to. */
   tellMembers(): void {
     const entries = this.directory.listAlive(this.clock.now());
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -13,6 +13,8 @@
 import type { LogFields, ProcessLogger } from '../logger.js';
 import { describeError, noteFailure } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
+import { fitResources } from '../../request/dispatch/resources.js';
+import type { Resources } from '../../request/dispatch/submission.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
 import { startTimer } from '../startTimer.js';
 import { ServedMetrics } from '../ServedMetrics.js';
@@ -50,8 +52,9 @@
   private readonly pauseGuard: PauseGuard;
   /** Whether an upstream has reported itself to this life of the process. */
   private hasReport = false;
-  /** The life of the upstream that is kept for the next life of this process. */
-  private rememberedName = '';
+  /** The life of the upstream that is kept for the next life of this process, and its capacity. */
+  private kept = '';
+  private keeping: Promise<void> = Promise.resolve();
   private leaving = false;
   private ticks = 0;
 
@@ -75,6 +78,7 @@
         },
         noteJoined: (report) => this.rememberUpstream(report),
         noteChange: () => this.links.scheduleRoom(),
+        noteCapacity: (report, before) => this.noteCapacity(report, before),
         log: (event, fields) => this.logDecision(event, fields),
       },
     );
@@ -158,14 +162,26 @@
     return false;
   }
 
+  /** The entries hear of it at once, and the next life of this process must not start by the earlier capacity. */
+  private noteCapacity(report: UpstreamReport, before: Resources): void {
+    const direction = fitResources(before, report.capacity) ? 'grown' : 'shrunk';
+    this.metrics.increment('executor_capacity_changes', { direction });
+    this.links.tellCapacity();
+    if (this.kept.startsWith(describeLife(report))) this.rememberUpstream(report);
+  }
+
   /** Only a life that has answered is kept for the next life of this process: a report may have been held up. */
   private rememberUpstream(report: UpstreamReport): void {
     const name = buildLifeName(report);
-    if (name === this.rememberedName || report.isDraining) return;
-    this.rememberedName = name;
-    this.ports.memory.remember(this.settings.id, report).catch((error: unknown) => {
-      this.logger.warn('upstream-not-remembered', { upstream: name, error: describeError(error) });
-    });
+    const kept = describeKept(report);
+    if (kept === this.kept || report.isDraining) return;
+    this.kept = kept;
+    const keep = (): Promise<void> =>
+      this.ports.memory.remember(this.settings.id, report).catch((error: unknown) => {
+        this.logger.warn('upstream-not-remembered', { upstream: name, error: describeError(error) });
+      });
+    // One after another: an earlier report that is written again must not take the place of a later one.
+    this.keeping = this.keeping.then(keep);
   }
 
   /** Finds the upstream of an earlier life, whose next report may be more than a second away. */
@@ -175,8 +191,8 @@
       return undefined;
     });
     if (!report || this.hasReport || this.leaving || !this.isOfKnownService(report)) return;
-    this.rememberedName = buildLifeName(report);
-    this.logger.info('upstream-recalled', { upstream: this.rememberedName });
+    this.kept = describeKept(report);
+    this.logger.info('upstream-recalled', { upstream: buildLifeName(report) });
     this.core.noteReport({ ...report, clockMs: 0, sequence: -1 });
   }
 
@@ -188,3 +204,12 @@
     if (this.ticks % KEEP_TICKS === 0) this.links.keep();
   }
 }
+
+/** Tells apart what is kept of an upstream. */
+function describeKept(report: UpstreamReport): string {
+  return describeLife(report) + JSON.stringify(report.capacity);
+}
+
+function describeLife(report: UpstreamReport): string {
+  return `${buildLifeName(report)} `;
+}
--- a/src/process/executor/RunOrders.ts
+++ b/src/process/executor/RunOrders.ts
@@ -25,8 +25,8 @@
   /** Whether nothing more is to be sent to this life. */
   readonly isOver: () => boolean;
   readonly isReachable: () => boolean;
-  /** Stops what may not run on: a start is about to be repeated, and gives a lease to all that runs. */
-  readonly revalidate: () => void;
+  /** A start is about to be repeated, which gives a lease to all that runs: stops what may not run on, or not start. */
+  readonly revalidate: (task: LocalTask) => void;
   /** The upstream has begun a task. */
   readonly confirm: (task: LocalTask) => void;
   /** A task is to be stopped, as it is not certain whether it was begun. */
@@ -67,7 +67,7 @@
         this.host.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
       }
       await this.clock.sleep(REPEAT_PAUSE_MS);
-      this.host.revalidate();
+      this.host.revalidate(task);
     }
   }
 
--- a/src/process/executor/UpstreamLives.test.ts
+++ b/src/process/executor/UpstreamLives.test.ts
@@ -75,6 +75,7 @@
         noteJoined: ({ bornAt }) => void joined.push(String((bornAt ?? 0) - BORN_MS)),
         finish: (task, end) => void ends.push(`${task.order.name.index} ${end}`),
         change: () => undefined,
+        changeCapacity: () => undefined,
         revalidate: () => undefined,
         log: (event, { reason }) => void (event === 'report-passed-over' && passedOver.push(reason)),
       },
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import * as fc from 'fast-check';
 
 import { FakeClock } from '../../../test/fakes/FakeClock.js';
 import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
@@ -16,6 +17,7 @@
   readonly clock = new FakeClock();
   readonly upstream = new FakeUpstream(this.clock);
   readonly results: string[] = [];
+  capacityChanges = 0;
   readonly tokens = new FencingTokens(FIRST_TOKEN, this.clock);
   readonly session = new UpstreamSession(
     buildUpstreamReport({ clockMs: this.upstream.clockMs }),
@@ -30,6 +32,7 @@
       settle: () => true,
       findOtherLife: () => undefined,
       change: () => undefined,
+      changeCapacity: () => void (this.capacityChanges += 1),
       revalidate: () => undefined,
       log: () => undefined,
     },
@@ -39,6 +42,17 @@
     void this.session.run();
     await this.clock.advance(10);
   }
+
+  /** The upstream says that it has room for so many tasks. */
+  report(tasks: number, sequence: number): void {
+    const capacity = { ...UPSTREAM_CAPACITY, cpuMilli: tasks * 1_000 };
+    const { clockMs } = this.upstream;
+    this.session.update(buildUpstreamReport({ clockMs, capacity, sequence }));
+  }
+
+  offer(from: number, to: number): void {
+    for (let index = from; index <= to; index += 1) this.session.offer(buildStartOrder(index), 'entry');
+  }
 }
 
 describe('UpstreamSession', () => {
@@ -300,4 +314,113 @@
     await bench.clock.advance(500);
     expect(bench.session.readSpeed()).to.be.lessThan(0.1);
   });
+
+  describe('when its room changes', () => {
+    beforeEach(async () => {
+      await bench.start();
+      bench.upstream.taskMs = 500;
+    });
+
+    it('begins what waits as soon as there is room, and says so', async () => {
+      bench.offer(0, 4);
+      await bench.clock.advance(2);
+      bench.report(5, 2);
+      await bench.clock.advance(5);
+      expect(bench.upstream.running.size).to.equal(5);
+      expect([bench.capacityChanges, bench.results]).to.deep.equal([1, []]);
+    });
+
+    it('begins nothing below what runs, and lets that end', async () => {
+      bench.offer(0, 3);
+      await bench.clock.advance(20);
+      bench.report(2, 2);
+      expect(bench.session.free.cpuMilli).to.equal(-2_000);
+      bench.session.stop('job/0/0', 1, 'entry', 'stopped-by-entry');
+      bench.offer(4, 4);
+      await bench.clock.advance(200);
+      expect(bench.upstream.starts).to.equal(4);
+      await bench.clock.advance(600);
+      bench.offer(5, 7);
+      await bench.clock.advance(20);
+      expect(bench.upstream.running.size).to.equal(2);
+      expect(bench.results).to.have.members([
+        '0 stopped stopped-by-entry',
+        '1 done done',
+        '2 done done',
+        '3 done done',
+        '4 not-run full',
+        '7 not-run full',
+      ]);
+    });
+
+    it('returns at once what waits and cannot fit any more', () => {
+      bench.offer(0, 4);
+      bench.report(3, 2);
+      expect(bench.results).to.deep.equal(['4 not-run full']);
+      expect(bench.capacityChanges).to.equal(1);
+    });
+
+    it('keeps waiting what may still fit', () => {
+      bench.offer(0, 2);
+      for (const [index, cpuMilli] of [2_000, 3_500].entries()) {
+        const resources = { ...UPSTREAM_CAPACITY, memoryMb: 10, cpuMilli };
+        bench.session.offer(buildStartOrder(index + 3, { resources }), 'entry');
+      }
+      bench.report(3, 2);
+      expect(bench.results).to.deep.equal(['4 not-run full']);
+      expect(bench.session.listHeld('entry')).to.have.length(4);
+    });
+
+    it('does not repeat a start that got no answer while more is begun than there is room for', async () => {
+      bench.upstream.fates.push('lost');
+      bench.offer(0, 3);
+      bench.report(3, 2);
+      await bench.clock.advance(400);
+      expect(bench.upstream.starts).to.equal(3);
+      expect(bench.results).to.include('0 not-run full');
+    });
+
+    it('goes by the newest word, also when an earlier one comes late', async () => {
+      bench.report(1, 5);
+      bench.report(4, 4);
+      bench.offer(0, 3);
+      await bench.clock.advance(5);
+      expect(bench.upstream.starts).to.equal(1);
+      bench.report(4, 6);
+      await bench.clock.advance(5);
+      expect(bench.upstream.starts).to.equal(4);
+    });
+
+    it('never starts beyond the newest room, however it changes while starts are on their way', async () => {
+      const change = fc.tuple(fc.integer({ min: 0, max: 6 }), fc.integer({ min: 0, max: 3 }), fc.nat(60));
+      const fates = fc.array(fc.constantFrom('answered' as const, 'lost' as const, 'unanswered' as const), {
+        maxLength: 6,
+      });
+      const property = fc.asyncProperty(
+        fc.array(change, { maxLength: 12 }),
+        fates,
+        async (changes, drawn) => {
+          const one = new Bench();
+          await one.start();
+          one.upstream.taskMs = 80;
+          one.upstream.fates.push(...drawn);
+          let offered = 0;
+          for (const [at, [tasks, offers, ms]] of changes.entries()) {
+            one.report(tasks, at + 2);
+            one.offer(offered, offered + offers - 1);
+            offered += offers;
+            const startsBefore = one.upstream.starts;
+            const runningBefore = one.upstream.running.size;
+            await one.clock.advance(ms);
+            await one.clock.settle();
+            const begun = one.upstream.starts > startsBefore;
+            if (begun && runningBefore <= tasks) expect(one.upstream.running.size).to.be.at.most(tasks);
+            if (runningBefore > tasks) expect(one.upstream.running.size).to.be.at.most(runningBefore);
+          }
+          one.session.close('test ends');
+        },
+      );
+      await fc.assert(property, { numRuns: 60 });
+    });
+  });
 });
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -19,6 +19,7 @@
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import {
   addResources,
+  equalResources,
   fitResources,
   NO_RESOURCES,
   subtractResources,
@@ -68,6 +69,8 @@
   readonly findOtherLife: (bornAt: number, clockMs: number) => void;
   /** Room or state has changed. */
   readonly change: () => void;
+  /** The upstream has another capacity. */
+  readonly changeCapacity: (report: UpstreamReport, before: Resources) => void;
   /** Called before the lease of what runs is renewed, by a start as well: stop what may not run on. */
   readonly revalidate: (now: number) => void;
   /** A decision, for the log. */
@@ -121,7 +124,7 @@
     this.orders = new RunOrders(this.calls, this.runs, clock, {
       isOver: () => this.isOver,
       isReachable: () => this.reachable,
-      revalidate: () => this.events.revalidate(this.clock.now()),
+      revalidate: (task) => this.revalidate(task),
       confirm: (task) => this.confirm(task, this.clock.now()),
       withdraw: (task, reason) => this.stopTask(task, reason),
       noteRefused: (task) => this.noteFailure(task, this.clock.now()),
@@ -215,6 +218,7 @@
   update(report: UpstreamReport): void {
     if (report.sequence < this.report.sequence) return this.logPassedOver(report);
     const before = this.state;
+    const { capacity } = this.report;
     this.report = report;
     this.described = true;
     const told = describeReport(report);
@@ -224,6 +228,36 @@
       if (this.state === 'draining') this.dropWaiting('draining');
       this.events.change();
     }
+    if (!equalResources(capacity, report.capacity)) this.followCapacity(capacity);
+  }
+
+  /** Room has shrunk or grown: what cannot fit any more goes back at once, and what fits now begins. */
+  private followCapacity(before: Resources): void {
+    const { capacity } = this.report;
+    const { used, name } = this;
+    this.events.log('capacity-changed', {
+      upstream: name,
+      capacity,
+      before,
+      used,
+      waiting: this.waiting.length,
+    });
+    for (const task of [...this.waiting]) {
+      if (this.isOverfull || !fitResources(task.order.resources, capacity)) this.dropOne(task, 'full');
+    }
+    this.beginWaiting();
+    this.events.changeCapacity(this.report, before);
+  }
+
+  /** Whether more takes room than there is since it has shrunk: nothing may begin then. */
+  private get isOverfull(): boolean {
+    return !fitResources(this.used, this.report.capacity);
+  }
+
+  /** A start is about to be repeated: stops what may not run on, and the start itself where its room is gone. */
+  private revalidate(task: LocalTask): void {
+    this.events.revalidate(this.clock.now());
+    if (task.phase === 'starting' && this.isOverfull) this.stopTask(task, 'full');
   }
 
   private logPassedOver({ sequence, isDraining, clockMs }: UpstreamReport): void {
--- a/src/process/executor/executorMetrics.ts
+++ b/src/process/executor/executorMetrics.ts
@@ -11,6 +11,11 @@
   return {
     executor_task_ends: { kind: 'counter', help: 'Ends of attempts', labels: ['end'] },
     executor_decisions: { kind: 'counter', help: 'Decisions by kind', labels: ['decision'] },
+    executor_capacity_changes: {
+      kind: 'counter',
+      help: 'Changes of the capacity of the upstream',
+      labels: ['direction'],
+    },
     executor_tasks: { kind: 'gauge', help: 'Tasks that wait or may run', read: readLoad },
   };
 }
--- a/src/request/dispatch/resources.ts
+++ b/src/request/dispatch/resources.ts
@@ -48,3 +48,16 @@
 export function fitResources(need: Resources, free: Resources): boolean {
   return need.cpuMilli <= free.cpuMilli && need.memoryMb <= free.memoryMb && need.gpus <= free.gpus;
 }
+
+/**
+ * Tells whether two amounts are the same.
+ *
+ * @param left - an amount
+ * @param right - another
+ * @returns true if each part is the same
+ * @example
+ * equalResources(NO_RESOURCES, NO_RESOURCES); // true
+ */
+export function equalResources(left: Resources, right: Resources): boolean {
+  return left.cpuMilli === right.cpuMilli && left.memoryMb === right.memoryMb && left.gpus === right.gpus;
+}
--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -87,6 +87,8 @@
   lostStops = 0;
   /** Sends no heartbeats. */
   mute = false;
+  /** What it says it has, thousandths of a core; undefined for what it has. */
+  toldCpu: number | undefined;
   /** All that starts fails. */
   fails = false;
   private life = new RunnerLife(FIRST_CLOCK_MS);
@@ -247,7 +249,7 @@
       slots: 8,
       state: this.state,
       cold_remaining_ms: 0,
-      capacity: { cpu, mem_mb: 4_096, gpu: 0 },
+      capacity: { cpu: this.toldCpu ?? cpu, mem_mb: 4_096, gpu: 0 },
       labels: ['a', 'r1'],
       clock_ms: this.life.clockMs,
       call_seq: this.life.beats,
--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -75,6 +75,12 @@
     return count;
   }
 
+  /** Newest values in the system's own topics, as text. */
+  get keptValues(): string[] {
+    const values = [...this.keyed.values()].flatMap((keys) => [...keys.values()]);
+    return values.map((value) => Buffer.from(value, 'base64').toString());
+  }
+
   /** Drops all records; the newest of each key stays. */
   forget(): void {
     this.first = this.records.length;
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -519,6 +519,7 @@
         },
         noteJoined: () => undefined,
         noteChange: () => undefined,
+        noteCapacity: () => undefined,
         log: () => undefined,
       },
     );
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -50,6 +50,8 @@
   readonly doubled: string[] = [];
   /** Tasks that were started beyond their runner's room. */
   readonly beyondRoom: string[] = [];
+  /** Most tasks that were at work at one runner at once. */
+  mostAtOnce = 0;
   /** Settings of daemons that are not those of every test; to be set before the start. */
   extraSettings: Readonly<Record<string, unknown>> = {};
   /** Failure domains of daemons that are not in the one of all others; to be set before the start. */
@@ -281,6 +283,7 @@
         noteStart: (task, id) => {
           const load = (this.loads.get(id) ?? 0) + 1;
           this.loads.set(id, load);
+          this.mostAtOnce = Math.max(this.mostAtOnce, load);
           this.startsAt.set(id, (this.startsAt.get(id) ?? 0) + 1);
           if (load > RUNNER_TASKS) this.beyondRoom.push(task);
           this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
--- a/test/otherWriters.test.ts
+++ b/test/otherWriters.test.ts
@@ -77,7 +77,9 @@
       bodies.push(JSON.stringify({ ...HEARTBEAT, service: '' }));
       bodies.push(JSON.stringify({ ...HEARTBEAT, address: '10.0.0.1:99999' }));
       bodies.push(JSON.stringify({ ...HEARTBEAT, capacity: { mem_mb: 10 } }));
-      bodies.push(JSON.stringify({ ...HEARTBEAT, capacity: { ...HEARTBEAT.capacity, cpu: -1 } }));
+      for (const cpu of [-1, 1.5, 1e12, '1000', null]) {
+        bodies.push(JSON.stringify({ ...HEARTBEAT, capacity: { ...HEARTBEAT.capacity, cpu } }));
+      }
       bodies.push(JSON.stringify({ ...HEARTBEAT, labels: ['a', 5] }));
       bodies.push(JSON.stringify({ ...HEARTBEAT, born: 1.5 }));
       const bytes = Buffer.from(JSON.stringify(HEARTBEAT));
--- a/test/suspendedVms.test.ts
+++ b/test/suspendedVms.test.ts
@@ -52,6 +52,7 @@
         },
         noteJoined: () => undefined,
         noteChange: () => undefined,
+        noteCapacity: () => undefined,
         log: (event) => void logged.push(event),
       },
     );
