Waiting starts and the lists of renewals are classes of their own

Change: WaitingStarts (order and time of waiting), RunLists (what a renewal lists), sessionEvents (bounds and events).

--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -26,7 +26,7 @@
 import type { LocalTask } from './localTask.js';
 import { UpstreamLives } from './UpstreamLives.js';
 import { UpstreamSession } from './UpstreamSession.js';
-import type { SessionBounds } from './UpstreamSession.js';
+import type { SessionBounds } from './sessionEvents.js';
 
 /** How long results are kept to be told again on a new link, ms. */
 const KEEP_RESULTS_MS = 2_500;
--- a/src/process/executor/UpstreamLives.ts
+++ b/src/process/executor/UpstreamLives.ts
@@ -15,7 +15,7 @@
 import { buildLifeName } from './buildLifeName.js';
 import type { FencingTokens } from './FencingTokens.js';
 import { UpstreamSession } from './UpstreamSession.js';
-import type { SessionBounds, SessionEvents } from './UpstreamSession.js';
+import type { SessionBounds, SessionEvents } from './sessionEvents.js';
 
 /** After this time out of reach and without a report an upstream is forgotten, ms. */
 const FORGET_UPSTREAM_MS = 5_000;
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -15,7 +15,7 @@
   UpstreamDescription,
   UpstreamState,
 } from '../../connection/peer/peerMessages.js';
-import type { EndedRun, LeaseAnswer, RunningRun, TaskExecutor } from '../../ports/TaskExecutor.js';
+import type { LeaseAnswer, TaskExecutor } from '../../ports/TaskExecutor.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import {
   addResources,
@@ -26,69 +26,34 @@
 } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
 import { buildLifeName } from './buildLifeName.js';
-import { convertRunEnd } from './convertRunEnd.js';
 import type { FencingTokens } from './FencingTokens.js';
 import { createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
 import { RunHistory } from './RunHistory.js';
+import { RunLists } from './RunLists.js';
 import { RunOrders } from './RunOrders.js';
+import type { SessionBounds, SessionEvents } from './sessionEvents.js';
 import { SpeedMeter } from './SpeedMeter.js';
 import { TrustMeter } from './TrustMeter.js';
 import { UpstreamCalls } from './UpstreamCalls.js';
-import type { LeaseBounds } from './UpstreamCalls.js';
+import { findReturnReason, OVERDUE_MS, WaitingStarts } from './WaitingStarts.js';
 
 /** Pause before a renewal that brought nothing is repeated, ms. */
 const REPEAT_PAUSE_MS = 15;
 /** Pause between two looks at an upstream that is out of reach, ms. */
 const UNREACHABLE_PAUSE_MS = 150;
-/**
- * How long a task may wait at the agent for room, ms: about the time in which the agent hears of an end and starts the
- * next task. What waits longer is better placed elsewhere. With 40 ms in its place the ablation of docs/POLICY.md shows
- * 0.005 of worth less, which is within noise; without any wait days did not end in time (docs/FINDINGS.md, round 4b).
- */
-const MAX_WAIT_MS = 8;
-
-/** Bounds of the platform that a session keeps to, ms. */
-export interface SessionBounds extends LeaseBounds {
-  /** Time a stop may take at the upstream. */
-  readonly stopMs: number;
-}
-
-/** What a session tells the agent. */
-export interface SessionEvents {
-  /** A task is over. */
-  readonly finish: (task: LocalTask, end: AttemptEnd, reason: string) => void;
-  /**
-   * The answer to a renewal that was sent then shows that this life is there and runs nothing that nobody here has
-   * ordered. Returns whether nothing of other lives can reach it any more.
-   */
-  readonly settle: (sentAt: number) => boolean;
-  /** The same, for the first time: the life takes work once it is described. */
-  readonly join: () => void;
-  /** Another life answers under the same id. */
-  readonly findOtherLife: (bornAt: number, clockMs: number) => void;
-  /** Room or state has changed. */
-  readonly change: () => void;
-  /** The upstream has another capacity. */
-  readonly changeCapacity: (report: UpstreamReport, before: Resources) => void;
-  /** Called before the lease of what runs is renewed, by a start as well: stop what may not run on. */
-  readonly revalidate: (now: number) => void;
-  /** A decision, for the log. */
-  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
-}
-
 /** A life of an upstream. */
 export class UpstreamSession {
   readonly tasks = new Map<string, LocalTask>();
-  private readonly waiting: LocalTask[] = [];
+  private readonly waiting = new WaitingStarts();
   private readonly calls: UpstreamCalls;
   private readonly orders: RunOrders;
+  private readonly lists: RunLists;
   private readonly speedMeter: SpeedMeter;
   private told: UpstreamDescription;
   private readonly trustMeter = new TrustMeter();
   private readonly runs = new RunHistory();
   private used: Resources = NO_RESOURCES;
-  private lastSequence = 0;
   private joined = false;
   private closed = false;
   private supersededSince: number | undefined;
@@ -131,6 +96,12 @@
       noteOtherLife: () => this.close('other-life'),
       log: this.events.log,
     });
+    this.lists = new RunLists(this.tasks, this.runs, {
+      confirm: (task, at) => this.confirm(task, at),
+      noteProgress: (task, percent, at) => this.noteProgress(task, percent, at),
+      finish: (task, end, reason) => this.finish(task, end, reason),
+      stopUnknown: (name) => this.orders.stopUnknown(name),
+    });
     this.speedMeter = new SpeedMeter(now);
     this.told = describeReport(report);
   }
@@ -240,9 +211,9 @@
       capacity,
       before,
       used,
-      waiting: this.waiting.length,
+      waiting: this.waiting.size,
     });
-    for (const task of [...this.waiting]) {
+    for (const task of this.waiting.list()) {
       if (this.isOverfull || !fitResources(task.order.resources, capacity)) this.dropOne(task, 'full');
     }
     this.beginWaiting();
@@ -283,15 +254,14 @@
     const task = createLocalTask(buildTaskKey(order.name), order, owner, now);
     const other = this.tasks.get(task.key);
     if (other && other.owner !== owner) this.stopTask(other, 'submitted-elsewhere');
-    const at = this.waiting.findIndex((one) => one.order.rank > order.rank);
-    this.waiting.splice(at < 0 ? this.waiting.length : at, 0, task);
+    this.waiting.add(task);
     this.beginWaiting();
-    if (task.phase === 'waiting') void this.clock.sleep(MAX_WAIT_MS + 1).then(() => this.beginWaiting());
+    if (task.phase === 'waiting') void this.clock.sleep(OVERDUE_MS).then(() => this.beginWaiting());
   }
 
   /** Ends an attempt wherever it is; false if it is not here. */
   stop(key: string, attempt: number, owner: string, reason: string): boolean {
-    const waiting = this.waiting.find((task) => isAttempt(task, key, attempt, owner));
+    const waiting = this.waiting.find(key, attempt, owner);
     if (waiting) {
       this.dropOne(waiting, reason);
       return true;
@@ -320,12 +290,12 @@
 
   /** Attempts that are held for an entry. */
   listHeld(owner: string): LocalTask[] {
-    return [...this.waiting, ...this.tasks.values()].filter((task) => task.owner === owner);
+    return [...this.waiting.list(), ...this.tasks.values()].filter((task) => task.owner === owner);
   }
 
   /** Tasks that wait or may run. */
   get load(): number {
-    return this.waiting.length + this.tasks.size;
+    return this.waiting.size + this.tasks.size;
   }
 
   /** Whether nothing more is sent to this life. */
@@ -336,11 +306,12 @@
   /** Starts what fits and lets go what has waited too long. */
   beginWaiting(): void {
     const now = this.clock.now();
-    for (const task of [...this.waiting]) {
-      if (now > Math.min(task.order.expiresAt, task.receivedAt + MAX_WAIT_MS)) {
-        this.dropOne(task, now > task.order.expiresAt ? 'expired' : 'full');
+    for (const task of this.waiting.list()) {
+      const reason = findReturnReason(task, now);
+      if (reason !== undefined) {
+        this.dropOne(task, reason);
       } else if (this.canBegin(task)) {
-        this.waiting.splice(this.waiting.indexOf(task), 1);
+        this.waiting.remove(task);
         this.begin(task, now);
       }
     }
@@ -352,7 +323,7 @@
       this.events.revalidate(this.clock.now());
       const sentAt = this.clock.now();
       try {
-        const answer = await this.calls.renew(this.lastSequence, this.joined);
+        const answer = await this.calls.renew(this.lists.lastSequence, this.joined);
         if (this.isOver) return;
         this.handleLease(answer, sentAt);
         if (!this.joined || !this.calls.isAnswering) await this.clock.sleep(REPEAT_PAUSE_MS);
@@ -405,9 +376,7 @@
       return this.events.findOtherLife(bornAt, answer.clockMs);
     if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.name });
     this.reachable = true;
-    for (const ended of answer.ended) this.noteEnd(ended, now);
-    const unknown = this.noteRunning(answer.running, now);
-    this.noteMissing(answer.running, sentAt);
+    const unknown = this.lists.take(answer, sentAt, now);
     if (unknown === 0 && this.events.settle(sentAt) && !this.joined) this.join();
     this.beginWaiting();
   }
@@ -423,46 +392,6 @@
     this.events.change();
   }
 
-  private noteEnd(ended: EndedRun, now: number): void {
-    if (ended.sequence <= this.lastSequence) return;
-    this.lastSequence = ended.sequence;
-    const key = buildTaskKey(ended.name);
-    this.runs.note(key, ended.name.run);
-    const task = this.tasks.get(key);
-    if (!task || task.run !== ended.name.run) return;
-    if (ended.end === 'done') this.noteProgress(task, 100, now);
-    this.finish(task, convertRunEnd(ended.end), ended.end);
-  }
-
-  /** Notes progress; stops what nobody here has ordered, and returns how many those are. */
-  private noteRunning(running: readonly RunningRun[], now: number): number {
-    let unknown = 0;
-    for (const { name, percent } of running) {
-      const task = this.tasks.get(buildTaskKey(name));
-      if (task && task.run === name.run) {
-        if (task.phase === 'starting') this.confirm(task, now);
-        this.noteProgress(task, percent, now);
-      } else {
-        unknown += 1;
-        this.runs.note(buildTaskKey(name), name.run);
-        this.orders.stopUnknown(name);
-      }
-    }
-    return unknown;
-  }
-
-  /** What ran, or was to be stopped, and is in neither list of a renewal sent later is certainly gone. */
-  private noteMissing(running: readonly RunningRun[], sentAt: number): void {
-    const names = new Set(running.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
-    for (const task of [...this.tasks.values()]) {
-      if (names.has(`${task.key}/${task.run}`)) continue;
-      const since = task.phase === 'stopping' ? task.stopAcceptedAt : task.confirmedAt;
-      if (task.phase === 'starting' || since === undefined || since >= sentAt) continue;
-      const ran = task.confirmedAt !== undefined;
-      this.finish(task, ran ? 'stopped' : 'not-run', 'not-listed');
-    }
-  }
-
   /** No answer: once every lease that was given is over, nothing can run there any more. */
   private noteSilence(error: unknown): void {
     if (!this.reachable || !this.calls.hasLapsedFor(this.bounds.stopMs)) return;
@@ -540,16 +469,14 @@
   }
 
   private dropOne(task: LocalTask, reason: string): void {
-    const at = this.waiting.indexOf(task);
-    if (at < 0) return;
-    this.waiting.splice(at, 1);
+    if (!this.waiting.remove(task)) return;
     this.step(task, 'stop');
     this.events.finish(task, 'not-run', reason);
   }
 
   /** Ends what waits for room, as not run. */
   dropWaiting(reason: string): void {
-    for (const task of [...this.waiting]) this.dropOne(task, reason);
+    for (const task of this.waiting.list()) this.dropOne(task, reason);
   }
 
   private step(task: LocalTask, event: LocalEvent): void {
