--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -22,12 +22,13 @@
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import type { TaskExecutor } from '../../ports/TaskExecutor.js';
 import { NO_RESOURCES } from '../../request/dispatch/resources.js';
+import type { Resources } from '../../request/dispatch/submission.js';
 import { roundSpeed } from '../roundSpeed.js';
 import { FencingTokens } from './FencingTokens.js';
 import type { LocalTask } from './localTask.js';
 import { UpstreamLives } from './UpstreamLives.js';
 import { UpstreamSession } from './UpstreamSession.js';
-import type { SessionBounds } from './UpstreamSession.js';
+import type { SessionBounds } from './sessionEvents.js';
 
 /** How long results are kept to be told again on a new link, ms. */
 const KEEP_RESULTS_MS = 2_500;
@@ -55,6 +56,8 @@
   readonly noteJoined: (report: UpstreamReport) => void;
   /** Room has changed. */
   readonly noteChange: () => void;
+  /** The capacity of an upstream has changed. */
+  readonly noteCapacity: (report: UpstreamReport, before: Resources) => void;
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -113,6 +116,7 @@
       noteJoined: effects.noteJoined,
       finish: (task, end, reason) => this.finish(task, end, reason),
       change: () => effects.noteChange(),
+      changeCapacity: (report, before) => effects.noteCapacity(report, before),
       revalidate: (now) => this.expireEntries(now),
       log: effects.log,
     });
@@ -142,8 +146,7 @@
 
   /** A link to an entry is open and the entry has said which life it is. */
   noteWelcome(entryLife: string, provenAt: number): void {
-    const proof = this.findProof(entryLife, provenAt);
-    proof.provenAt = Math.max(proof.provenAt, provenAt);
+    const proof = this.prove(entryLife, provenAt);
     proof.startsSeen = 0;
     proof.told = NOTHING_TOLD;
     proof.isRetiring = false;
@@ -175,8 +178,7 @@
 
   /** The entry has echoed a ping. */
   noteEcho(entryLife: string, { at, typicalSpeed }: Pong): void {
-    const proof = this.findProof(entryLife, at);
-    proof.provenAt = Math.max(proof.provenAt, at);
+    const proof = this.prove(entryLife, at);
     proof.typicalSpeed = typicalSpeed;
   }
 
@@ -205,6 +207,7 @@
   /** An entry orders a task. */
   handleStart(entryLife: string, order: StartOrder): void {
     const now = this.clock.now();
+    this.expireEntries(now);
     const proof = this.findProof(entryLife, -Infinity);
     proof.startsSeen += 1;
     const refusal = this.findRefusal(order, proof, now);
@@ -373,6 +376,14 @@
     return best;
   }
 
+  /** Takes a newer proof; it counts for what is ordered from now on, and not for what it comes too late for. */
+  private prove(entryLife: string, provenAt: number): EntryProof {
+    this.expireEntries(this.clock.now());
+    const proof = this.findProof(entryLife, provenAt);
+    proof.provenAt = Math.max(proof.provenAt, provenAt);
+    return proof;
+  }
+
   private findProof(entryLife: string, provenAt: number): EntryProof {
     let proof = this.proofs.get(entryLife);
     if (!proof) this.proofs.set(entryLife, (proof = createProof(provenAt)));
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -98,7 +98,11 @@
     const log = (event: string): number => logged.push(event);
     const core = createCore(() => note('echo'));
     const steady = new SteadyClock();
-    const clock: Clock = { now: () => steady.now() + skippedMs, sleep: (ms) => steady.sleep(ms) };
+    const clock: Clock = {
+      now: () => steady.now() + skippedMs,
+      readSteady: () => steady.now(),
+      sleep: (ms) => steady.sleep(ms),
+    };
     links = new EntryLinks(options, core, clock, log, () => 0.5);
     links.noteSeeds([`${HOST}:1`]);
     await waitFor('ping');
@@ -123,6 +127,12 @@
     expect(received).to.not.include('room');
   });
 
+  it('tells a changed capacity at once, also where no tasks wait', async () => {
+    received.length = 0;
+    links.tellCapacity();
+    await waitFor('room');
+  });
+
   it('learns from an echo that no tasks wait any more', async () => {
     entry.send({ type: 'demand' });
     await waitFor('room');
--- a/src/process/executor/executorMetrics.ts
+++ b/src/process/executor/executorMetrics.ts
@@ -15,6 +15,11 @@
   return {
     executor_task_ends: { kind: 'counter', help: 'Ends of attempts', labels: ['end'] },
     executor_decisions: { kind: 'counter', help: 'Decisions by kind', labels: ['decision'] },
+    executor_capacity_changes: {
+      kind: 'counter',
+      help: 'Changes of the capacity of the upstream',
+      labels: ['direction'],
+    },
     executor_tasks: { kind: 'gauge', help: 'Tasks that wait or may run', read: readLoad },
     executor_configuration_version: {
       kind: 'gauge',
