Room is told by demand: executors divide what they tell among dispatchers that wait

Cause: the dispatchers of an executor place by the same, stale room (optimistic concurrency conflicts). Change: echoes and demand notices tell what waits; with roomSharing `demand` an executor tells each entry a part (divideRoom, RoomShares) where two or more wait, keeps room for what others were just told or will probably start, and tells between pings only what an entry doesn't know. It accepts as before. Default is `open`: as today. EntryLinks.test: the core that it fakes has the three functions that the links now call; what it checks is unchanged.

--- a/src/process/dispatcher/Backlog.ts
+++ b/src/process/dispatcher/Backlog.ts
@@ -9,6 +9,13 @@
     return this.tasks.length;
   }
 
+  /** Processor room that the waiting tasks ask for, thousandths of a core. */
+  sumCpuMilli(): number {
+    let cpuMilli = 0;
+    for (const { phase, need } of this.tasks) if (phase === 'waiting') cpuMilli += need.resources.cpuMilli;
+    return cpuMilli;
+  }
+
   /** Adds a task behind those of its rank. */
   add(task: DispatchTask): void {
     let low = 0;
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -102,6 +102,11 @@
     return this.backlog.size;
   }
 
+  /** Processor room that those tasks ask for, thousandths of a core. */
+  get waitingCpuMilli(): number {
+    return this.backlog.sumCpuMilli();
+  }
+
   /** Whether an agent of any service is linked and takes work. */
   hasAgents(now: number): boolean {
     return this.agents.hasReady(now);
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -290,7 +290,8 @@
     const isWaiting = this.dispatcher.waitingTasks > 0;
     if (!isWaiting || now - this.demandToldAt < this.pingMs) return;
     this.demandToldAt = now;
-    for (const channel of this.channels.values()) channel.send({ type: 'demand' });
+    const { waitingCpuMilli } = this.dispatcher;
+    for (const channel of this.channels.values()) channel.send({ type: 'demand', waitingCpuMilli });
   }
 
   private receive(channel: LineChannel, message: PeerMessage): void {
@@ -299,8 +300,9 @@
     if (message.type === 'ping') {
       const typicalSpeed = roundSpeed(this.dispatcher.typicalSpeed);
       const { versions } = this.exchange;
-      const isWaiting = this.dispatcher.waitingTasks > 0;
-      channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting });
+      const { waitingTasks, waitingCpuMilli } = this.dispatcher;
+      const isWaiting = waitingTasks > 0;
+      channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting, waitingCpuMilli });
       this.exchange.compareVersions(message, channel, now);
     }
     this.handle(channel, message, now);
@@ -316,7 +318,10 @@
     if (agent === undefined) return;
     if (message.type === 'ping') this.dispatcher.handlePing(agent, message, now);
     if (message.type === 'room') this.dispatcher.handleRoom(agent, message, now);
-    if (message.type === 'result') this.dispatcher.handleResult(agent, message, now);
+    if (message.type !== 'result') return;
+    const { end, reason } = message;
+    if (end === 'not-run') this.metrics.increment('dispatcher_returned_starts', { reason });
+    this.dispatcher.handleResult(agent, message, now);
   }
 
   private welcomeAgent(
--- a/src/process/dispatcher/dispatcherMetrics.ts
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -28,6 +28,11 @@
       buckets: DURATION_BUCKETS_MS,
     },
     dispatcher_decisions: { kind: 'counter', help: 'Decisions by kind', labels: ['decision'] },
+    dispatcher_returned_starts: {
+      kind: 'counter',
+      help: 'Starts that came back without having run',
+      labels: ['reason'],
+    },
     dispatcher_open_jobs: { kind: 'gauge', help: 'Jobs whose caller waits', read: gauges.readOpenJobs },
     dispatcher_waiting_tasks: {
       kind: 'gauge',
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -10,6 +10,7 @@
   AgentHello,
   AttemptProgress,
   AttemptResult,
+  DemandNotice,
   Ping,
   Pong,
   RoomReport,
@@ -20,9 +21,13 @@
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import type { TaskExecutor } from '../../ports/TaskExecutor.js';
 import { NO_RESOURCES } from '../../request/dispatch/resources.js';
+import type { Resources } from '../../request/dispatch/submission.js';
 import { roundSpeed } from '../roundSpeed.js';
+import type { RoomSharingKind } from '../settings/dispatchSettings.js';
 import { FencingTokens } from './FencingTokens.js';
 import type { LocalTask } from './localTask.js';
+import { RoomShares } from './RoomShares.js';
+import type { RoomEntry } from './RoomShares.js';
 import { UpstreamLives } from './UpstreamLives.js';
 import { UpstreamSession } from './UpstreamSession.js';
 import type { SessionBounds } from './UpstreamSession.js';
@@ -35,6 +40,8 @@
 const STALL_MS = 150;
 /** Share of the typical speed below which an entry is told of all progress; entries move tasks at less. */
 const CRAWL_SHARE = 0.7;
+/** Age of an entry's newest echo, in parts of the time after which its work is stopped, from which on it is told no part. */
+const SILENT_PART = 0.6;
 
 /** Times the agent keeps to, ms. */
 export interface AgentBounds extends SessionBounds {
@@ -51,6 +58,8 @@
   readonly noteJoined: (report: UpstreamReport) => void;
   /** Room has changed. */
   readonly noteChange: () => void;
+  /** An entry is told a part of the room. */
+  readonly notePart?: () => void;
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -70,6 +79,8 @@
 /** What a link was last told. */
 interface ToldRoom {
   readonly description: UpstreamDescription | undefined;
+  /** All of the rest but room and starts, as text. */
+  readonly status: string;
   /** The rest as text; empty if it has to be told in any case. */
   readonly room: string;
 }
@@ -77,6 +88,7 @@
 /** Decides for one agent. */
 export class AgentCore {
   private readonly proofs = new Map<string, EntryProof>();
+  private readonly shares = new RoomShares();
   private readonly lives: UpstreamLives;
   private leaving = false;
   /** Whether the operators have emptied the agent's failure domain. */
@@ -95,6 +107,7 @@
     private readonly bounds: AgentBounds,
     private readonly clock: Clock,
     private readonly effects: AgentEffects,
+    private readonly sharing: RoomSharingKind = 'open',
   ) {
     this.lives = new UpstreamLives(clock, new FencingTokens(identity.startedAt, clock), bounds, {
       openExecutor: effects.openExecutor,
@@ -135,6 +148,7 @@
     proof.startsSeen = 0;
     proof.told = NOTHING_TOLD;
     proof.isRetiring = false;
+    this.shares.noteLinked(entryLife);
   }
 
   /** The link to an entry is to be given up once it has nothing here, or kept after all. */
@@ -158,10 +172,44 @@
   noteEntryReplaced(entryLife: string): void {
     this.stopEntry(entryLife, 'entry-replaced');
     this.proofs.delete(entryLife);
+    this.shares.forget(entryLife);
+  }
+
+  /** Room that nobody uses. */
+  get free(): Resources {
+    return this.findSession()?.free ?? NO_RESOURCES;
+  }
+
+  /** Tasks have begun to wait at an entry. */
+  noteDemand(entryLife: string, { waitingCpuMilli }: DemandNotice): void {
+    this.shares.noteDemand(entryLife, waitingCpuMilli);
+  }
+
+  /** Whether an entry is told a part of the room, as it tells its demand. */
+  hasPart(entryLife: string): boolean {
+    return this.sharing === 'demand' && this.shares.tellsDemand(entryLife);
+  }
+
+  /**
+   * Tells whether an entry is to hear of a change of room before its next ping.
+   *
+   * @param entryLife - of the entry
+   * @param isWaiting - whether tasks wait there
+   */
+  needsRoom(entryLife: string, isWaiting: boolean): boolean {
+    if (!this.hasPart(entryLife)) return isWaiting;
+    const { cpuMilli } = this.free;
+    return this.shares.isDue(entryLife, cpuMilli, this.listRoomEntries(), this.clock.now());
+  }
+
+  /** Entries at which tasks wait, and the processor room that those ask for, thousandths of a core. */
+  get demand(): { readonly entries: number; readonly cpuMilli: number } {
+    return { entries: this.shares.waitingEntries, cpuMilli: this.shares.demand };
   }
 
   /** The entry has echoed a ping. */
-  noteEcho(entryLife: string, { at, typicalSpeed }: Pong): void {
+  noteEcho(entryLife: string, { at, typicalSpeed, waitingCpuMilli }: Pong): void {
+    this.shares.noteDemand(entryLife, waitingCpuMilli);
     const proof = this.findProof(entryLife, at);
     proof.provenAt = Math.max(proof.provenAt, at);
     proof.typicalSpeed = typicalSpeed;
@@ -195,7 +243,10 @@
     const proof = this.findProof(entryLife, -Infinity);
     proof.startsSeen += 1;
     const refusal = this.findRefusal(order, proof, now);
-    if (refusal instanceof UpstreamSession) return refusal.offer(order, entryLife);
+    if (refusal instanceof UpstreamSession) {
+      this.shares.noteStart(entryLife, order.resources.cpuMilli, now);
+      return refusal.offer(order, entryLife);
+    }
     this.tellResult(entryLife, { type: 'result', name: order.name, end: 'not-run', reason: refusal });
   }
 
@@ -211,38 +262,74 @@
   buildPing(entryLife: string, version: number): Ping {
     const at = Math.floor(this.clock.now());
     const progress = this.listProgress(entryLife);
-    const room = this.takeRoomChange(entryLife);
+    const room = this.takeRoomNews(entryLife, true);
     return { type: 'ping', at, version, room, progress: progress.length > 0 ? progress : undefined };
   }
 
   /** Returns the room if it is not what the entry's link was last told, and takes it for told. */
   takeRoomChange(entryLife: string): RoomReport | undefined {
+    return this.takeRoomNews(entryLife, false);
+  }
+
+  /** Pings also tell which starts are counted; between them an entry's part is told if it does not know it. */
+  private takeRoomNews(entryLife: string, isPing: boolean): RoomReport | undefined {
     const proof = this.findProof(entryLife, -Infinity);
-    const { description, ...rest } = this.buildRoom(entryLife);
-    const told = { description, room: JSON.stringify(rest) };
+    const { description, ...status } = this.buildStatus(entryLife);
+    const { free, isKnown } = this.findToldRoom(entryLife, status.state);
+    const rest = { ...status, free, startsSeen: proof.startsSeen };
+    const told = { description, status: JSON.stringify(status), room: JSON.stringify(rest) };
     const isNew = description !== proof.told.description;
     if (!isNew && told.room === proof.told.room) return undefined;
+    const isExpected = isKnown && proof.told.room !== '' && told.status === proof.told.status;
+    if (!isNew && !isPing && isExpected) return undefined;
+    if (this.hasPart(entryLife) && status.state === 'ready') this.effects.notePart?.();
     proof.told = told;
     return { description: isNew ? description : undefined, ...rest };
   }
 
-  private buildRoom(entryLife: string): RoomReport & { readonly description: UpstreamDescription } {
-    const { startsSeen, isRetiring } = this.findProof(entryLife, -Infinity);
+  private buildStatus(entryLife: string): Omit<RoomReport, 'free' | 'startsSeen'> & {
+    readonly description: UpstreamDescription;
+  } {
+    const { isRetiring } = this.findProof(entryLife, -Infinity);
     const session = this.findSession();
     const isHome = entryLife === this.homeLife ? true : undefined;
-    if (!session) return { ...ABSENT_ROOM, startsSeen, isHome };
-    const { description, free } = session;
+    if (!session) return { ...ABSENT_STATUS, isHome };
     return {
-      description,
+      description: session.description,
       state: this.leaving || this.isEmptied || isRetiring ? 'draining' : session.state,
       trust: session.readTrust(),
-      free,
-      startsSeen,
       speed: roundSpeed(session.readSpeed()),
       isHome,
     };
   }
 
+  /** Room that an entry is told: its part, if it tells its demand. */
+  private findToldRoom(
+    entryLife: string,
+    state: RoomReport['state'],
+  ): { readonly free: Resources; readonly isKnown: boolean } {
+    const { free } = this;
+    // Where one task at a time is taken, an entry sees by all of the room whether there is one.
+    const isWhole = state !== 'ready' || this.findSession()?.readTrust() !== 'healthy';
+    if (isWhole || !this.hasPart(entryLife)) return { free, isKnown: false };
+    const entries = this.listRoomEntries();
+    if (!entries.some(({ life }) => life === entryLife)) return { free: NO_RESOURCES, isKnown: false };
+    const { cpuMilli, isKnown } = this.shares.tell(entryLife, free.cpuMilli, entries, this.clock.now());
+    return { free: { ...free, cpuMilli }, isKnown };
+  }
+
+  /** Entries that may be told room: those that live and whose links are to stay. */
+  private listRoomEntries(): RoomEntry[] {
+    const now = this.clock.now();
+    const used = this.findSession()?.sumUsed();
+    const entries: RoomEntry[] = [];
+    for (const [life, { provenAt, isRetiring }] of this.proofs) {
+      if (isRetiring || now - provenAt > this.bounds.orphanAfterMs * SILENT_PART) continue;
+      entries.push({ life, used: used?.get(life) ?? 0, isHome: life === this.homeLife });
+    }
+    return entries;
+  }
+
   /** Attempts of an entry that stand still or crawl: only those may be moved. */
   private listProgress(entryLife: string): AttemptProgress[] {
     const now = this.clock.now();
@@ -302,7 +389,9 @@
       if (stopped > 0)
         this.effects.log('entry-silent', { entryLife: life, ageMs: Math.round(ageMs), stopped });
       while (proof.results[0] && now - proof.results[0].at > KEEP_RESULTS_MS) proof.results.shift();
-      if (ageMs > FORGET_ENTRY_MS) this.proofs.delete(life);
+      if (ageMs <= FORGET_ENTRY_MS) continue;
+      this.proofs.delete(life);
+      this.shares.forget(life);
     }
   }
 
@@ -369,7 +458,7 @@
 
 const STATE_ORDER = ['ready', 'silent', 'joining', 'draining', 'absent'] as const;
 
-const NOTHING_TOLD: ToldRoom = { description: undefined, room: '' };
+const NOTHING_TOLD: ToldRoom = { description: undefined, status: '', room: '' };
 
 const ABSENT_DESCRIPTION: UpstreamDescription = {
   upstream: '',
@@ -378,11 +467,10 @@
   capacity: NO_RESOURCES,
 };
 
-const ABSENT_ROOM = {
+const ABSENT_STATUS = {
   description: ABSENT_DESCRIPTION,
   state: 'absent',
   trust: 'healthy',
-  free: NO_RESOURCES,
   speed: 1,
 } as const;
 
--- a/src/process/executor/EntryLinks.test.ts
+++ b/src/process/executor/EntryLinks.test.ts
@@ -47,6 +47,9 @@
     noteEcho,
     countHeld: () => 0,
     takeRoomChange: () => ROOM,
+    noteDemand: () => undefined,
+    needsRoom: (_: string, isWaiting: boolean) => isWaiting,
+    hasPart: () => false,
   };
   return core as unknown as AgentCore;
 }
--- a/src/process/executor/EntryLinks.ts
+++ b/src/process/executor/EntryLinks.ts
@@ -5,7 +5,12 @@
 import type { Clock } from '../../_lib/Clock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
-import type { AttemptResult, EntryWelcome, PeerMessage } from '../../connection/peer/peerMessages.js';
+import type {
+  AttemptResult,
+  DemandNotice,
+  EntryWelcome,
+  PeerMessage,
+} from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
 import type { LogFields } from '../logger.js';
 import { OperatorExchange } from '../OperatorExchange.js';
@@ -152,14 +157,20 @@
   }
 
   /**
-   * Room has changed: tells it in its pace on the links of entries at which tasks wait. The others hear of it with the
-   * next ping; they have room enough for what comes to them until then, or begin to wait and say so.
+   * Room has changed: tells it in its pace on the links of entries at which tasks wait, or that were told too much. The
+   * others hear of it with the next ping; they have room enough for what comes to them until then, or begin to wait and
+   * say so.
    */
   scheduleRoom(): void {
     const now = this.clock.now();
-    const waiting = [...this.links.values()].filter(({ life, isWaiting }) => life !== '' && isWaiting);
-    for (const link of waiting) {
-      link.roomTimer ??= setTimeout(() => this.tellRoom(link), link.pacer.findWait(now, waiting.length));
+    const due = [...this.links.values()].filter(
+      ({ life, isWaiting }) => life !== '' && this.core.needsRoom(life, isWaiting),
+    );
+    for (const link of due) {
+      const { life, pacer } = link;
+      const isPart = this.core.hasPart(life);
+      const waitMs = isPart ? pacer.findPartWait(now, due.length) : pacer.findWait(now, due.length);
+      link.roomTimer ??= setTimeout(() => this.tellRoom(link), waitMs);
     }
   }
 
@@ -248,7 +259,7 @@
     if (link.life === '') return;
     if (message.type === 'start') return this.core.handleStart(link.life, message);
     if (message.type === 'stop') return this.core.handleStop(link.life, message);
-    if (message.type === 'demand') return this.noteDemand(link);
+    if (message.type === 'demand') return this.noteDemand(link, message);
     if (message.type !== 'pong') return;
     link.isWaiting = message.isWaiting;
     this.directory.noteAlive(address, now);
@@ -280,8 +291,9 @@
     this.core.setEmptied(isEmptied);
   }
 
-  private noteDemand(link: EntryLink): void {
+  private noteDemand(link: EntryLink, notice: DemandNotice): void {
     link.isWaiting = true;
+    this.core.noteDemand(link.life, notice);
     this.tellRoom(link);
   }
 
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -67,16 +67,23 @@
         openExecutor: (report) => this.ports.registry.openExecutor(report),
         sendResult: (life, result) => {
           this.metrics.increment('executor_task_ends', { end: result.end });
+          if (result.reason === 'full') this.metrics.increment('executor_returned_starts');
           this.links.sendResult(life, result);
         },
         noteJoined: (report) => this.rememberUpstream(report),
         noteChange: () => this.links.scheduleRoom(),
+        notePart: () => this.metrics.increment('executor_parts_told'),
         log: (event, fields) => this.logDecision(event, fields),
       },
+      settings.roomSharing,
     );
     this.metrics = new ServedMetrics(
       settings.metricsAddress,
-      buildExecutorMetrics(() => this.core.load),
+      buildExecutorMetrics({
+        readLoad: () => this.core.load,
+        readWaitingEntries: () => this.core.demand.entries,
+        readDemand: () => this.core.demand.cpuMilli,
+      }),
     );
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs) });
--- a/src/process/executor/RoomPacer.ts
+++ b/src/process/executor/RoomPacer.ts
@@ -43,4 +43,15 @@
     const intervalMs = Math.min(MAX_INTERVAL_MS, INTERVAL_PER_LINK_MS * links * this.factor);
     return Math.max(GATHER_MS, this.toldAt + intervalMs - now);
   }
+
+  /**
+   * Finds when a part of the room may be told that is meant for this link only: at once, unless its echoes come late.
+   *
+   * @param now - monotonic time, ms
+   * @param links - links that are told a part
+   * @returns the time to wait, ms
+   */
+  findPartWait(now: number, links: number): number {
+    return this.factor > 1 ? this.findWait(now, links) : 0;
+  }
 }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -288,6 +288,14 @@
     return [...this.waiting, ...this.tasks.values()].filter((task) => task.owner === owner);
   }
 
+  /** Processor room that tasks take, by the entry that has ordered them, thousandths of a core. */
+  sumUsed(): Map<string, number> {
+    const used = new Map<string, number>();
+    for (const { owner, order } of this.tasks.values())
+      used.set(owner, (used.get(owner) ?? 0) + order.resources.cpuMilli);
+    return used;
+  }
+
   /** Tasks that wait or may run. */
   get load(): number {
     return this.waiting.length + this.tasks.size;
--- a/src/process/executor/executorMetrics.ts
+++ b/src/process/executor/executorMetrics.ts
@@ -1,16 +1,42 @@
 /** Metrics of an executor. */
 import type { MetricDefinition } from '../ServedMetrics.js';
 
+/** What the gauges read. */
+export interface ExecutorGauges {
+  /** Counts tasks that wait or may run. */
+  readonly readLoad: () => number;
+  /** Counts entries at which tasks wait. */
+  readonly readWaitingEntries: () => number;
+  /** Sums the processor room that those ask for, thousandths of a core. */
+  readonly readDemand: () => number;
+}
+
 /**
  * Defines the metrics of an executor.
  *
- * @param readLoad - counts tasks that wait or may run
+ * @param gauges - where gauges are read
  * @returns definitions by name
  */
-export function buildExecutorMetrics(readLoad: () => number): Readonly<Record<string, MetricDefinition>> {
+export function buildExecutorMetrics({
+  readLoad,
+  readWaitingEntries,
+  readDemand,
+}: ExecutorGauges): Readonly<Record<string, MetricDefinition>> {
   return {
     executor_task_ends: { kind: 'counter', help: 'Ends of attempts', labels: ['end'] },
     executor_decisions: { kind: 'counter', help: 'Decisions by kind', labels: ['decision'] },
+    executor_returned_starts: { kind: 'counter', help: 'Starts that found no room and were given back' },
+    executor_parts_told: { kind: 'counter', help: 'Parts of the room told to dispatchers' },
+    executor_waiting_entries: {
+      kind: 'gauge',
+      help: 'Dispatchers at which tasks wait, as last told',
+      read: readWaitingEntries,
+    },
+    executor_demand_cpu_milli: {
+      kind: 'gauge',
+      help: 'Processor room that those tasks ask for, thousandths of a core',
+      read: readDemand,
+    },
     executor_tasks: { kind: 'gauge', help: 'Tasks that wait or may run', read: readLoad },
   };
 }
--- /dev/null
+++ b/test/fakes/RoomModel.ts
@@ -0,0 +1,351 @@
+/**
+ * Dispatchers that share executors, on virtual time. Dispatchers, what executors decide and the pace in which they tell
+ * room are the product's own; links and upstreams are not.
+ *
+ * The pattern is that of several schedulers with shared, stale state: an optimistic concurrency conflict. Each dispatcher
+ * places by a copy of an executor's room that is some ms old, and so do the others; what does not fit any more comes back.
+ */
+import { createRandom } from '../../src/_lib/createRandom.js';
+import { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
+import { HomePlacement } from '../../src/process/dispatcher/Placement.js';
+import { DelayWindow } from '../../src/process/dispatcher/SendWindow.js';
+import { deriveDispatchTimes } from '../../src/process/dispatchTimes.js';
+import { EntryDirectory } from '../../src/process/executor/EntryDirectory.js';
+import type { DispatchSettings, RoomSharingKind } from '../../src/process/settings/dispatchSettings.js';
+import { JobBounds } from '../../src/request/dispatch/JobBounds.js';
+import type { JobOutcome } from '../../src/request/dispatch/submission.js';
+import type { EntryMessage } from '../../src/connection/peer/peerMessages.js';
+import { ROUTE, STEP, WIDE_LIMITS } from './dispatchFixtures.js';
+import { RoomModelAgent } from './RoomModelAgent.js';
+import type { AgentMessage, ModelLink } from './RoomModelAgent.js';
+import { VirtualTime } from './VirtualTime.js';
+
+const DISPATCHERS = 8;
+const DOMAINS = ['a', 'b', 'c', 'd'];
+const EXECUTORS = 54;
+const MAX_LINKS = 3;
+/** Every third upstream is larger and slower. */
+const SLOTS = 12;
+const LARGER = 1.5;
+const SLOWER = 1.7;
+const FASTER = 0.7;
+/** Kinds of jobs: how many of a thousand, tasks, and work of a task by the caller's estimate, ms. */
+const KINDS = [
+  { share: 245, count: 8, estimateMs: 73 },
+  { share: 44, count: 4, estimateMs: 1_086 },
+  { share: 711, count: 2, estimateMs: 243 },
+];
+const TASK = { cpuMilli: 1_300, memoryMb: 64, gpus: 0 };
+const TASK_SPREAD = 0.2;
+/** Spread of a task's work about its estimate. */
+const WORK_SPREAD = 0.4;
+/** Demand of a failure domain is a wave: by how much it swings, its period, and how far the domains are apart, ms. */
+const SWING = 0.55;
+const PERIOD_MS = 17_000;
+const PHASE_MS = 1_400;
+/** Part of a failure domain's callers that its first dispatcher gets. */
+const UNEVEN = 0.65;
+const PATIENCE_MS = 1_528;
+const TARGET_LATENCY_MS = 61;
+const TICK_MS = 40;
+const TIMES = deriveDispatchTimes({ resubmitMs: 1_300, maxLeaseMs: 1_000 } as DispatchSettings);
+
+/** What is played. */
+export interface RoomPlay {
+  readonly sharing: RoomSharingKind;
+  /** Work that is asked for at the peak of all domains together, as a share of the room. */
+  readonly load: number;
+  /** One way between dispatcher and executor, ms. */
+  readonly wayMs: number;
+  readonly seed: number;
+  /** How long is played, and from when on is counted, ms; the peak is in the middle of what is counted. */
+  readonly playMs: number;
+  readonly countFromMs: number;
+  /** Number of dispatchers that are of the version before: they tell no demand. */
+  readonly earlier?: number;
+  /** What happens, by when, ms. */
+  readonly events?: readonly { readonly at: number; readonly run: (model: RoomModel) => void }[];
+}
+
+/** What came of it. */
+export interface RoomCount {
+  starts: number;
+  /** Starts that came back as `full`. */
+  full: number;
+  submitted: number;
+  completed: number;
+  inTime: number;
+  /** Messages of room, pings and echoes not counted, and bytes of all control messages. */
+  roomMessages: number;
+  controlMessages: number;
+  controlBytes: number;
+  /** Of the steps: mean share of the room that is free while tasks wait at a dispatcher that is linked to it. */
+  idleWhileWaiting: number;
+  steps: number;
+}
+
+/** A dispatcher of the model. */
+export class ModelEntry {
+  readonly dispatcher: Dispatcher;
+  readonly life: string;
+  readonly links = new Map<string, ModelLink>();
+  /** A dispatcher that is frozen takes messages when it wakes; one that is dead takes none. */
+  state: 'live' | 'frozen' | 'dead' = 'live';
+  /** Whether its messages are lost on their way, both ways. */
+  isCut = false;
+  readonly inbox: (() => void)[] = [];
+  private demandToldAt = -Infinity;
+
+  constructor(
+    readonly index: number,
+    private readonly play: RoomPlay,
+    private readonly model: RoomModel,
+    nextRandom: () => number,
+  ) {
+    this.life = `e${index}@1`;
+    const options = {
+      pingMs: TIMES.pingMs,
+      bounds: new JobBounds(WIDE_LIMITS),
+      placement: new HomePlacement(1),
+      window: new DelayWindow(),
+      nextRandom,
+    };
+    this.dispatcher = new Dispatcher(options, {
+      send: (agent, message) => this.send(agent, message),
+      log: () => undefined,
+      noteOutcome: () => undefined,
+    });
+  }
+
+  get domain(): string {
+    return DOMAINS[this.index % DOMAINS.length] ?? '';
+  }
+
+  get address(): string {
+    return `10.0.0.${this.index}:1`;
+  }
+
+  /** Takes a message of an executor. */
+  receive(agent: string, message: AgentMessage): void {
+    if (this.state === 'dead') return;
+    if (this.state === 'frozen') return void this.inbox.push(() => this.receive(agent, message));
+    const now = this.model.time.now();
+    if (message.type === 'agent-hello') return void this.dispatcher.handleHello(message, this.life, now);
+    if (message.type === 'ping') {
+      const { waitingTasks, waitingCpuMilli, typicalSpeed } = this.dispatcher;
+      const isWaiting = waitingTasks > 0;
+      const pong = { type: 'pong', at: message.at, version: 1, typicalSpeed, isWaiting } as const;
+      this.send(agent, this.isEarlier ? pong : { ...pong, waitingCpuMilli });
+      this.dispatcher.handlePing(agent, message, now);
+    }
+    if (message.type === 'room') this.dispatcher.handleRoom(agent, message, now);
+    if (message.type === 'result') this.dispatcher.handleResult(agent, message, now);
+  }
+
+  /** Does what a turn of the daemon's loop does. */
+  step(now: number): void {
+    if (this.state !== 'live') return;
+    if (now % TICK_MS === 0) this.dispatcher.tick(now);
+    if (this.dispatcher.waitingTasks === 0) return;
+    this.dispatcher.place(now);
+    if (this.dispatcher.waitingTasks === 0 || now - this.demandToldAt < TIMES.pingMs) return;
+    this.demandToldAt = now;
+    const { waitingCpuMilli } = this.dispatcher;
+    const notice = { type: 'demand', waitingCpuMilli: this.isEarlier ? undefined : waitingCpuMilli } as const;
+    for (const id of this.links.keys()) this.send(id, notice);
+  }
+
+  private get isEarlier(): boolean {
+    return this.index < (this.play.earlier ?? 0);
+  }
+
+  private send(agent: string, message: EntryMessage): void {
+    if (message.type === 'start') this.model.note('starts');
+    else if (message.type !== 'stop') this.model.noteControl(message);
+    const link = this.links.get(agent);
+    if (this.isCut || !link) return;
+    this.model.time.schedule(this.play.wayMs, () => link.agent.receive(link, message));
+  }
+}
+
+/** Plays one load. */
+export class RoomModel {
+  readonly time = new VirtualTime();
+  readonly entries: ModelEntry[] = [];
+  readonly agents: RoomModelAgent[] = [];
+  readonly count: RoomCount = {
+    starts: 0,
+    full: 0,
+    submitted: 0,
+    completed: 0,
+    inTime: 0,
+    roomMessages: 0,
+    controlMessages: 0,
+    controlBytes: 0,
+    idleWhileWaiting: 0,
+    steps: 0,
+  };
+  private readonly nextRandom: () => number;
+  private readonly due: number[] = DOMAINS.map(() => 0);
+  private jobs = 0;
+
+  constructor(readonly play: RoomPlay) {
+    this.nextRandom = createRandom(play.seed);
+    for (let index = 0; index < DISPATCHERS; index += 1)
+      this.entries.push(new ModelEntry(index, play, this, this.nextRandom));
+    for (let index = 0; index < EXECUTORS; index += 1) this.addAgent(index, 1);
+  }
+
+  /** Plays to the end. */
+  async run(): Promise<RoomCount> {
+    const { playMs, events = [] } = this.play;
+    for (const { at, run } of events) this.time.schedule(at, () => run(this));
+    while (this.time.now() < playMs) {
+      await this.time.advance();
+      const now = this.time.now();
+      if (Number.isInteger(now)) this.submitDue(now);
+      for (const entry of this.entries) entry.step(now);
+      for (const agent of this.agents) agent.step(now);
+      if (now % 10 === 0) this.measureIdle();
+    }
+    return this.count;
+  }
+
+  /** Adds an executor, or another life of one. */
+  addAgent(index: number, life: number): void {
+    const isLarger = index % 3 === 2;
+    const slots = isLarger ? SLOTS * LARGER : SLOTS;
+    const slowness = isLarger ? SLOWER : FASTER;
+    const capacity = {
+      cpuMilli: Math.floor(slots * TASK.cpuMilli * (1 + TASK_SPREAD / 10)),
+      memoryMb: 65_536,
+      gpus: 0,
+    };
+    const findWork = ({ job }: { job: string }): number =>
+      (KINDS[Number(job[0])]?.estimateMs ?? 0) * slowness * this.drawFactor(WORK_SPREAD);
+    const options = {
+      index,
+      life,
+      domain: DOMAINS[index % DOMAINS.length] ?? '',
+      capacity,
+      findWork,
+      sharing: this.play.sharing,
+      wayMs: this.play.wayMs,
+      times: TIMES,
+    };
+    const agent = new RoomModelAgent(options, this.time, {
+      note: (what) => this.note(what),
+      noteControl: (message) => this.noteControl(message),
+    });
+    this.agents[index] = agent;
+    const directory = new EntryDirectory(agent.name, MAX_LINKS, 0);
+    const live = this.entries.filter(({ state }) => state !== 'dead');
+    directory.noteMembers(
+      live.map(({ address, domain }) => ({ address, failureDomain: domain })),
+      0,
+    );
+    const wanted = directory.chooseLinks(0);
+    for (const address of wanted) directory.noteAlive(address, 0);
+    const home = directory.chooseHome(wanted, 0);
+    for (const entry of live) if (wanted.has(entry.address)) agent.link(entry, entry.address === home);
+  }
+
+  /** Counts what is sent or comes back. */
+  note(what: 'starts' | 'full'): void {
+    if (this.time.now() >= this.play.countFromMs) this.count[what] += 1;
+  }
+
+  /** Counts a message that orders nothing. */
+  noteControl(message: { readonly type: string }): void {
+    if (this.time.now() < this.play.countFromMs) return;
+    if (message.type === 'room' || message.type === 'demand') this.count.roomMessages += 1;
+    this.count.controlMessages += 1;
+    this.count.controlBytes += JSON.stringify(message).length;
+  }
+
+  private measureIdle(): void {
+    if (this.time.now() < this.play.countFromMs) return;
+    this.count.steps += 1;
+    let idle = 0;
+    for (const agent of this.agents) {
+      const isAwaited = [...agent.links].some(
+        ({ entry }) => entry.state === 'live' && !entry.isCut && entry.dispatcher.waitingTasks > 0,
+      );
+      if (isAwaited) idle += agent.readFreeShare() / this.agents.length;
+    }
+    this.count.idleWhileWaiting += idle;
+  }
+
+  private submitDue(now: number): void {
+    const { load, playMs, countFromMs } = this.play;
+    const peakAt = (playMs + countFromMs) / 2;
+    const middle = (DOMAINS.length - 1) / 2;
+    // Of all domains together: they swing one after the other.
+    let peak = 0;
+    for (let domain = 0; domain < DOMAINS.length; domain += 1) peak += findWave((domain - middle) * PHASE_MS);
+    DOMAINS.forEach((_, domain) => {
+      const wave = findWave(now - peakAt - (domain - middle) * PHASE_MS) / peak;
+      this.due[domain] = (this.due[domain] ?? 0) + load * JOBS_PER_MS * wave;
+      while ((this.due[domain] ?? 0) > this.nextRandom()) {
+        this.due[domain] = (this.due[domain] ?? 0) - 1;
+        this.submit(domain, now);
+      }
+    });
+  }
+
+  private submit(domain: number, now: number): void {
+    // Of two dispatchers the busier one is now the first, now the second: no order of links is to prefer it.
+    const isFirst = this.nextRandom() < UNEVEN === (domain % 2 === 0);
+    const entry = this.entries[isFirst ? domain : domain + DOMAINS.length];
+    if (entry?.state !== 'live') return;
+    const kind = this.drawKind();
+    const { count, estimateMs } = KINDS[kind] ?? { count: 1, estimateMs: 1 };
+    this.jobs += 1;
+    const cpuMilli = Math.round(TASK.cpuMilli * (1 + TASK_SPREAD * (this.nextRandom() - 0.5)));
+    const submission = {
+      id: `${kind}-${this.jobs}`,
+      route: { ...ROUTE, targetLatencyMs: TARGET_LATENCY_MS },
+      spec: '',
+      steps: [{ ...STEP, count, estimateMs, resources: { ...TASK, cpuMilli } }],
+      patienceMs: PATIENCE_MS,
+    };
+    const isCounted = now >= this.play.countFromMs && now < this.play.playMs - PATIENCE_MS;
+    if (isCounted) this.count.submitted += 1;
+    const objectiveMs = 1.6 * estimateMs + TARGET_LATENCY_MS;
+    const answer = ({ kind: outcome }: JobOutcome): void => {
+      if (!isCounted || outcome !== 'completed') return;
+      this.count.completed += 1;
+      if (this.time.now() - now <= objectiveMs) this.count.inTime += 1;
+    };
+    entry.dispatcher.submit(submission, { answer }, now);
+  }
+
+  private drawKind(): number {
+    let drawn = this.nextRandom() * 1_000;
+    return Math.max(
+      0,
+      KINDS.findIndex(({ share }) => (drawn -= share) < 0),
+    );
+  }
+
+  /** A factor of mean 1 about which work spreads. */
+  private drawFactor(spread: number): number {
+    return 1 + spread * (this.nextRandom() + this.nextRandom() - 1);
+  }
+}
+
+/** Jobs a ms that take all the room. */
+const JOBS_PER_MS = findRoom() / findWorkOfJob();
+
+function findRoom(): number {
+  const larger = Math.floor(EXECUTORS / 3);
+  return (larger * SLOTS * LARGER) / SLOWER + ((EXECUTORS - larger) * SLOTS) / FASTER;
+}
+
+function findWorkOfJob(): number {
+  return KINDS.reduce((sum, { share, count, estimateMs }) => sum + (share * count * estimateMs) / 1_000, 0);
+}
+
+function findWave(ms: number): number {
+  return 1 + SWING * Math.cos((2 * Math.PI * ms) / PERIOD_MS);
+}
--- /dev/null
+++ b/test/roomByDemand.test.ts
@@ -0,0 +1,122 @@
+import { expect } from 'chai';
+
+import { RoomModel } from './fakes/RoomModel.js';
+import type { RoomCount, RoomPlay } from './fakes/RoomModel.js';
+
+const SEED = 20261203;
+const WAY_MS = 1;
+/** The peak, in parts of the room. */
+const PEAK = 0.95;
+/** Starts that may come back at the peak. */
+const RETURNED = 0.03;
+/** Part of the jobs that may be late or lost beyond those of the whole room told to all, which uses the room at once. */
+const ROUND_TRIP_LOSS = 0.06;
+
+async function play(change: Partial<RoomPlay>): Promise<RoomCount> {
+  const base = { load: PEAK, wayMs: WAY_MS, seed: SEED, playMs: 5_000, countFromMs: 1_500 };
+  return new RoomModel({ ...base, sharing: 'demand', ...change }).run();
+}
+
+function readReturned({ full, starts }: RoomCount): number {
+  return full / starts;
+}
+
+function readInTime({ inTime, submitted }: RoomCount): number {
+  return inTime / submitted;
+}
+
+describe('dispatchers that compete for the room of executors', function () {
+  this.timeout(120_000);
+
+  let open: RoomCount;
+  let divided: RoomCount;
+
+  before(async () => {
+    open = await play({ sharing: 'open' });
+    divided = await play({});
+  });
+
+  it('get an eighth of their starts back where all of the room is told to each, which the model must show', () => {
+    expect(readReturned(open)).to.be.greaterThan(0.12);
+  });
+
+  it('get few back where room is divided by demand, from 0.5 to 3 ms one way', async () => {
+    for (const wayMs of [0.5, WAY_MS, 3]) {
+      const count = wayMs === WAY_MS ? divided : await play({ wayMs });
+      expect(readReturned(count), `${wayMs} ms`).to.be.lessThan(RETURNED);
+    }
+  });
+
+  it('serve nearly as many jobs in time', () => {
+    expect(readInTime(divided)).to.be.greaterThan(readInTime(open) - ROUND_TRIP_LOSS);
+    expect(divided.completed / divided.submitted).to.be.greaterThan(0.96);
+  });
+
+  it('leave little room unused while tasks wait', () => {
+    const { idleWhileWaiting, steps } = divided;
+    expect(idleWhileWaiting / steps).to.be.lessThan(0.06);
+  });
+
+  it('behave as today below the room, where nobody waits', async () => {
+    const today = await play({ sharing: 'open', load: 0.5 });
+    expect(readInTime(await play({ load: 0.5 }))).to.be.greaterThan(readInTime(today) - 0.01);
+  });
+
+  it('of the version before get what they get today', async () => {
+    const earlier = await play({ earlier: 8 });
+    expect(earlier.full).to.equal(open.full);
+    expect(earlier.completed).to.equal(open.completed);
+  });
+});
+
+describe('room that was told to a dispatcher', function () {
+  this.timeout(120_000);
+
+  /** Time from a failure until what the dispatcher held is counted on by nobody, and a ping, ms. */
+  const BACK_MS = 700;
+  const FAILS_AT = 2_000;
+
+  /** Share of the room that stands idle while tasks wait, once it has to be back. */
+  async function measureIdle(run: (model: RoomModel) => void): Promise<number> {
+    const events = [{ at: FAILS_AT, run }];
+    const { idleWhileWaiting, steps } = await play({ events, countFromMs: FAILS_AT + BACK_MS, load: 1 });
+    return idleWhileWaiting / steps;
+  }
+
+  const failures: [string, (model: RoomModel) => void][] = [
+    ['dies', ({ entries, agents }) => agents.forEach((agent) => endEntry(entries[0], agent))],
+    ['freezes', ({ entries: [first] }) => first && (first.state = 'frozen')],
+    ['is cut off', ({ entries: [first] }) => first && (first.isCut = true)],
+  ];
+
+  function endEntry(
+    entry: RoomModel['entries'][number] | undefined,
+    agent: RoomModel['agents'][number],
+  ): void {
+    if (!entry) return;
+    entry.state = 'dead';
+    agent.unlink(entry);
+  }
+
+  for (const [what, run] of failures) {
+    it(`is used by others when the busiest ${what}`, async () => {
+      expect(await measureIdle(run)).to.be.lessThan(0.08);
+    });
+  }
+
+  it('is used when executors restart, shrink or are emptied', async () => {
+    const idle = await measureIdle((model) => {
+      model.agents[0]?.end();
+      model.addAgent(0, 2);
+      model.agents[1]?.report({ cpuMilli: 5_000, memoryMb: 65_536, gpus: 0 });
+      for (const { index } of model.entries) model.entries[index]?.dispatcher.setEmptied(['b']);
+      for (const agent of model.agents) if (agent.domain === 'b') agent.empty();
+    });
+    expect(idle).to.be.lessThan(0.08);
+  });
+
+  it('is divided when all ask at once', async () => {
+    const count = await play({ load: 1.5, countFromMs: 500, playMs: 4_000 });
+    expect(readReturned(count)).to.be.lessThan(RETURNED);
+  });
+});
