--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -7,7 +7,12 @@
 import { noteSuspension } from '../../_lib/readClock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
-import type { EntryPlace, PeerMessage, SuspectTask } from '../../connection/peer/peerMessages.js';
+import type {
+  AttemptResult,
+  EntryPlace,
+  PeerMessage,
+  SuspectTask,
+} from '../../connection/peer/peerMessages.js';
 import type { Caller, CallerGateway, JobDesk, JobState } from '../../ports/CallerGateway.js';
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
@@ -313,7 +318,8 @@
     const isWaiting = this.dispatcher.waitingTasks > 0;
     if (!isWaiting || now - this.demandToldAt < this.pingMs) return;
     this.demandToldAt = now;
-    for (const channel of this.channels.values()) channel.send({ type: 'demand' });
+    const { waitingCpuMilli } = this.dispatcher;
+    for (const channel of this.channels.values()) channel.send({ type: 'demand', waitingCpuMilli });
   }
 
   /** Callers may submit a job again at any entry, so all hear of suspects; they tell on what is news to them. */
@@ -334,8 +340,9 @@
     if (message.type === 'ping') {
       const typicalSpeed = roundSpeed(this.dispatcher.typicalSpeed);
       const { versions } = this.exchange;
-      const isWaiting = this.dispatcher.waitingTasks > 0;
-      channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting });
+      const { waitingTasks, waitingCpuMilli } = this.dispatcher;
+      const isWaiting = waitingTasks > 0;
+      channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting, waitingCpuMilli });
       this.exchange.compareVersions(message, channel, now);
     }
     this.handle(channel, message, now);
@@ -352,8 +359,14 @@
     if (agent === undefined) return;
     if (message.type === 'ping') this.dispatcher.handlePing(agent, message, now);
     if (message.type === 'room') this.dispatcher.handleRoom(agent, message, now);
-    if (message.type === 'result') this.dispatcher.handleResult(agent, message, now);
     if (message.type === 'crashes') this.dispatcher.handleCrashes(agent, message.tasks, now);
+    if (message.type === 'result') this.takeResult(agent, message, now);
+  }
+
+  private takeResult(agent: string, result: AttemptResult, now: number): void {
+    const { end, reason } = result;
+    if (end === 'not-run') this.metrics.increment('dispatcher_returned_starts', { reason });
+    this.dispatcher.handleResult(agent, result, now);
   }
 
   private welcomeAgent(
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -79,21 +79,26 @@
         openExecutor: (report) => this.ports.registry.openExecutor(report),
         sendResult: (life, result) => {
           this.metrics.increment('executor_task_ends', { end: result.end });
+          if (result.reason === 'full') this.metrics.increment('executor_returned_starts');
           this.links.sendResult(life, result);
         },
         sendCrashes: (life, notice) => this.links.sendCrashes(life, notice),
         noteJoined: (report) => this.rememberUpstream(report),
         noteChange: () => this.links.scheduleRoom(),
         noteCapacity: (report, before) => this.noteCapacity(report, before),
+        notePart: () => this.metrics.increment('executor_parts_told'),
         log: (event, fields) => this.logDecision(event, fields),
       },
+      settings.roomSharing,
     );
     this.metrics = new ServedMetrics(
       settings.metricsAddress,
-      buildExecutorMetrics(
-        () => this.core.load,
-        () => this.links.keptVersion,
-      ),
+      buildExecutorMetrics({
+        readLoad: () => this.core.load,
+        readKeptVersion: () => this.links.keptVersion,
+        readWaitingEntries: () => this.core.demand.entries,
+        readDemand: () => this.core.demand.cpuMilli,
+      }),
     );
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs) });
