The randomised runs shrink and grow the room of upstreams

The check of the room goes by what the upstream last told its executor: a step (5 ms) in which a start begins must not end with more at work than that. What an executor was told within the step counts as not known to a start that was on its way. Running tasks rise by starts only, so for room that stays the check is as strict as the one before (more at work than 4).

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -8,6 +8,7 @@
   domainCommands,
   lateWordCommands,
   restartCommands,
+  roomCommands,
   suspensionCommands,
 } from '../test/fakes/dispatchCommands.js';
 import { runDispatchWorld } from '../test/fakes/runDispatchWorld.js';
@@ -78,6 +79,7 @@
   domains: domainCommands,
   restarts: restartCommands,
   suspensions: suspensionCommands,
+  rooms: roomCommands,
 };
 
 const CORES =
--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -5,6 +5,7 @@
   domainCommands,
   lateWordCommands,
   restartCommands,
+  roomCommands,
   suspensionCommands,
 } from './fakes/dispatchCommands.js';
 import { runDispatchWorld } from './fakes/runDispatchWorld.js';
@@ -14,6 +15,8 @@
 const SEED = 20261202;
 /** Seeds of runs with suspended VMs are a range of their own, from here on. */
 const SUSPENSION_SEED = 50_000_001;
+/** And those of runs in which room changes. */
+const ROOM_SEED = 51_000_001;
 /** Seeds of runs that broke a promise, and as many runs as it takes. */
 const RESTART_SEEDS = [
   { seed: 100_014, runs: 170 },
@@ -54,6 +57,12 @@
     expect(totals['interrupted']).to.be.greaterThan(0);
   });
 
+  it('hold when the room of upstreams shrinks and grows', async () => {
+    const totals = await runDispatchWorld(roomCommands, ROOM_SEED, RUNS, false);
+    expect(totals['completed']).to.be.greaterThan(0);
+    expect(totals['interrupted']).to.be.greaterThan(0);
+  });
+
   // Each seed showed a fault of the change to a session a life: a start beyond the room of a next life (the 165th run), and
   // a task beside its second start (the 186th and the 155th), as a call of the earlier session had given a longer lease.
   for (const { seed, runs } of RESTART_SEEDS) {
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -228,6 +228,13 @@
     this.pick(this.agents, index).upstream.fake.hangs = hangs;
   }
 
+  /** The room of an upstream shrinks or grows; its report says so at once, or the next one. */
+  changeRoom(index: number, tasks: number, reportsAtOnce: boolean): void {
+    const agent = this.pick(this.agents, index);
+    agent.upstream.roomTasks = tasks;
+    if (reportsAtOnce) this.report(agent);
+  }
+
   /** Moves time on. */
   async advance(ms: number): Promise<void> {
     const until = this.clock.now() + ms;
--- a/test/fakes/checkDispatchWorld.ts
+++ b/test/fakes/checkDispatchWorld.ts
@@ -1,12 +1,20 @@
 /** Checks of the promises in the randomised runs of dispatchers and agents. */
 import type { JobOutcome } from '../../src/request/dispatch/submission.js';
 import { STEP } from './dispatchFixtures.js';
-import type { WorldAgent, WorldEntry, WorldJob } from './dispatchWorldState.js';
+import type { WorldAgent, WorldEntry, WorldJob, WorldUpstream } from './dispatchWorldState.js';
 
+/** Step of a run, after each of which it is checked, ms. */
+export const WORLD_STEP_MS = 5;
 /** Time that callers keep before they submit a job again elsewhere, ms. */
 export const RESUBMIT_MS = 1_300;
-/** Room of each upstream. */
-export const CAPACITY = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
+/** Tasks that each upstream has room for at first. */
+export const ROOM_TASKS = 4;
+/** Room of each upstream at first. */
+export const CAPACITY = {
+  cpuMilli: ROOM_TASKS * STEP.resources.cpuMilli,
+  memoryMb: 1_000,
+  gpus: 0,
+};
 
 /** No task at work twice, nothing beyond room, nothing of a caller that left so long ago. */
 export function checkRuns(agents: readonly WorldAgent[], jobs: readonly WorldJob[], now: number): void {
@@ -15,7 +23,10 @@
     const { fake } = upstream;
     fake.applyTime();
     if (fake.doubled > 0) throw new Error('a run began beside another of its task');
-    if (fake.running.size * STEP.resources.cpuMilli > CAPACITY.cpuMilli) throw new Error('beyond the room');
+    // Room may shrink below what runs: only a start can go beyond it.
+    const hasBegun = fake.starts > upstream.checkedStarts;
+    upstream.checkedStarts = fake.starts;
+    if (hasBegun && fake.running.size > findRoom(upstream, now)) throw new Error('beyond the room');
     if (now < upstream.doubtfulUntil) continue;
     for (const [key, { name }] of fake.running) {
       if (atWork.has(key)) throw new Error(`${key} runs twice at once`);
@@ -53,3 +64,8 @@
   if (refusedOnly && job.started) throw new Error(`${job.id} has run though every submission was refused`);
   return answers;
 }
+
+/** Room that starts of the last step could go by: one that was on its way when the word came could not know it. */
+function findRoom({ toldTasks, toldAt, toldBefore }: WorldUpstream, now: number): number {
+  return now - toldAt < WORLD_STEP_MS ? Math.max(toldTasks, toldBefore) : toldTasks;
+}
--- a/test/fakes/dispatchCommands.ts
+++ b/test/fakes/dispatchCommands.ts
@@ -123,6 +123,12 @@
     createCommand(`stepTimeOfDay(${what},${at},${ms})`, (world) => world.stepTimeOfDay(what, at, ms)),
   );
 
+const changeRoom = fc
+  .tuple(index, fc.integer({ min: 0, max: 6 }), fc.boolean())
+  .map(([at, tasks, reports]) =>
+    createCommand(`changeRoom(${at},${tasks},${reports})`, (world) => world.changeRoom(at, tasks, reports)),
+  );
+
 const EARLIER_COMMANDS = [
   submit,
   submit,
@@ -166,3 +172,9 @@
   [...EARLIER_COMMANDS, suspend, suspend, suspend, suspend, stepTimeOfDay],
   { maxCommands: MAX_COMMANDS, size: 'max' },
 );
+
+/** The same as the first, and upstreams whose room shrinks and grows. */
+export const roomCommands = fc.commands(
+  [...EARLIER_COMMANDS, replace, lateReport, changeRoom, changeRoom, changeRoom, changeRoom],
+  { maxCommands: MAX_COMMANDS, size: 'max' },
+);
--- a/test/fakes/dispatchWorldState.ts
+++ b/test/fakes/dispatchWorldState.ts
@@ -66,6 +66,14 @@
    * leases do not count.
    */
   doubtfulUntil: number;
+  /** Tasks that it has room for. */
+  roomTasks: number;
+  /** Those that its executor was last told of, when that was, and those before. */
+  toldTasks: number;
+  toldAt: number;
+  toldBefore: number;
+  /** Starts that have been checked. */
+  checkedStarts: number;
   /** Reports that this life has sent, where each life counts its own. */
   reports: number;
 }
--- a/test/fakes/dispatchWorldUpstreams.ts
+++ b/test/fakes/dispatchWorldUpstreams.ts
@@ -2,8 +2,8 @@
 import type { TaskExecutor } from '../../src/ports/TaskExecutor.js';
 import type { UpstreamReport } from '../../src/ports/UpstreamRegistry.js';
 import { AddressExecutor } from './AddressExecutor.js';
-import { CAPACITY } from './checkDispatchWorld.js';
-import { ROUTE } from './dispatchFixtures.js';
+import { CAPACITY, ROOM_TASKS } from './checkDispatchWorld.js';
+import { ROUTE, STEP } from './dispatchFixtures.js';
 import type { WorldAgent, WorldUpstream } from './dispatchWorldState.js';
 import type { FakeClock } from './FakeClock.js';
 import { FakeUpstream } from './FakeUpstream.js';
@@ -80,7 +80,7 @@
       bornAt: this.findBornAt(life),
       service: ROUTE.service,
       address: `u${index}`,
-      capacity: CAPACITY,
+      capacity: { ...CAPACITY, cpuMilli: this.takeTold(upstream, life) * STEP.resources.cpuMilli },
       labels: [],
       isDraining: false,
       clockMs: upstream.fake.clockMs,
@@ -88,6 +88,16 @@
     };
   }
 
+  /** Returns the tasks that a life has room for; an earlier one tells what it had at first. */
+  private takeTold(upstream: WorldUpstream, life: number): number {
+    if (life !== upstream.life) return ROOM_TASKS;
+    if (upstream.roomTasks === upstream.toldTasks) return upstream.toldTasks;
+    upstream.toldBefore = upstream.toldTasks;
+    upstream.toldAt = this.clock.now();
+    upstream.toldTasks = upstream.roomTasks;
+    return upstream.toldTasks;
+  }
+
   /** Opens the way to a life that has reported itself. */
   openExecutor(id: string, findAgent: () => WorldAgent): TaskExecutor {
     const { upstream } = findAgent();
@@ -120,6 +130,11 @@
       fake,
       doubtfulUntil: suspended.until + REST_OF_LEASE_MS,
       reports: 0,
+      roomTasks: ROOM_TASKS,
+      toldTasks: ROOM_TASKS,
+      toldAt: -Infinity,
+      toldBefore: ROOM_TASKS,
+      checkedStarts: 0,
     };
   }
 
