--- a/src/process/executor/SpeedMeter.ts
+++ b/src/process/executor/SpeedMeter.ts
@@ -67,8 +67,11 @@
 
 /** Time over which the earlier progress of a running task fades, ms: a slower upstream is seen within twice that. */
 const TASK_FADE_MS = 200;
-/** Run time from which on a running task counts, ms: progress is told in whole percents. */
-const MIN_TASK_MS = 150;
+/**
+ * Run time from which on a running task counts, as a part of its estimate: progress is told in whole percents. Short tasks
+ * count early, as those that are still at work late are the slow ones of them.
+ */
+const MIN_TASK_PART = 0.15;
 /** Age up to which tasks that have ended count beside those that run, ms. */
 const FRESH_MS = 400;
 /** Least tasks that the median is taken of; the newest of those that ended earlier make up for what is missing. */
@@ -79,6 +82,7 @@
 const STANDSTILL_SPEED = 0.05;
 
 interface RunningTask {
+  readonly estimateMs: number;
   workMs: number;
   timeMs: number;
   totalWorkMs: number;
@@ -102,7 +106,7 @@
 
   override note({ key, share, estimateMs, elapsedMs }: ProgressSample, now: number): void {
     this.updatedAt = now;
-    const task = this.running.get(key) ?? { workMs: 0, timeMs: 0, totalWorkMs: 0, totalMs: 0 };
+    const task = this.running.get(key) ?? { estimateMs, workMs: 0, timeMs: 0, totalWorkMs: 0, totalMs: 0 };
     this.running.set(key, task);
     const factor = Math.exp(-elapsedMs / TASK_FADE_MS);
     task.workMs = task.workMs * factor + share * estimateMs;
@@ -136,8 +140,8 @@
 
   private listRunning(): number[] {
     const speeds: number[] = [];
-    for (const { workMs, timeMs, totalMs } of this.running.values())
-      if (totalMs >= MIN_TASK_MS) speeds.push(workMs / timeMs);
+    for (const { workMs, timeMs, totalMs, estimateMs } of this.running.values())
+      if (totalMs >= Math.max(MIN_OBSERVED_MS, estimateMs * MIN_TASK_PART)) speeds.push(workMs / timeMs);
     return speeds;
   }
 }
