A poison task is played through executors and dispatchers in the randomised world

The world takes a crash limit and a task that crashes the upstreams which begin it. With a limit of two, lives with new ids and with kept ids: 2 to 3 crashes, that job failed, 20 others completed.

--- a/src/process/executor/SpeedMeter.ts
+++ b/src/process/executor/SpeedMeter.ts
@@ -54,7 +54,7 @@
   }
 
   override read(now: number): number {
-    return forget(this.value, now - this.updatedAt);
+    return adjustIdle(this.value, now - this.updatedAt);
   }
 
   private fade(now: number): void {
@@ -135,7 +135,7 @@
     speeds.sort((left, right) => left - right);
     const upper = speeds[Math.floor(speeds.length / 2)] ?? 1;
     const lower = speeds[Math.floor((speeds.length - 1) / 2)] ?? 1;
-    return forget((upper + lower) / 2, now - this.updatedAt);
+    return adjustIdle((upper + lower) / 2, now - this.updatedAt);
   }
 
   private listRunning(): number[] {
@@ -157,8 +157,8 @@
   return kind === 'median' ? new MedianSpeedMeter(now) : new MeanSpeedMeter(now);
 }
 
-/** An upstream that has been idle for long is taken for an ordinary one again. */
-function forget(speed: number, idleMs: number): number {
+/** Speed after so long without work: an upstream that has been idle for long is taken for an ordinary one again. */
+function adjustIdle(speed: number, idleMs: number): number {
   if (idleMs <= FADE_MS) return speed;
   const kept = Math.max(0, 1 - (idleMs - FADE_MS) / FORGET_MS);
   return 1 + (speed - 1) * kept;
--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -77,8 +77,13 @@
   /**
    * @param seed - of what the parts draw
    * @param keepsIds - whether lives of an upstream follow each other under one id, each with counts of its own
+   * @param crashLimit - of the dispatchers
    */
-  constructor(seed: number, keepsIds = false) {
+  constructor(
+    seed: number,
+    keepsIds = false,
+    private readonly crashLimit = 0,
+  ) {
     this.upstreams = new WorldUpstreams(this.clock, keepsIds);
     this.nextRandom = createRandom(seed);
     this.entries = Array.from({ length: WORLD_ENTRIES }, (_, index) => this.createEntry(index, 1));
@@ -92,6 +97,13 @@
     this.submitAt(job, this.pick(this.entries, entryIndex), taskMs, patienceMs);
   }
 
+  /** Submits a job whose task crashes each upstream that begins it. Returns when each upstream crashed for it. */
+  submitPoison(entryIndex: number, taskMs: number, patienceMs: number): number[] {
+    this.upstreams.setPoison(`job${this.jobs.length}`, this.agents);
+    this.submit(entryIndex, 1, taskMs, patienceMs);
+    return this.upstreams.crashedAt;
+  }
+
   /** A caller leaves and comes again at another entry after the time that callers keep. */
   async resubmit(jobIndex: number, entryIndex: number): Promise<void> {
     const job = this.jobs[jobIndex % Math.max(1, this.jobs.length)];
@@ -283,6 +295,7 @@
 
   private turn(): void {
     const now = this.clock.now();
+    this.upstreams.restartCrashed(this.agents, (agent) => this.report(agent));
     this.restartAgents(now);
     this.dial(now);
     this.pingAll(now);
@@ -447,7 +460,12 @@
   private createEntry(index: number, life: number): WorldEntry {
     const gate = new ProcessGate(this.clock);
     const core = new Dispatcher(
-      { pingMs: TIMES.pingMs, ...createPolicies(), nextRandom: this.nextRandom },
+      {
+        pingMs: TIMES.pingMs,
+        ...createPolicies(),
+        crashLimit: this.crashLimit,
+        nextRandom: this.nextRandom,
+      },
       {
         send: (agentId, message) => {
           for (const link of this.links.values()) {
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -49,6 +49,8 @@
   isReplaced = false;
   /** Whether the upstream answers at all. */
   silent = false;
+  /** Job whose tasks crash the upstream as they begin; empty for none. */
+  poison = '';
   /** Whether nobody listens at its address. */
   refuses = false;
   /** How the next orders fare; `answered` when empty. */
@@ -108,6 +110,7 @@
     this.starts += 1;
     this.running.set(key, { name: order.name, startedAt: this.clock.now(), workMs: 0 });
     if (this.fails) this.end(order.name, 'failed');
+    if (order.name.job === this.poison) this.crash();
     return 'started';
   }
 
@@ -205,6 +208,12 @@
     return this.fates.shift() ?? 'answered';
   }
 
+  private crash(): void {
+    this.running.clear();
+    this.isOver = true;
+    this.refuses = true;
+  }
+
   private checkListens(): void {
     if (this.refuses) throw new ConnectionRefusedError('nobody listens');
   }
--- a/test/fakes/dispatchWorldUpstreams.ts
+++ b/test/fakes/dispatchWorldUpstreams.ts
@@ -13,11 +13,17 @@
 /** Clock of an upstream before its first life, and what it changes by from life to life, ms. */
 const FIRST_CLOCK_MS = 500_000;
 const CLOCK_STEP_MS = 1_000;
+/** Time for which an upstream that a task has crashed is down, ms. */
+const CRASHED_MS = 3_000;
 /** Reports that an earlier life has sent; far more than a run is long. */
 const MANY_REPORTS = 1_000_000;
 
 /** The upstreams beside the agents of a run. */
 export class WorldUpstreams {
+  /** When tasks crashed upstreams. */
+  readonly crashedAt: number[] = [];
+  private readonly crashed = new Set<WorldAgent>();
+  private poison = '';
   private sequence = 0;
 
   /**
@@ -55,6 +61,27 @@
     this.begin(agent);
   }
 
+  /** Tasks of a job crash the upstreams that begin them. */
+  setPoison(job: string, agents: readonly WorldAgent[]): void {
+    this.poison = job;
+    for (const { upstream } of agents) upstream.fake.poison = job;
+  }
+
+  /** Has the next life of each upstream that a task has crashed begin after a while. */
+  restartCrashed(agents: readonly WorldAgent[], report: (agent: WorldAgent) => void): void {
+    for (const agent of agents) {
+      if (!agent.upstream.fake.refuses || this.crashed.has(agent)) continue;
+      this.crashed.add(agent);
+      this.crashedAt.push(this.clock.now());
+      void this.clock.sleep(CRASHED_MS).then(() => {
+        this.crashed.delete(agent);
+        this.begin(agent);
+        agent.upstream.fake.poison = this.poison;
+        report(agent);
+      });
+    }
+  }
+
   /** Builds the next report of a life of an agent's upstream. */
   buildReport({ index, upstream }: WorldAgent, life: number): UpstreamReport {
     this.sequence += 1;
--- a/test/poisonTasks.test.ts
+++ b/test/poisonTasks.test.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '../src/_lib/createRandom.js';
 import { CrashModel } from './fakes/CrashModel.js';
 import type { CrashPlay, ModelJob } from './fakes/CrashModel.js';
+import { DispatchWorld } from './fakes/DispatchWorld.js';
 
 const LIMIT = 2;
 const PLAY: CrashPlay = { seed: 1, crashLimit: LIMIT, upstreams: 18, domains: 3, entries: 3 };
@@ -99,4 +100,23 @@
     model.advance(8_000);
     expect([job.outcome, job.crashes, job.submissions]).to.deep.equal(['failed', 2, 2]);
   });
+
+  for (const keepsIds of [false, true]) {
+    const name = keepsIds ? 'under the id that they had' : 'under new ids';
+    it(`are found by executors and dispatchers, though upstreams come back ${name}`, async () => {
+      const world = new DispatchWorld(3, keepsIds, LIMIT);
+      await world.advance(200);
+      const crashedAt = world.submitPoison(0, 100, 12_000);
+      for (let job = 0; job < 20; job += 1) {
+        world.submit(job, 2, 100, 12_000);
+        await world.advance(20);
+      }
+      await world.advance(12_000);
+      const { submitted, ...outcomes } = (await world.settle(), world.counts);
+      world.close();
+      expect(crashedAt.length).to.be.within(LIMIT, LIMIT + 1);
+      expect(submitted).to.equal(21);
+      expect(outcomes).to.include({ completed: 20, failed: 1 });
+    });
+  }
 });
