Who is served when room is short: fair order and admission by forecast

Cause: order was a rank and "least work left first", so that a queue whose callers ask for four times as much pays no more than the others, and jobs were refused by their own clock only (HELD_PART): the most urgent ones after 0.4 to 0.6 s.

Change: TaskOrder (DeadlineOrder as before, FairOrder: start-time fair queueing, weights from learnt arrivals and priority, headroom for the most urgent queue) and Admission (PatienceAdmission as before, ForecastAdmission: the room's measured drain against the work before a job; Retry-After by the drain, spread). Settings taskOrder and admission choose; defaults are as before. Metrics by priority, a log line with the forecast of each refusal.

--- a/src/process/ServedMetrics.ts
+++ b/src/process/ServedMetrics.ts
@@ -20,6 +20,8 @@
   readonly buckets?: readonly number[];
   /** Reads a gauge when it is asked for. */
   readonly read?: () => number;
+  /** Reads a gauge with one label when it is asked for: values by that label's. */
+  readonly readEach?: () => ReadonlyMap<string, number>;
 }
 
 /** Labels of one observation. */
@@ -55,9 +57,9 @@
     setTimeout(() => void this.load(), LOAD_DELAY_MS).unref();
   }
 
-  /** Counts one. */
-  increment(name: string, labels: MetricLabels = {}): void {
-    this.note(() => this.counters.get(name)?.inc({ ...labels }));
+  /** Counts an amount, one unless told otherwise. */
+  increment(name: string, labels: MetricLabels = {}, amount = 1): void {
+    this.note(() => this.counters.get(name)?.inc({ ...labels }, amount));
   }
 
   /** Takes a value into a histogram. */
@@ -92,13 +94,14 @@
     library: typeof MetricsLibrary,
     registry: Registry,
     name: string,
-    { kind, help, labels = [], buckets = [], read }: MetricDefinition,
+    { kind, help, labels = [], buckets = [], read, readEach }: MetricDefinition,
   ): void {
     const base = { name, help, registers: [registry] };
     if (kind === 'counter') this.counters.set(name, new library.Counter({ ...base, labelNames: labels }));
     if (kind === 'histogram') {
       this.histograms.set(name, new library.Histogram({ ...base, buckets: [...buckets] }));
     }
+    if (kind === 'gauge' && readEach) defineEach(library, { ...base, labelNames: labels }, readEach);
     if (kind !== 'gauge' || !read) return;
     const collect = function (this: Gauge): void {
       this.set(read());
@@ -117,3 +120,17 @@
     this.server.listen(port, host);
   }
 }
+
+/** Defines a gauge with one label; values that are not read any more are dropped. */
+function defineEach(
+  library: typeof MetricsLibrary,
+  base: { name: string; help: string; registers: Registry[]; labelNames: readonly string[] },
+  readEach: () => ReadonlyMap<string, number>,
+): void {
+  const label = base.labelNames[0] ?? '';
+  const collect = function (this: Gauge): void {
+    this.reset();
+    for (const [value, count] of readEach()) this.set({ [label]: value }, count);
+  };
+  new library.Gauge({ ...base, collect });
+}
--- a/src/process/dispatcher/Backlog.ts
+++ b/src/process/dispatcher/Backlog.ts
@@ -1,14 +1,45 @@
-/** Tasks of one entry that wait for an agent, in order of rank. */
-import type { DispatchTask } from './dispatchJob.js';
+/** Tasks of one entry that wait for an agent, kept by rank and listed in the order in which they are offered. */
+import type { QueueRoute } from '../../version/configuration.js';
+import type { DispatchJob, DispatchTask } from './dispatchJob.js';
+import { DeadlineOrder } from './TaskOrder.js';
+import type { TaskOrder } from './TaskOrder.js';
 
 /** Waiting tasks. */
 export class Backlog {
   private readonly tasks: DispatchTask[] = [];
 
+  constructor(private readonly order: TaskOrder = new DeadlineOrder()) {}
+
   get size(): number {
     return this.tasks.length;
   }
 
+  /** Counts the tasks by a property of their queue. */
+  countBy(describe: (route: QueueRoute) => string): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { job } of this.tasks) {
+      const key = describe(job.submission.route);
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** Adds what waits of a job that has arrived. */
+  admit(job: DispatchJob, now: number): void {
+    this.order.noteArrived(job, now);
+    for (const task of job.tasks) if (task.phase === 'waiting') this.add(task);
+  }
+
+  /** A task was sent; it is removed with the next `prune`. */
+  noteSent(task: DispatchTask, now: number): void {
+    this.order.noteSent(task, now);
+  }
+
+  /** A task that was sent was not run. */
+  noteReturned(task: DispatchTask, now: number): void {
+    this.order.noteReturned(task, now);
+  }
+
   /** Adds a task behind those of its rank. */
   add(task: DispatchTask): void {
     let low = 0;
@@ -30,24 +61,8 @@
     this.tasks.length = kept;
   }
 
-  /**
-   * Tasks in order. First those that can still end in time, by rank: what is late already must not make others late.
-   * Then the others, those of jobs with the least work left first, which are answered soonest.
-   */
+  /** Tasks in the order in which they are offered. */
   list(now: number, typicalSpeed: number): DispatchTask[] {
-    const inTime: DispatchTask[] = [];
-    const late: DispatchTask[] = [];
-    for (const task of this.tasks) {
-      const endsAt = now + task.need.estimateMs / typicalSpeed;
-      (endsAt <= task.job.objectiveAt ? inTime : late).push(task);
-    }
-    if (late.length === 0) return inTime;
-    late.sort((left, right) => sumWorkLeft(left) - sumWorkLeft(right));
-    return [...inTime, ...late];
+    return this.order.list(this.tasks, { now, typicalSpeed });
   }
 }
-
-/** Work that a task's job lacks, in thousandths of a core times ms, if its tasks are alike. */
-function sumWorkLeft({ job, need }: DispatchTask): number {
-  return job.left * need.resources.cpuMilli * need.estimateMs;
-}
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -17,18 +17,23 @@
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
 import type { JobBounds } from '../../request/dispatch/JobBounds.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
+import { PatienceAdmission, RETRY_AFTER_MS } from './Admission.js';
+import type { Admission } from './Admission.js';
+import type { QueueRoute } from '../../version/configuration.js';
 import { AgentTable } from './AgentTable.js';
 import { buildAgentId } from './AgentView.js';
 import type { AgentView } from './AgentView.js';
 import { Backlog } from './Backlog.js';
 import { buildAttemptName, createDispatchJob, isOut, stepTask } from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
-import { ANSWER_MARGIN_MS, findGiveUpReason } from './findGiveUpReason.js';
+import { ANSWER_MARGIN_MS } from './findGiveUpReason.js';
 import { JobTable } from './JobTable.js';
 import type { Submission } from './JobTable.js';
 import { needsMove } from './needsMove.js';
 import type { Placement, PlacementContext } from './Placement.js';
+import type { RoomView } from './RoomForecast.js';
 import type { SendWindow } from './SendWindow.js';
+import type { TaskOrder } from './TaskOrder.js';
 
 /** Time since an agent was last heard, in ping intervals, from which on it gets nothing new. */
 const STALE_PINGS = 2;
@@ -43,8 +48,6 @@
 const FIRST_RETURN_MS = 50;
 /** Weight of the newest one in the mean. */
 const RETURN_WEIGHT = 0.1;
-/** Retry hint of a refusal, ms. */
-const RETRY_AFTER_MS = 1_000;
 /** Weight of one step of priority in the order, ms. */
 const PRIORITY_STEP_MS = 100;
 
@@ -65,6 +68,10 @@
   readonly pingMs: number;
   readonly placement: Placement;
   readonly window: SendWindow;
+  /** When jobs are given up; by their callers' patience where none is named. */
+  readonly admission?: Admission;
+  /** In which order tasks are offered; by deadline where none is named. */
+  readonly order?: TaskOrder;
   /** Bounds of what is held at once. */
   readonly bounds: JobBounds;
   readonly nextRandom: () => number;
@@ -74,7 +81,8 @@
 export class Dispatcher {
   private readonly agents: AgentTable;
   private readonly jobs = new JobTable();
-  private readonly backlog = new Backlog();
+  private readonly admission: Admission;
+  private readonly backlog: Backlog;
   /** Mean time from sending a task to hearing that it was not run, ms. */
   private returnMs = FIRST_RETURN_MS;
   /** Attempts of all jobs: a job may be submitted again while results of its earlier attempts are on their way. */
@@ -85,6 +93,8 @@
     private readonly effects: DispatchEffects,
   ) {
     this.agents = new AgentTable(options.pingMs * STALE_PINGS);
+    this.admission = options.admission ?? new PatienceAdmission();
+    this.backlog = new Backlog(options.order);
   }
 
   /** Typical work per ms of the upstreams, in ms of estimates. */
@@ -102,6 +112,16 @@
     return this.backlog.size;
   }
 
+  /** Tasks that wait for an agent, by a property of their queue. */
+  countWaitingBy(describe: (route: QueueRoute) => string): Map<string, number> {
+    return this.backlog.countBy(describe);
+  }
+
+  /** Cores' worth of estimated work that the room was last expected to do; 0 while nothing is known. */
+  get forecastCores(): number {
+    return this.admission.drainCores;
+  }
+
   /** Whether an agent of any service is linked and takes work. */
   hasAgents(now: number): boolean {
     return this.agents.hasReady(now);
@@ -280,17 +300,27 @@
     }
     const job = createDispatchJob({ ...submission, patienceMs }, caller, timing);
     this.jobs.add(job);
-    for (const task of job.tasks) if (task.phase === 'waiting') this.backlog.add(task);
+    this.backlog.admit(job, now);
+    this.admission.noteArrived(job, now);
     if (job.left === 0) return this.endJob(job, { kind: 'completed' }, now);
     this.reviewJob(job, now);
   }
 
   /** Gives a job up if it cannot be served any more. */
   private reviewJob(job: DispatchJob, now: number): void {
-    const reason = job.answered ? undefined : findGiveUpReason(job, now, this.typicalSpeed);
+    const reason = job.answered ? undefined : this.admission.findReason(job, this.buildRoomView(now));
     if (reason !== undefined) this.giveUp(job, reason, now);
   }
 
+  private buildRoomView(now: number): RoomView {
+    const { typicalSpeed, staleMs } = this.agents;
+    const listWaiting = (): DispatchTask[] => {
+      this.backlog.prune();
+      return this.backlog.list(now, typicalSpeed);
+    };
+    return { now, typicalSpeed, staleMs, listAgents: () => this.agents.list(), listWaiting };
+  }
+
   /** Sends a start, and returns how many bytes it takes. */
   private send(task: DispatchTask, agent: AgentView, now: number): number {
     const { job, need } = task;
@@ -301,6 +331,8 @@
     task.attempt = this.attempts;
     task.agent = agent.id;
     task.sentAt = now;
+    this.backlog.noteSent(task, now);
+    this.admission.noteSent(task);
     job.offered = true;
     job.lastAgent = agent.id;
     job.lastSentAt = now;
@@ -341,6 +373,8 @@
         reason,
       });
     }
+    this.admission.noteEnded(task, end === 'done', now);
+    if (end === 'not-run') this.backlog.noteReturned(task, now);
     if (job.answered) return this.drop(task, now);
     if (end === 'done') return this.finishTask(task, now);
     if (end !== 'not-run') task.avoid.add(task.agent);
@@ -408,7 +442,12 @@
     if (job.answered) return;
     const mayHaveRun = job.begun || job.out > 0;
     if (mayHaveRun) return this.endJob(job, { kind: 'interrupted', reason }, now);
-    this.endJob(job, { kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS }, now);
+    const view = this.buildRoomView(now);
+    const figures = this.admission.describeForecast(job, view);
+    if (figures) this.effects.log('refuse', { job: job.id, reason, ...figures });
+    const retryAfterMs = this.admission.findRetryMs(job, view);
+    this.endJob(job, { kind: 'refused', reason, retryAfterMs }, now);
+    this.admission.noteRefused(job);
   }
 
   /** Nothing of ours can run at an agent that has not been heard for so long. */
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -29,11 +29,13 @@
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildAgentId } from './AgentView.js';
 import { Dispatcher } from './Dispatcher.js';
-import { findChainMs } from './dispatchJob.js';
+import { findChainMs, findWork } from './dispatchJob.js';
 import type { DispatchJob } from './dispatchJob.js';
-import { buildDispatcherMetrics } from './dispatcherMetrics.js';
+import { buildDispatcherMetrics, describePriority } from './dispatcherMetrics.js';
+import { createAdmission } from './createAdmission.js';
 import { createPlacement } from './createPlacement.js';
 import { createSendWindow } from './createSendWindow.js';
+import { createTaskOrder } from './createTaskOrder.js';
 import { EntryPeers } from './EntryPeers.js';
 
 /** Between two looks at deadlines and silent agents, ms. */
@@ -110,6 +112,8 @@
         bounds,
         placement: createPlacement(settings),
         window: createSendWindow(settings),
+        order: createTaskOrder(settings),
+        admission: createAdmission(settings, nextRandom),
         nextRandom,
       },
       {
@@ -121,6 +125,9 @@
     const gauges = {
       readOpenJobs: () => this.dispatcher.openJobs,
       readWaitingTasks: () => this.dispatcher.waitingTasks,
+      readWaitingByPriority: () =>
+        this.dispatcher.countWaitingBy(({ priority }) => describePriority(priority)),
+      readForecastCores: () => this.dispatcher.forecastCores,
       readAgents: () => this.channels.size,
       readConfigurationVersion: () => this.exchange.versions.version,
       readEmptiedDomains: () => this.exchange.emptied?.domains.length ?? 0,
@@ -408,6 +415,9 @@
     const { submission, arrivedAt, objectiveAt, deadlineAt, tasks } = job;
     const reason = outcome.kind === 'completed' ? '' : outcome.reason;
     this.metrics.increment('dispatcher_answers', { outcome: outcome.kind, reason });
+    const decision = outcome.kind === 'refused' ? 'refused' : 'admitted';
+    const priority = describePriority(submission.route.priority);
+    this.metrics.increment('dispatcher_work', { priority, decision }, findWork(job) / 1_000_000);
     this.metrics.observe('dispatcher_answer_ms', now - arrivedAt);
     this.logger.info('answer', {
       job: job.id,
--- /dev/null
+++ b/src/process/dispatcher/FairOrder.test.ts
@@ -0,0 +1,126 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { ROUTE, STEP } from '../../../test/fakes/dispatchFixtures.js';
+import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
+import { createDispatchJob, measureWork, stepTask } from './dispatchJob.js';
+import type { DispatchJob, DispatchTask } from './dispatchJob.js';
+import { FairOrder } from './FairOrder.js';
+
+const PATIENCE_MS = 1_000_000;
+/** Long enough for headroom to be learnt, ms. */
+const LATER_MS = 1_000;
+/** Objective of a job that arrives at 0: 1.6 times its work and 60 ms. */
+const OBJECTIVE_MS = STEP.estimateMs * ROUTE.stretch + ROUTE.targetLatencyMs;
+
+function createJob(name: string, priority: number, count: number, now = 0): DispatchJob {
+  const route = { ...ROUTE, name, priority };
+  const submission = { id: name, route, spec: '', steps: [{ ...STEP, count }], patienceMs: PATIENCE_MS };
+  const timing = { now, typicalSpeed: 1, priorityStepMs: 100 };
+  return createDispatchJob(submission, new FakeCaller(), timing);
+}
+
+function listNames(order: FairOrder, jobs: readonly DispatchJob[], now: number): string[] {
+  const tasks = jobs.flatMap((job) => job.tasks.filter(({ phase }) => phase === 'waiting'));
+  return order.list(tasks, { now, typicalSpeed: 1 }).map(({ job }) => job.id);
+}
+
+/** Sends the first tasks of an order, and returns the work that each queue got. */
+function sendFirst(order: FairOrder, jobs: readonly DispatchJob[], rounds: number): Map<string, number> {
+  const work = new Map<string, number>();
+  for (let round = 0; round < rounds; round += 1) {
+    const waiting = jobs.flatMap((job) => job.tasks.filter(({ phase }) => phase === 'waiting'));
+    const [task] = order.list(waiting, { now: 0, typicalSpeed: 1 });
+    if (!task) break;
+    stepTask(task, 'send');
+    order.noteSent(task, 0);
+    work.set(task.job.id, (work.get(task.job.id) ?? 0) + measureWork(task));
+  }
+  return work;
+}
+
+describe('FairOrder', () => {
+  it('serves the most urgent queue ahead of its share while that is what its callers usually ask for', () => {
+    const order = new FairOrder();
+    order.noteArrived(createJob('urgent', 0, 2), 0);
+    const urgent = createJob('urgent', 0, 2, LATER_MS);
+    const large = createJob('large', 2, 2, LATER_MS);
+    for (const job of [large, urgent]) order.noteArrived(job, LATER_MS);
+    expect(listNames(order, [large, urgent], LATER_MS)).to.deep.equal(['urgent', 'urgent', 'large', 'large']);
+  });
+
+  it('serves what is in time before what is late, and of a queue the late jobs that lack the smallest part', () => {
+    const order = new FairOrder();
+    const wide = createJob('wide', 0, 4);
+    wide.left = 1;
+    for (const task of wide.tasks.slice(1)) stepTask(task, 'send');
+    const small = createJob('small', 0, 2);
+    const fresh = createJob('fresh', 1, 1, OBJECTIVE_MS);
+    const names = listNames(order, [small, wide, fresh], OBJECTIVE_MS);
+    expect(names[0]).to.equal('fresh');
+    const sameQueue = [small, wide].map((job) => ({ ...job, submission: small.submission }));
+    for (const job of sameQueue) job.tasks.forEach((task) => Object.assign(task, { job }));
+    expect(listNames(order, sameQueue, OBJECTIVE_MS)[0]).to.equal('wide');
+  });
+
+  it('gives back what was charged for a task that was not run', () => {
+    const order = new FairOrder();
+    const [one, other] = [createJob('one', 1, 3), createJob('other', 1, 3)];
+    for (const job of [one, other]) order.noteArrived(job, 0);
+    const before = listNames(order, [one, other], 0);
+    const [task] = one.tasks as [DispatchTask];
+    order.noteSent(task, 0);
+    expect(listNames(order, [one, other], 0)).not.to.deep.equal(before);
+    order.noteReturned(task, 0);
+    expect(listNames(order, [one, other], 0)).to.deep.equal(before);
+  });
+
+  // The pattern is a flood of one queue: the others get what they usually ask for.
+  it('lets no queue fall behind another by more than a task each, against their weights', () => {
+    const arbitrary = fc.array(
+      fc.record({ count: fc.integer({ min: 30, max: 60 }), priority: fc.integer({ min: 0, max: 3 }) }),
+      {
+        minLength: 2,
+        maxLength: 4,
+      },
+    );
+    fc.assert(
+      fc.property(arbitrary, (queues) => {
+        const order = new FairOrder();
+        const jobs = queues.map(({ count, priority }, at) => createJob(`queue${at}`, priority, count));
+        for (const job of jobs) order.noteArrived(job, 0);
+        const work = sendFirst(order, jobs, 30);
+        const perWeight = jobs.map((job, at) => {
+          const { count, priority } = queues[at] ?? { count: 1, priority: 0 };
+          return {
+            turns: (work.get(job.id) ?? 0) / (count * 1.25 ** -priority),
+            task: 100_000 / (count * 1.25 ** -priority),
+          };
+        });
+        for (const one of perWeight) {
+          for (const other of perWeight) {
+            expect(one.turns - other.turns).to.be.at.most(one.task + other.task + 1e-6);
+          }
+        }
+      }),
+    );
+  });
+
+  it('offers every waiting task once', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: 9 }), { maxLength: 6 }),
+        fc.integer({ min: 0, max: 400 }),
+        (counts, now) => {
+          const order = new FairOrder();
+          const jobs = counts.map((count, at) => createJob(`queue${at}`, at % 3, count));
+          const tasks = jobs.flatMap((job) => job.tasks);
+          const listed = order.list(tasks, { now, typicalSpeed: 1 });
+          const found = new Set(listed);
+          expect(listed.length).to.equal(tasks.length);
+          expect(tasks.filter((task) => !found.has(task))).to.have.lengthOf(0);
+        },
+      ),
+    );
+  });
+});
--- /dev/null
+++ b/src/process/dispatcher/createTaskOrder.ts
@@ -0,0 +1,14 @@
+import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { FairOrder } from './FairOrder.js';
+import { DeadlineOrder } from './TaskOrder.js';
+import type { TaskOrder } from './TaskOrder.js';
+
+/**
+ * Creates the order that the settings name.
+ *
+ * @param settings - of the dispatcher
+ * @returns the order
+ */
+export function createTaskOrder({ taskOrder }: Pick<DispatchSettings, 'taskOrder'>): TaskOrder {
+  return taskOrder === 'fair' ? new FairOrder() : new DeadlineOrder();
+}
--- a/src/process/dispatcher/dispatchJob.ts
+++ b/src/process/dispatcher/dispatchJob.ts
@@ -188,6 +188,29 @@
   return phase === 'sent' || phase === 'withdrawn';
 }
 
+/**
+ * Measures a task by what it takes of a room.
+ *
+ * @param task - the task
+ * @returns its work by the caller's estimate, thousandths of a core times ms
+ */
+export function measureWork({ need }: DispatchTask): number {
+  return need.resources.cpuMilli * need.estimateMs;
+}
+
+/**
+ * Measures a job by what it takes of a room.
+ *
+ * @param job - the job
+ * @returns the work of all its tasks by the caller's estimates, thousandths of a core times ms
+ */
+export function findWork({ submission }: DispatchJob): number {
+  return submission.steps.reduce(
+    (sum, { count, resources, estimateMs }) => sum + count * resources.cpuMilli * estimateMs,
+    0,
+  );
+}
+
 /**
  * Moves a task on, and keeps the count of attempts that are out.
  *
--- a/src/process/dispatcher/dispatcherMetrics.ts
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -7,6 +7,8 @@
 export interface DispatcherGauges {
   readonly readOpenJobs: () => number;
   readonly readWaitingTasks: () => number;
+  readonly readWaitingByPriority: () => ReadonlyMap<string, number>;
+  readonly readForecastCores: () => number;
   readonly readAgents: () => number;
   readonly readConfigurationVersion: () => number;
   readonly readEmptiedDomains: () => number;
@@ -34,6 +36,22 @@
       help: 'Tasks that wait for an agent',
       read: gauges.readWaitingTasks,
     },
+    dispatcher_waiting_by_priority: {
+      kind: 'gauge',
+      help: 'Tasks that wait for an agent, by priority of their queue',
+      labels: ['priority'],
+      readEach: gauges.readWaitingByPriority,
+    },
+    dispatcher_work: {
+      kind: 'counter',
+      help: 'Work of answered jobs by estimate, core seconds, by priority of their queue and whether it was refused',
+      labels: ['priority', 'decision'],
+    },
+    dispatcher_forecast_cores: {
+      kind: 'gauge',
+      help: "Cores' worth of estimated work that the room was last expected to do; 0 while nothing is known",
+      read: gauges.readForecastCores,
+    },
     dispatcher_agents: { kind: 'gauge', help: 'Agents with a link', read: gauges.readAgents },
     dispatcher_configuration_version: {
       kind: 'gauge',
@@ -52,3 +70,16 @@
     },
   };
 }
+
+/** Queues of this priority or a less urgent one share a label. */
+const LAST_PRIORITY = 3;
+
+/**
+ * Describes a queue's priority as a label of which there are few.
+ *
+ * @param priority - 0 goes first
+ * @returns '0' to '2', and '3+' for the others
+ */
+export function describePriority(priority: number): string {
+  return priority >= LAST_PRIORITY ? `${LAST_PRIORITY}+` : String(priority);
+}
--- a/src/process/dispatcher/findGiveUpReason.ts
+++ b/src/process/dispatcher/findGiveUpReason.ts
@@ -6,7 +6,7 @@
 /** Part of the objective after which a job that was never offered is judged, as the users price it. */
 const JUDGE_PART = 0.2;
 /** An answer later than so many objectives is of no use to the users; from their rules. */
-const USELESS_FACTOR = 3;
+export const USELESS_FACTOR = 3;
 /** Part of the estimated chain that a fast upstream may need. */
 const FAST_CHAIN_PART = 0.8;
 /** Part of a caller's patience after which a job that nobody could take is refused, so that it can go elsewhere. */
--- /dev/null
+++ b/test/fakes/RoomModel.ts
@@ -0,0 +1,347 @@
+/**
+ * One dispatcher whose callers ask for more than its agents have room for, on virtual time. The product's own
+ * dispatcher runs unchanged; agents are its own, start what they get and tell their room with each end.
+ *
+ * The patterns are a burst of large jobs, one of urgent jobs, both at once, estimates that are off, slow upstreams, and
+ * the loss and return of agents.
+ */
+import { createRandom } from '../../src/_lib/createRandom.js';
+import type { AttemptResult, EntryMessage, RoomReport } from '../../src/connection/peer/peerMessages.js';
+import type { Admission } from '../../src/process/dispatcher/Admission.js';
+import { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
+import { SpeedPlacement } from '../../src/process/dispatcher/Placement.js';
+import { OpenWindow } from '../../src/process/dispatcher/SendWindow.js';
+import type { TaskOrder } from '../../src/process/dispatcher/TaskOrder.js';
+import { JobBounds } from '../../src/request/dispatch/JobBounds.js';
+import type { JobOutcome } from '../../src/request/dispatch/submission.js';
+import { ROUTE, STEP, WIDE_LIMITS } from './dispatchFixtures.js';
+
+const TICK_MS = 40;
+const PING_MS = 170;
+const ORPHAN_MS = 1_240;
+const AGENTS = 6;
+const AGENT_CPU = 64_000;
+const CAPACITY = { cpuMilli: AGENT_CPU, memoryMb: 1_000_000, gpus: 0 };
+const TASK_CPU = 5_800;
+const TARGET_LATENCY_MS = 61;
+/** Time that callers wait beyond the work, ms. */
+const WAIT_MS = 1_500;
+/** An answer later than so many objectives is of no use. */
+const USELESS_FACTOR = 3;
+/** Widths and works of jobs differ by this much from the mean (standard deviation of the logarithm). */
+const SPREAD = 0.4;
+
+/** A queue: the calm rates ask for 0.7 of the room in all. */
+interface ModelQueue {
+  readonly name: string;
+  readonly priority: number;
+  readonly perSecond: number;
+  readonly width: number;
+  readonly workMs: number;
+}
+
+const QUEUES: readonly ModelQueue[] = [
+  { name: 'urgent', priority: 0, perSecond: 14.2, width: 8, workMs: 86 },
+  { name: 'middle', priority: 1, perSecond: 41.3, width: 2, workMs: 286 },
+  { name: 'large', priority: 2, perSecond: 2.59, width: 4, workMs: 1_286 },
+];
+
+/** More jobs of a queue for a time. */
+export interface ModelBurst {
+  readonly queue: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly factor: number;
+}
+
+/** Agents that are cut off for a time. */
+export interface ModelOutage {
+  readonly agents: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** What is played. */
+export interface RoomPlay {
+  readonly seed: number;
+  readonly lengthMs: number;
+  readonly bursts: readonly ModelBurst[];
+  /** How far estimates are off, as a share. */
+  readonly estimateOff?: number;
+  /** Agents, of six, whose upstreams take 1.5 times as long. */
+  readonly slowAgents?: number;
+  readonly outage?: ModelOutage;
+  /** Agents whose failure domain the operators empty, from a time on. */
+  readonly emptied?: { readonly agents: number; readonly fromMs: number };
+  /** Rates of all queues against the calm ones. */
+  readonly load?: number;
+  readonly createOrder?: () => TaskOrder;
+  readonly createAdmission?: () => Admission;
+}
+
+/** What became of a job. */
+export interface ModelJob {
+  readonly queue: string;
+  readonly arrivedAt: number;
+  /** Work by its true times, core-ms. */
+  readonly work: number;
+  /** Time that its longest task works, ms. */
+  readonly chainMs: number;
+  readonly objectiveMs: number;
+  readonly tasks: number;
+  outcome: JobOutcome | undefined;
+  answeredAt: number;
+}
+
+/** How an answer counts for its caller. */
+export type ModelVerdict = 'in-time' | 'late' | 'useless' | 'refused' | 'interrupted';
+
+/** Judges a job's answer. */
+export function judgeJob({ outcome, answeredAt, arrivedAt, objectiveMs }: ModelJob): ModelVerdict {
+  if (outcome?.kind === 'refused') return 'refused';
+  if (outcome?.kind !== 'completed') return 'interrupted';
+  const tookMs = answeredAt - arrivedAt;
+  if (tookMs <= objectiveMs) return 'in-time';
+  return tookMs <= objectiveMs * USELESS_FACTOR ? 'late' : 'useless';
+}
+
+interface ModelRun {
+  readonly name: AttemptResult['name'];
+  readonly cpuMilli: number;
+  readonly endsAt: number;
+}
+
+interface ModelAgent {
+  readonly name: string;
+  id: string;
+  life: number;
+  startsSeen: number;
+  runs: ModelRun[];
+  readonly slowness: number;
+  isOut: boolean;
+  nextPingAt: number;
+}
+
+/** A play. */
+export class RoomModel {
+  readonly jobs: ModelJob[] = [];
+  /** Moments at which an agent had room for a task that waited after placing, ms. */
+  readonly idleAt: number[] = [];
+  readonly dispatcher: Dispatcher;
+  private readonly agents: ModelAgent[] = [];
+  private readonly random: () => number;
+  private readonly workOf = new Map<string, readonly number[]>();
+  private now = 0;
+  private readonly nextAt: number[] = [];
+
+  constructor(private readonly play: RoomPlay) {
+    this.random = createRandom(play.seed);
+    this.dispatcher = new Dispatcher(
+      {
+        pingMs: PING_MS,
+        bounds: new JobBounds(WIDE_LIMITS),
+        placement: new SpeedPlacement(1),
+        window: new OpenWindow(),
+        nextRandom: createRandom(play.seed + 1),
+        ...(play.createOrder ? { order: play.createOrder() } : {}),
+        ...(play.createAdmission ? { admission: play.createAdmission() } : {}),
+      },
+      {
+        send: (id, message) => this.handleOrder(id, message),
+        log: () => undefined,
+        noteOutcome: () => undefined,
+      },
+    );
+    for (let number = 0; number < AGENTS; number += 1) {
+      const slowness = number < (play.slowAgents ?? 0) ? 1.5 : 1;
+      const base = { id: '', life: 0, startsSeen: 0, runs: [], isOut: false, nextPingAt: 0 };
+      const agent: ModelAgent = { ...base, name: `a${number}`, slowness };
+      this.agents.push(agent);
+      this.link(agent);
+    }
+    this.dispatcher.tick(0);
+    for (const queue of QUEUES) this.nextAt.push(this.drawGap(queue));
+  }
+
+  /** Plays to the end, and until all jobs have their answer. */
+  run(): this {
+    for (this.now = 1; this.now < this.play.lengthMs + 4_000; this.now += 1) this.step();
+    return this;
+  }
+
+  private step(): void {
+    const { outage, emptied, lengthMs } = this.play;
+    this.agents.forEach((agent, number) => {
+      if (outage && number < outage.agents) this.stepOutage(agent, outage);
+      if (!agent.isOut) this.stepAgent(agent);
+    });
+    if (emptied && this.now === emptied.fromMs) this.dispatcher.setEmptied(['emptied']);
+    QUEUES.forEach((queue, at) => {
+      while (this.now < lengthMs && (this.nextAt[at] ?? Infinity) <= this.now) {
+        this.submit(queue);
+        this.nextAt[at] = (this.nextAt[at] ?? 0) + this.drawGap(queue);
+      }
+    });
+    if (this.now % TICK_MS === 0) this.dispatcher.tick(this.now);
+    this.dispatcher.place(this.now);
+    this.noteIdleRoom();
+  }
+
+  /** Starts arrive at once here, so that what the agents have left after placing is what the dispatcher left. */
+  private noteIdleRoom(): void {
+    if (this.dispatcher.waitingTasks === 0) return;
+    const hasRoom = this.agents.some(
+      (agent) => !agent.isOut && this.buildRoom(agent).free.cpuMilli >= TASK_CPU,
+    );
+    if (hasRoom) this.idleAt.push(this.now);
+  }
+
+  private drawGap({ name, perSecond }: ModelQueue): number {
+    const bursts = this.play.bursts.filter(
+      ({ queue, fromMs, untilMs }) => queue === name && this.now >= fromMs && this.now < untilMs,
+    );
+    const factor = bursts.reduce((product, burst) => product * burst.factor, this.play.load ?? 1);
+    return (-Math.log(1 - this.random()) * 1_000) / (perSecond * factor);
+  }
+
+  /** A factor with mean 1 and the given standard deviation of its logarithm. */
+  private drawFactor(spread: number): number {
+    const normal = Math.sqrt(-2 * Math.log(1 - this.random())) * Math.cos(2 * Math.PI * this.random());
+    return Math.exp(spread * normal - spread ** 2 / 2);
+  }
+
+  private submit(queue: ModelQueue): void {
+    const id = `job${this.jobs.length}`;
+    const count = Math.max(1, Math.min(queue.width * 4, Math.round(queue.width * this.drawFactor(SPREAD))));
+    const workMs = Math.min(queue.workMs * 4, queue.workMs * this.drawFactor(SPREAD));
+    const works = Array.from({ length: count }, () => workMs * (1 + 0.15 * (2 * this.random() - 1)));
+    const off = 1 + (this.play.estimateOff ?? 0) * (2 * this.random() - 1);
+    const chainMs = Math.max(...works);
+    const job: ModelJob = {
+      queue: queue.name,
+      arrivedAt: this.now,
+      work: (works.reduce((sum, work) => sum + work, 0) * TASK_CPU) / 1_000,
+      chainMs,
+      objectiveMs: ROUTE.stretch * chainMs + TARGET_LATENCY_MS,
+      tasks: count,
+      outcome: undefined,
+      answeredAt: 0,
+    };
+    this.jobs.push(job);
+    this.workOf.set(id, works);
+    const route = {
+      ...ROUTE,
+      name: queue.name,
+      priority: queue.priority,
+      targetLatencyMs: TARGET_LATENCY_MS,
+    };
+    const resources = { cpuMilli: TASK_CPU, memoryMb: 64, gpus: 0 };
+    const steps = [{ ...STEP, count, resources, estimateMs: workMs * off }];
+    const answer = (outcome: JobOutcome): void => {
+      job.outcome = outcome;
+      job.answeredAt = this.now;
+    };
+    const patienceMs = chainMs + WAIT_MS;
+    this.dispatcher.submit({ id, route, spec: '', steps, patienceMs }, { answer }, this.now);
+  }
+
+  private link(agent: ModelAgent): void {
+    agent.life += 1;
+    agent.startsSeen = 0;
+    const isEmptied = this.agents.indexOf(agent) < (this.play.emptied?.agents ?? 0);
+    agent.id = this.dispatcher.handleHello(
+      {
+        type: 'agent-hello',
+        agent: agent.name,
+        life: String(agent.life),
+        failureDomain: isEmptied ? 'emptied' : 'kept',
+        holding: [],
+        results: [],
+        entryLife: 'me',
+        orphanMs: ORPHAN_MS,
+      },
+      'me',
+      this.now,
+    );
+    this.ping(agent);
+  }
+
+  private stepOutage(agent: ModelAgent, { fromMs, untilMs }: ModelOutage): void {
+    if (this.now === fromMs) {
+      agent.isOut = true;
+      agent.runs = [];
+      this.dispatcher.handleClose(agent.id, 'test', this.now);
+    }
+    if (this.now !== untilMs) return;
+    agent.isOut = false;
+    this.link(agent);
+  }
+
+  private handleOrder(id: string, message: EntryMessage): void {
+    const agent = this.agents.find((one) => one.id === id);
+    if (!agent || agent.isOut) return;
+    if (message.type === 'start') {
+      const { name, resources } = message;
+      agent.startsSeen += 1;
+      const workMs = this.workOf.get(name.job)?.[name.index] ?? 0;
+      agent.runs.push({ name, cpuMilli: resources.cpuMilli, endsAt: this.now + workMs * agent.slowness + 2 });
+    }
+    if (message.type !== 'stop') return;
+    const { job, index } = message.name;
+    const run = agent.runs.find(({ name }) => name.job === job && name.index === index);
+    if (run) agent.runs.splice(agent.runs.indexOf(run), 1, { ...run, endsAt: this.now + 1 });
+  }
+
+  private stepAgent(agent: ModelAgent): void {
+    const ended = agent.runs.filter(({ endsAt }) => endsAt <= this.now);
+    if (ended.length > 0) {
+      agent.runs = agent.runs.filter(({ endsAt }) => endsAt > this.now);
+      for (const { name } of ended) {
+        const result = { type: 'result', name, end: 'done', reason: '' } as const;
+        this.dispatcher.handleResult(agent.id, result, this.now);
+      }
+      const room = this.buildRoom(agent);
+      this.dispatcher.handleRoom(agent.id, { type: 'room', at: this.now, room }, this.now);
+    }
+    if (this.now >= agent.nextPingAt) this.ping(agent);
+  }
+
+  private ping(agent: ModelAgent): void {
+    agent.nextPingAt = this.now + PING_MS;
+    const room = this.buildRoom(agent);
+    const ping = { type: 'ping', version: 1, at: this.now, room, progress: undefined } as const;
+    this.dispatcher.handlePing(agent.id, ping, this.now);
+  }
+
+  private buildRoom({ name, startsSeen, runs, slowness }: ModelAgent): RoomReport {
+    const used = runs.reduce((sum, { cpuMilli }) => sum + cpuMilli, 0);
+    const description = {
+      upstream: `of-${name}`,
+      service: ROUTE.service,
+      labels: [],
+      capacity: CAPACITY,
+    };
+    const free = { ...CAPACITY, cpuMilli: AGENT_CPU - used };
+    return { description, state: 'ready', trust: 'healthy', free, startsSeen, speed: 1 / slowness };
+  }
+}
+
+/** Calm for 4 s, then bursts. */
+const LARGE: ModelBurst = { queue: 'large', fromMs: 4_000, untilMs: 10_000, factor: 2.3 };
+const URGENT: ModelBurst = { queue: 'urgent', fromMs: 4_000, untilMs: 8_000, factor: 1.7 };
+const BOTH = [LARGE, { ...URGENT, fromMs: 5_000, untilMs: 9_000 }];
+
+/** A queue whose callers ask for four times what they usually do. */
+const FLOOD: ModelBurst = { queue: 'middle', fromMs: 4_000, untilMs: 9_000, factor: 4 };
+
+/** Loads of the comparison, by name; the seed and the ways are added. */
+export const LOADS: Readonly<Record<string, Omit<RoomPlay, 'seed'>>> = {
+  calm: { lengthMs: 12_000, bursts: [] },
+  large: { lengthMs: 12_000, bursts: [LARGE] },
+  urgent: { lengthMs: 10_000, bursts: [URGENT] },
+  both: { lengthMs: 12_000, bursts: BOTH },
+  'estimates off': { lengthMs: 12_000, bursts: BOTH, estimateOff: 0.4 },
+  flood: { lengthMs: 12_000, bursts: [FLOOD] },
+  'room lost': { lengthMs: 12_000, bursts: BOTH, outage: { agents: 3, fromMs: 6_000, untilMs: 10_000 } },
+  'slow third': { lengthMs: 12_000, bursts: BOTH, slowAgents: 2 },
+};
--- /dev/null
+++ b/test/fakes/countService.ts
@@ -0,0 +1,95 @@
+/** Sums up a play of `RoomModel` as callers count it. */
+import { judgeJob } from './RoomModel.js';
+import type { ModelJob } from './RoomModel.js';
+
+/** What a late answer is worth of one in time. */
+const LATE_WORTH = 0.2;
+/** Part of a job's worth that does not depend on its work. */
+const FIXED_WORTH = 0.3;
+const MAX_WORTH = 4;
+/** Time within which a refusal counts as told at once, ms. */
+const AT_ONCE_MS = 20;
+
+/** Service of some jobs; shares of 1. */
+export interface Service {
+  readonly queues: Readonly<Record<string, number>>;
+  /** Worth earned of that owed: all (queues count alike), the worst queue, the worst of the size classes. */
+  readonly total: number;
+  readonly worstQueue: number;
+  readonly worstSize: number;
+  /** As the users count: 0.4 for all, 0.3 for the worst of queues and size classes, of 0.7. */
+  readonly worth: number;
+  /** Least of a size class's jobs that were answered, against its queue's. */
+  readonly leastShare: number;
+  /** In time, of the largest tenth of each queue, and of the fifth below it, all queues together. */
+  readonly tenth: number;
+  readonly fifth: number;
+  readonly refusedAtOnce: number;
+  readonly refusedLater: number;
+  readonly late: number;
+  readonly useless: number;
+  readonly interrupted: number;
+}
+
+/** Counts the service of a play's jobs. */
+export function countService(jobs: readonly ModelJob[]): Service {
+  const byQueue = new Map<string, ModelJob[]>();
+  for (const job of jobs) byQueue.set(job.queue, [...(byQueue.get(job.queue) ?? []), job]);
+  const queues: Record<string, number> = {};
+  const earned: number[] = [];
+  const sizes: number[] = [];
+  const tenths: ModelJob[] = [];
+  const fifths: ModelJob[] = [];
+  let leastShare = 1;
+  for (const [queue, own] of byQueue) {
+    const bySize = [...own].sort((left, right) => right.work - left.work);
+    const tenth = bySize.slice(0, Math.ceil(own.length / 10));
+    const fifth = bySize.slice(tenth.length, tenth.length + Math.ceil(own.length / 5));
+    tenths.push(...tenth);
+    fifths.push(...fifth);
+    queues[queue] = measureWorth(own);
+    earned.push(queues[queue]);
+    sizes.push(measureWorth(tenth, own), measureWorth(fifth, own));
+    for (const part of [tenth, fifth])
+      leastShare = Math.min(leastShare, shareAnswered(part) / shareAnswered(own));
+  }
+  const total = earned.reduce((sum, worth) => sum + worth, 0) / earned.length;
+  const [worstQueue, worstSize] = [Math.min(...earned), Math.min(...sizes)];
+  const countShare = (isOne: (job: ModelJob) => boolean): number => jobs.filter(isOne).length / jobs.length;
+  const isSoon = ({ answeredAt, arrivedAt }: ModelJob): boolean => answeredAt - arrivedAt <= AT_ONCE_MS;
+  return {
+    queues,
+    total,
+    worstQueue,
+    worstSize,
+    worth: (0.4 * total + 0.3 * Math.min(worstQueue, worstSize)) / 0.7,
+    leastShare,
+    tenth: tenths.filter((job) => judgeJob(job) === 'in-time').length / tenths.length,
+    fifth: fifths.filter((job) => judgeJob(job) === 'in-time').length / fifths.length,
+    refusedAtOnce: countShare((job) => judgeJob(job) === 'refused' && isSoon(job)),
+    refusedLater: countShare((job) => judgeJob(job) === 'refused' && !isSoon(job)),
+    late: countShare((job) => judgeJob(job) === 'late'),
+    useless: countShare((job) => judgeJob(job) === 'useless'),
+    interrupted: countShare((job) => judgeJob(job) === 'interrupted'),
+  };
+}
+
+/** Worth earned of that owed; a job's worth rises with its work against the mean of its queue. */
+function measureWorth(jobs: readonly ModelJob[], queue = jobs): number {
+  const meanWork = queue.reduce((sum, { work }) => sum + work, 0) / queue.length;
+  let owed = 0;
+  let earned = 0;
+  for (const job of jobs) {
+    const worth = Math.min(MAX_WORTH, FIXED_WORTH + ((1 - FIXED_WORTH) * job.work) / meanWork);
+    const verdict = judgeJob(job);
+    owed += worth;
+    if (verdict === 'in-time') earned += worth;
+    if (verdict === 'late') earned += worth * LATE_WORTH;
+  }
+  return earned / owed;
+}
+
+function shareAnswered(jobs: readonly ModelJob[]): number {
+  const answered = jobs.filter((job) => ['in-time', 'late'].includes(judgeJob(job)));
+  return answered.length / jobs.length;
+}
--- /dev/null
+++ b/test/scarceRoom.test.ts
@@ -0,0 +1,153 @@
+/** Who is served when callers ask for more than the room: the product's dispatcher in `RoomModel`, on virtual time. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { createRandom } from '../src/_lib/createRandom.js';
+import { ForecastAdmission } from '../src/process/dispatcher/Admission.js';
+import { FairOrder } from '../src/process/dispatcher/FairOrder.js';
+import { countService } from './fakes/countService.js';
+import type { Service } from './fakes/countService.js';
+import { judgeJob, LOADS, RoomModel } from './fakes/RoomModel.js';
+import type { ModelJob, RoomPlay } from './fakes/RoomModel.js';
+
+/** Of the random loads, so that a run that fails is there again. */
+const SEED = 20261203;
+const SEEDS = [1, 2, 3, 4];
+/** One play's service differs by so much from the next one's in calm times and under light overload. */
+const NOISE = 0.01;
+/** Jobs refused at their first look have waited for less than this, ms. */
+const AT_ONCE_MS = 20;
+
+const TODAY: Partial<RoomPlay> = {};
+const FAIR: Partial<RoomPlay> = { createOrder: () => new FairOrder() };
+const NEW: Partial<RoomPlay> = { ...FAIR, createAdmission: () => new ForecastAdmission(createRandom(1)) };
+
+function play(load: Omit<RoomPlay, 'seed'>, ways: Partial<RoomPlay>, seeds = SEEDS): ModelJob[] {
+  return seeds.flatMap((seed) => new RoomModel({ ...load, ...ways, seed }).run().jobs);
+}
+
+function serve(name: string, ways: Partial<RoomPlay>): Service {
+  const load = LOADS[name];
+  if (!load) throw new Error(`there is no load ${name}`);
+  return countService(play(load, ways));
+}
+
+/** Jobs of each verdict that arrived in a stretch of time. */
+function countVerdicts(jobs: readonly ModelJob[], fromMs: number, untilMs: number): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const job of jobs) {
+    if (job.arrivedAt < fromMs || job.arrivedAt >= untilMs) continue;
+    const verdict = judgeJob(job);
+    counts[verdict] = (counts[verdict] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function sumWork(jobs: readonly ModelJob[]): number {
+  return jobs.reduce((sum, { work }) => sum + work, 0);
+}
+
+function sumWorkInTime(jobs: readonly ModelJob[]): number {
+  return sumWork(jobs.filter((job) => judgeJob(job) === 'in-time'));
+}
+
+describe('fair order and forecast admission', function () {
+  this.timeout(30_000);
+
+  it('refuse nobody in calm times, and serve all in time', () => {
+    const { total, refusedAtOnce, refusedLater } = serve('calm', NEW);
+    expect(total).to.be.at.least(1 - NOISE);
+    expect(refusedAtOnce + refusedLater).to.equal(0);
+  });
+
+  // Patterns: one queue floods the room; a part of the upstreams is slow while two queues burst.
+  for (const name of ['flood', 'slow third']) {
+    it(`serve more in all, and of the worst queue, under ${name}`, () => {
+      const [today, now] = [serve(name, TODAY), serve(name, NEW)];
+      expect(now.total).to.be.above(today.total);
+      expect(now.worstQueue).to.be.above(today.worstQueue);
+      expect(now.useless + now.interrupted).to.be.below(today.useless + today.interrupted);
+    });
+  }
+
+  it('serve more of the worst queue when half of the room is lost under bursts', () => {
+    expect(serve('room lost', NEW).worstQueue).to.be.above(serve('room lost', TODAY).worstQueue);
+  });
+
+  for (const name of Object.keys(LOADS)) {
+    it(`serve no size class less than half as often as its queue under ${name}`, () => {
+      expect(serve(name, NEW).leastShare).to.be.at.least(0.5);
+    });
+  }
+
+  for (const name of Object.keys(LOADS)) {
+    it(`are worth no less to the users under ${name} than before, but for noise`, () => {
+      expect(serve(name, NEW).worth).to.be.at.least(serve(name, TODAY).worth - NOISE);
+    });
+  }
+
+  it('leave no room idle while a task waits that fits', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 0, max: 1_000 }),
+        fc.double({ min: 0.5, max: 2, noNaN: true }),
+        (seed, load) => {
+          const model = new RoomModel({ lengthMs: 3_000, bursts: [], seed, load, ...NEW }).run();
+          expect(model.idleAt).to.deep.equal([]);
+        },
+      ),
+      { numRuns: 15, seed: SEED },
+    );
+  });
+
+  /**
+   * A refusal changes what runs when, so the runs are compared by the work that is in time, which is what the room
+   * holds. Tolerance: a fiftieth, as one large job's work is of what the room does in such a run.
+   */
+  it('refuse no more than would not have been in time', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 0, max: 1_000 }),
+        fc.double({ min: 0.7, max: 2, noNaN: true }),
+        (seed, load) => {
+          const base = { lengthMs: 5_000, bursts: [], load };
+          const seeds = [seed, seed + 1, seed + 2, seed + 3];
+          const without = play(base, FAIR, seeds);
+          const inTime = sumWorkInTime(play(base, NEW, seeds));
+          expect(inTime).to.be.at.least(sumWorkInTime(without) - sumWork(without) / 50);
+        },
+      ),
+      { numRuns: 6, seed: SEED },
+    );
+  });
+
+  // Pattern: a failure domain loses its power, or is emptied, in the middle of a burst.
+  it('go on serving in the room that is left when agents vanish or are emptied', () => {
+    const burst = { queue: 'large', fromMs: 1_000, untilMs: 5_000, factor: 2.3 };
+    const base = { lengthMs: 8_000, bursts: [burst] };
+    const outage = { agents: 3, fromMs: 2_000, untilMs: 4_000 };
+    for (const failure of [{ outage }, { emptied: { agents: 2, fromMs: 2_000 } }]) {
+      const jobs = play({ ...base, ...failure }, NEW);
+      expect(jobs.filter(({ outcome }) => outcome === undefined)).to.have.lengthOf(0);
+      const today = play({ ...base, ...failure }, TODAY);
+      expect(countService(jobs).worth).to.be.at.least(countService(today).worth - NOISE);
+    }
+  });
+
+  // Pattern: all power is lost for 1.5 s; callers come at once, the room 0.5 s later.
+  it('keep who can still be in time when all room comes back, and are calm a second later', () => {
+    const outage = { agents: 6, fromMs: 3_000, untilMs: 4_500 };
+    const jobs = play({ lengthMs: 8_000, bursts: [], outage }, NEW);
+    const back = countVerdicts(jobs, 4_400, 4_500);
+    expect(back['in-time'] ?? 0).to.be.above(0);
+    const later = countVerdicts(jobs, 6_500, 8_000);
+    expect(
+      (later['in-time'] ?? 0) / Object.values(later).reduce((sum, count) => sum + count, 0),
+    ).to.be.at.least(1 - NOISE);
+    const justBefore = jobs.filter(({ arrivedAt }) => arrivedAt >= 4_450 && arrivedAt < 4_500);
+    const refusedAtOnce = justBefore.filter(
+      (job) => judgeJob(job) === 'refused' && job.answeredAt - job.arrivedAt <= AT_ONCE_MS,
+    );
+    expect(refusedAtOnce).to.have.lengthOf(0);
+  });
+});
