Words of shares and forecasts: glossary, verbs that the list has, a test of the factories

Cause: charge, learn, serve and share are no verbs of docs/NAMING.md. Measured: the dispatcher's test files and scarceRoom, 101 passed.

--- a/src/process/dispatcher/Admission.test.ts
+++ b/src/process/dispatcher/Admission.test.ts
@@ -51,7 +51,7 @@
   }
 
   /** Tasks end as fast as they were estimated. */
-  function learnPace(): void {
+  function noteEnds(): void {
     for (const task of createJob('ended', 20).tasks) {
       sendTask(task);
       admission.noteEnded(task, true, NOW);
@@ -76,7 +76,7 @@
   });
 
   it('refuses at arrival what the work before it leaves no time for, and keeps what is before', () => {
-    learnPace();
+    noteEnds();
     const first = queue(createJob('first', 4));
     queue(createJob('middle', 20));
     const last = queue(createJob('last', 1));
@@ -88,20 +88,20 @@
     queue(createJob('before', 40));
     const job = queue(createJob('job', 1));
     expect(admission.findReason(job, view())).to.equal(undefined);
-    learnPace();
+    noteEnds();
     agent.linked = false;
     expect(admission.findReason(job, view(NOW + 1))).to.equal(undefined);
   });
 
   it('keeps what fits into room that is free, whatever else waits', () => {
     fillRoom(1_000);
-    learnPace();
+    noteEnds();
     queue(createJob('before', 40));
     expect(admission.findReason(queue(createJob('job', 1)), view())).to.equal(undefined);
   });
 
   it('keeps what has begun, and what needs a label: others do not wait for that room', () => {
-    learnPace();
+    noteEnds();
     queue(createJob('before', 40));
     const begun = queue(createJob('begun', 1));
     begun.begun = true;
@@ -110,7 +110,7 @@
   });
 
   it('counts what is refused as gone, so that those behind it are kept', () => {
-    learnPace();
+    noteEnds();
     const wide = queue(createJob('wide', 40));
     const job = queue(createJob('job', 1));
     expect(admission.findReason(job, view())).to.equal('no-room');
@@ -120,7 +120,7 @@
   });
 
   it('refuses few at one moment: each refusal is judged without what was refused before it', () => {
-    learnPace();
+    noteEnds();
     queue(createJob('before', 60));
     const jobs = Array.from({ length: 20 }, (_, at) => queue(createJob(`job${at}`, 1)));
     const refuseDue = (now: number): number => {
@@ -138,7 +138,7 @@
   });
 
   it('has callers come back when the room has drained, spread, not sooner than a second nor later than ten', () => {
-    learnPace();
+    noteEnds();
     const job = queue(createJob('job', 1));
     expect(admission.findRetryMs(job, view())).to.equal(2_500);
     queue(createJob('more', 60));
@@ -149,7 +149,7 @@
   });
 
   it('tells with a refusal what it went by', () => {
-    learnPace();
+    noteEnds();
     const job = queue(createJob('job', 40));
     const figures = admission.describeForecast(job, view());
     expect(figures).to.include({ waitMs: 2_000, drainCores: 2, freeCpu: 0, ageMs: 0 });
--- a/src/process/dispatcher/FairOrder.ts
+++ b/src/process/dispatcher/FairOrder.ts
@@ -48,11 +48,11 @@
   }
 
   override noteSent(task: DispatchTask, now: number): void {
-    this.findShare(task.job).charge(measureWork(task), this.virtualTime, now);
+    this.findShare(task.job).noteServed(measureWork(task), this.virtualTime, now);
   }
 
   override noteReturned(task: DispatchTask, now: number): void {
-    this.findShare(task.job).charge(-measureWork(task), 0, now);
+    this.findShare(task.job).noteServed(-measureWork(task), 0, now);
   }
 
   private sortIntoLanes(tasks: readonly DispatchTask[], context: OrderContext): Lane[] {
--- a/src/process/dispatcher/QueueShare.ts
+++ b/src/process/dispatcher/QueueShare.ts
@@ -29,8 +29,8 @@
     this.arrivals.add(work, now);
   }
 
-  /** Charges work that was sent, or gives it back if negative. */
-  charge(work: number, virtualTime: number, now: number): void {
+  /** Counts work that was sent; negative work was not run after all. */
+  noteServed(work: number, virtualTime: number, now: number): void {
     this.tag = Math.max(this.tag, virtualTime) + work / this.findWeight(now);
     this.headroom = this.fillHeadroom(now) - work;
   }
--- /dev/null
+++ b/src/process/dispatcher/createAdmission.test.ts
@@ -0,0 +1,16 @@
+import { expect } from 'chai';
+
+import { ForecastAdmission, PatienceAdmission } from './Admission.js';
+import { createAdmission } from './createAdmission.js';
+import { createTaskOrder } from './createTaskOrder.js';
+import { FairOrder } from './FairOrder.js';
+import { DeadlineOrder } from './TaskOrder.js';
+
+describe('createAdmission and createTaskOrder', () => {
+  it('create what is named', () => {
+    expect(createAdmission({ admission: 'patience' }, () => 0)).to.be.instanceOf(PatienceAdmission);
+    expect(createAdmission({ admission: 'forecast' }, () => 0)).to.be.instanceOf(ForecastAdmission);
+    expect(createTaskOrder({ taskOrder: 'deadline' })).to.be.instanceOf(DeadlineOrder);
+    expect(createTaskOrder({ taskOrder: 'fair' })).to.be.instanceOf(FairOrder);
+  });
+});
--- a/test/fakes/countService.ts
+++ b/test/fakes/countService.ts
@@ -51,7 +51,7 @@
     earned.push(queues[queue]);
     sizes.push(measureWorth(tenth, own), measureWorth(fifth, own));
     for (const part of [tenth, fifth])
-      leastShare = Math.min(leastShare, shareAnswered(part) / shareAnswered(own));
+      leastShare = Math.min(leastShare, measureAnswered(part) / measureAnswered(own));
   }
   const total = earned.reduce((sum, worth) => sum + worth, 0) / earned.length;
   const [worstQueue, worstSize] = [Math.min(...earned), Math.min(...sizes)];
@@ -89,7 +89,7 @@
   return earned / owed;
 }
 
-function shareAnswered(jobs: readonly ModelJob[]): number {
+function measureAnswered(jobs: readonly ModelJob[]): number {
   const answered = jobs.filter((job) => ['in-time', 'late'].includes(judgeJob(job)));
   return answered.length / jobs.length;
 }
--- a/test/scarceRoom.test.ts
+++ b/test/scarceRoom.test.ts
@@ -26,7 +26,7 @@
   return seeds.flatMap((seed) => new RoomModel({ ...load, ...ways, seed }).run().jobs);
 }
 
-function serve(name: string, ways: Partial<RoomPlay>): Service {
+function playLoad(name: string, ways: Partial<RoomPlay>): Service {
   const load = LOADS[name];
   if (!load) throw new Error(`there is no load ${name}`);
   return countService(play(load, ways));
@@ -55,7 +55,7 @@
   this.timeout(30_000);
 
   it('refuse nobody in calm times, and serve all in time', () => {
-    const { total, refusedAtOnce, refusedLater } = serve('calm', NEW);
+    const { total, refusedAtOnce, refusedLater } = playLoad('calm', NEW);
     expect(total).to.be.at.least(1 - NOISE);
     expect(refusedAtOnce + refusedLater).to.equal(0);
   });
@@ -63,7 +63,7 @@
   // Patterns: one queue floods the room; a part of the upstreams is slow while two queues burst.
   for (const name of ['flood', 'slow third']) {
     it(`serve more in all, and of the worst queue, under ${name}`, () => {
-      const [today, now] = [serve(name, TODAY), serve(name, NEW)];
+      const [today, now] = [playLoad(name, TODAY), playLoad(name, NEW)];
       expect(now.total).to.be.above(today.total);
       expect(now.worstQueue).to.be.above(today.worstQueue);
       expect(now.useless + now.interrupted).to.be.below(today.useless + today.interrupted);
@@ -71,18 +71,18 @@
   }
 
   it('serve more of the worst queue when half of the room is lost under bursts', () => {
-    expect(serve('room lost', NEW).worstQueue).to.be.above(serve('room lost', TODAY).worstQueue);
+    expect(playLoad('room lost', NEW).worstQueue).to.be.above(playLoad('room lost', TODAY).worstQueue);
   });
 
   for (const name of Object.keys(LOADS)) {
     it(`serve no size class less than half as often as its queue under ${name}`, () => {
-      expect(serve(name, NEW).leastShare).to.be.at.least(0.5);
+      expect(playLoad(name, NEW).leastShare).to.be.at.least(0.5);
     });
   }
 
   for (const name of Object.keys(LOADS)) {
     it(`are worth no less to the users under ${name} than before, but for noise`, () => {
-      expect(serve(name, NEW).worth).to.be.at.least(serve(name, TODAY).worth - NOISE);
+      expect(playLoad(name, NEW).worth).to.be.at.least(playLoad(name, TODAY).worth - NOISE);
     });
   }
 
