--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -88,6 +88,8 @@
   private leavingAt: number | undefined;
   private placing = false;
   private demandToldAt = -Infinity;
+  /** Links on which an echo has told demand: from then on it is left out while nothing waits. */
+  private readonly demandChannels = new WeakSet<LineChannel>();
   private readonly pingMs: number;
 
   constructor(
@@ -300,8 +302,10 @@
     if (message.type === 'ping') {
       const typicalSpeed = roundSpeed(this.dispatcher.typicalSpeed);
       const { versions } = this.exchange;
-      const { waitingTasks, waitingCpuMilli } = this.dispatcher;
-      const isWaiting = waitingTasks > 0;
+      const isWaiting = this.dispatcher.waitingTasks > 0;
+      const needsDemand = isWaiting || !this.demandChannels.has(channel);
+      this.demandChannels.add(channel);
+      const waitingCpuMilli = needsDemand ? this.dispatcher.waitingCpuMilli : undefined;
       channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting, waitingCpuMilli });
       this.exchange.compareVersions(message, channel, now);
     }
--- a/src/process/executor/AgentCore.ts
+++ b/src/process/executor/AgentCore.ts
@@ -187,7 +187,7 @@
 
   /** Whether an entry is told a part of the room, as it tells its demand. */
   hasPart(entryLife: string): boolean {
-    return this.sharing === 'demand' && this.shares.tellsDemand(entryLife);
+    return this.sharing === 'demand' && this.shares.hasToldDemand(entryLife);
   }
 
   /**
@@ -208,8 +208,10 @@
   }
 
   /** The entry has echoed a ping. */
-  noteEcho(entryLife: string, { at, typicalSpeed, waitingCpuMilli }: Pong): void {
-    this.shares.noteDemand(entryLife, waitingCpuMilli);
+  noteEcho(entryLife: string, { at, typicalSpeed, isWaiting, waitingCpuMilli }: Pong): void {
+    // The first echo of a link tells the amount; later ones leave it out while nothing waits.
+    const isOver = !isWaiting && this.shares.hasToldDemand(entryLife);
+    this.shares.noteDemand(entryLife, isOver ? 0 : waitingCpuMilli);
     const proof = this.findProof(entryLife, at);
     proof.provenAt = Math.max(proof.provenAt, at);
     proof.typicalSpeed = typicalSpeed;
--- a/src/process/executor/RoomShares.ts
+++ b/src/process/executor/RoomShares.ts
@@ -73,7 +73,7 @@
   }
 
   /** Whether an entry tells what waits; others are told all of the room. */
-  tellsDemand(life: string): boolean {
+  hasToldDemand(life: string): boolean {
     return this.shares.get(life)?.waiting !== undefined;
   }
 
@@ -88,7 +88,7 @@
     share.recent = readRecent(share, now) + cpuMilli;
     share.recentAt = now;
     this.task = Math.max(cpuMilli, this.task * (1 - TASK_FALL));
-    this.hold(share, Math.max(0, share.held - cpuMilli), now);
+    this.keepPart(share, Math.max(0, share.held - cpuMilli), now);
     if (share.heldSince !== undefined) share.heldSince = now;
   }
 
@@ -116,7 +116,7 @@
     const cpuMilli = this.findPart(life, free, entries, now);
     const isKnown = cpuMilli === share.held;
     if (!isKnown) share.toldAt = now;
-    this.hold(share, cpuMilli, now);
+    this.keepPart(share, cpuMilli, now);
     return { cpuMilli, isKnown };
   }
 
@@ -133,7 +133,7 @@
   }
 
   private findPart(life: string, free: number, entries: readonly RoomEntry[], now: number): number {
-    if (this.task === 0 || free <= 0 || !this.tellsDemand(life)) return free;
+    if (this.task === 0 || free <= 0 || !this.hasToldDemand(life)) return free;
     const kept = this.sumKept(life, entries, now);
     const keptTasks = Math.floor(kept / this.task + SIZE_SLACK);
     const left = keptTasks === 0 ? free : Math.floor(free / this.task + SIZE_SLACK - keptTasks) * this.task;
@@ -179,7 +179,7 @@
     return entries.filter(({ life }) => (this.shares.get(life)?.waiting ?? 0) > 0);
   }
 
-  private hold(share: EntryShare, held: number, now: number): void {
+  private keepPart(share: EntryShare, held: number, now: number): void {
     share.held = held;
     share.heldSince = held < this.task * (1 - SIZE_SLACK) ? undefined : (share.heldSince ?? now);
   }
--- a/test/fakes/RoomModel.ts
+++ b/test/fakes/RoomModel.ts
@@ -95,6 +95,7 @@
   isCut = false;
   readonly inbox: (() => void)[] = [];
   private demandToldAt = -Infinity;
+  private readonly demandLinks = new Set<string>();
 
   constructor(
     readonly index: number,
@@ -135,7 +136,9 @@
       const { waitingTasks, waitingCpuMilli, typicalSpeed } = this.dispatcher;
       const isWaiting = waitingTasks > 0;
       const pong = { type: 'pong', at: message.at, version: 1, typicalSpeed, isWaiting } as const;
-      this.send(agent, this.isEarlier ? pong : { ...pong, waitingCpuMilli });
+      const needsDemand = isWaiting || !this.demandLinks.has(agent);
+      this.demandLinks.add(agent);
+      this.send(agent, this.isEarlier || !needsDemand ? pong : { ...pong, waitingCpuMilli });
       this.dispatcher.handlePing(agent, message, now);
     }
     if (message.type === 'room') this.dispatcher.handleRoom(agent, message, now);
--- a/test/fakes/RoomModelAgent.ts
+++ b/test/fakes/RoomModelAgent.ts
@@ -128,7 +128,7 @@
   }
 
   /** The operators have emptied its failure domain. */
-  empty(): void {
+  setEmptied(): void {
     this.isEmptied = true;
     this.core.setEmptied(true);
   }
--- a/test/roomByDemand.test.ts
+++ b/test/roomByDemand.test.ts
@@ -110,7 +110,7 @@
       model.addAgent(0, 2);
       model.agents[1]?.report({ cpuMilli: 5_000, memoryMb: 65_536, gpus: 0 });
       for (const { index } of model.entries) model.entries[index]?.dispatcher.setEmptied(['b']);
-      for (const agent of model.agents) if (agent.domain === 'b') agent.empty();
+      for (const agent of model.agents) if (agent.domain === 'b') agent.setEmptied();
     });
     expect(idle).to.be.lessThan(0.08);
   });
