--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -9,7 +9,6 @@
   AgentMessage,
   EntryMessage,
   PeerMessage,
-  Ping,
 } from '../../src/connection/peer/peerMessages.js';
 import { createPolicies, ROUTE, STEP } from './dispatchFixtures.js';
 import type { JobSubmission } from '../../src/request/dispatch/submission.js';
@@ -30,7 +29,7 @@
   takeStart,
 } from './dispatchWorldDomains.js';
 import { WorldUpstreams } from './dispatchWorldUpstreams.js';
-import { createLink } from './dispatchWorldState.js';
+import { buildPing, createLink, pickOne, VERSION } from './dispatchWorldState.js';
 import type { Link, WorldAgent, WorldEntry, WorldJob } from './dispatchWorldState.js';
 import { FakeCaller } from './FakeCaller.js';
 import { FakeClock } from './FakeClock.js';
@@ -45,8 +44,6 @@
 const TICK_MS = 40;
 const REDIAL_MS = 60;
 const REPORT_MS = 500;
-/** Configurations play no part here. */
-const VERSION = 1;
 const RESTART_MS = 300;
 /** Time of day when the runs begin, Unix ms. */
 const FIRST_START_MS = 1_000_000;
@@ -94,7 +91,7 @@
   submit(entryIndex: number, tasks: number, taskMs: number, patienceMs: number): void {
     const job: WorldJob = { id: `job${this.jobs.length}`, tasks, callers: [], started: false };
     this.jobs.push(job);
-    this.submitAt(job, this.pick(this.entries, entryIndex), taskMs, patienceMs);
+    this.submitAt(job, pickOne(this.entries, entryIndex), taskMs, patienceMs);
   }
 
   /** Submits a job whose task crashes each upstream that begins it. Returns when each upstream crashed for it. */
@@ -111,12 +108,12 @@
     if (!job || !last || last.caller.answers.length > 0) return;
     this.leave(job, last);
     await this.advance(RESUBMIT_MS);
-    this.submitAt(job, this.pick(this.entries, entryIndex), 60, 3_000);
+    this.submitAt(job, pickOne(this.entries, entryIndex), 60, 3_000);
   }
 
   /** An entry or agent stands still. */
   freeze(kind: 'entry' | 'agent', index: number, ms: number): void {
-    const { gate } = kind === 'entry' ? this.pick(this.entries, index) : this.pick(this.agents, index);
+    const { gate } = kind === 'entry' ? pickOne(this.entries, index) : pickOne(this.agents, index);
     gate.frozenUntil = this.clock.now() + ms;
   }
 
@@ -124,22 +121,22 @@
    * The VM of an entry or agent is suspended, alone or with its upstream, and its time of day is set by so much.
    */
   suspend(kind: 'entry' | 'agent', index: number, ms: number, withUpstream: boolean, stepMs: number): void {
-    const process = kind === 'entry' ? this.pick(this.entries, index) : this.pick(this.agents, index);
+    const process = kind === 'entry' ? pickOne(this.entries, index) : pickOne(this.agents, index);
     process.gate.suspend(ms);
     process.gate.stepTimeOfDay(stepMs);
-    if (kind === 'agent' && withUpstream) this.upstreams.suspend(this.pick(this.agents, index), ms);
+    if (kind === 'agent' && withUpstream) this.upstreams.suspend(pickOne(this.agents, index), ms);
   }
 
   /** The time of day of an entry or agent is set. */
   stepTimeOfDay(kind: 'entry' | 'agent', index: number, ms: number): void {
-    const { gate } = kind === 'entry' ? this.pick(this.entries, index) : this.pick(this.agents, index);
+    const { gate } = kind === 'entry' ? pickOne(this.entries, index) : pickOne(this.agents, index);
     gate.stepTimeOfDay(ms);
   }
 
   /** A process dies and comes back as another life. */
   kill(kind: 'entry' | 'agent', index: number): void {
-    if (kind === 'entry') return this.killEntry(this.pick(this.entries, index));
-    const agent = this.pick(this.agents, index);
+    if (kind === 'entry') return this.killEntry(pickOne(this.entries, index));
+    const agent = pickOne(this.agents, index);
     agent.gate.dead = true;
     agent.restartAt = this.clock.now() + RESTART_MS;
     for (const link of [...this.links.values()]) if (link.agent === agent) this.breakLink(link);
@@ -162,16 +159,16 @@
    * learn it on links.
    */
   changeDomain(domainIndex: number, isEmptied: boolean, entryIndex: number): void {
-    const domain = this.pick(DOMAINS, domainIndex);
+    const domain = pickOne(DOMAINS, domainIndex);
     const written = changeWritten(this.written, domain, isEmptied);
     this.written = written;
-    const { gate, exchange } = this.pick(this.entries, entryIndex);
+    const { gate, exchange } = pickOne(this.entries, entryIndex);
     this.afterThaw(gate, () => exchange.adoptEmptied(written, 'store'));
   }
 
   /** An upstream crashes; another life takes its place. */
   crash(index: number): void {
-    const agent = this.pick(this.agents, index);
+    const agent = pickOne(this.agents, index);
     this.upstreams.end(agent);
     this.upstreams.begin(agent);
     this.report(agent);
@@ -179,7 +176,7 @@
 
   /** An upstream crashes, and starts again after a while; it reports itself at once, or some time later. */
   async restartUpstream(index: number, downMs: number, reportsAtOnce: boolean): Promise<void> {
-    const agent = this.pick(this.agents, index);
+    const agent = pickOne(this.agents, index);
     this.upstreams.end(agent);
     await this.advance(downMs);
     this.upstreams.begin(agent);
@@ -197,14 +194,14 @@
 
   /** An upstream crashes; another life answers at once in its place. */
   replace(index: number): void {
-    const agent = this.pick(this.agents, index);
+    const agent = pickOne(this.agents, index);
     this.upstreams.replace(agent);
     this.report(agent);
   }
 
   /** The report of an earlier life of an upstream, held up until now, arrives. */
   deliverLateReport(index: number): void {
-    const agent = this.pick(this.agents, index);
+    const agent = pickOne(this.agents, index);
     const { gate, core, upstream } = agent;
     if (gate.dead || gate.isFrozen || upstream.life === 1) return;
     core.noteReport(this.upstreams.buildReport(agent, upstream.life - 1));
@@ -212,8 +209,8 @@
 
   /** The first message of an earlier life of an agent, held up until now, arrives, and then the end of its link. */
   async deliverLateHello(entryIndex: number, agentIndex: number): Promise<void> {
-    const entry = this.pick(this.entries, entryIndex);
-    const { index, life } = this.pick(this.agents, agentIndex);
+    const entry = pickOne(this.entries, entryIndex);
+    const { index, life } = pickOne(this.agents, agentIndex);
     if (entry.gate.isFrozen || entry.gate.dead || life === 1) return;
     const hello = this.buildLateHello(index, life - 1);
     const id = entry.core.handleHello(hello, `entry-${entry.index}@${entry.life}`, entry.gate.now());
@@ -223,13 +220,13 @@
 
   /** The next orders to an upstream are lost, or carried out without an answer. */
   disturb(index: number, fate: 'lost' | 'unanswered', count: number): void {
-    const { fake } = this.pick(this.agents, index).upstream;
+    const { fake } = pickOne(this.agents, index).upstream;
     for (let i = 0; i < count; i += 1) fake.fates.push(fate);
   }
 
   /** An upstream answers nothing for a while. */
   async silence(index: number, ms: number): Promise<void> {
-    const { fake } = this.pick(this.agents, index).upstream;
+    const { fake } = pickOne(this.agents, index).upstream;
     fake.silent = true;
     await this.advance(ms);
     fake.silent = false;
@@ -237,12 +234,12 @@
 
   /** Tasks of an upstream stand still, or go on. */
   hang(index: number, hangs: boolean): void {
-    this.pick(this.agents, index).upstream.fake.hangs = hangs;
+    pickOne(this.agents, index).upstream.fake.hangs = hangs;
   }
 
   /** The room of an upstream shrinks or grows; its report says so at once, or the next one. */
   changeRoom(index: number, tasks: number, reportsAtOnce: boolean): void {
-    const agent = this.pick(this.agents, index);
+    const agent = pickOne(this.agents, index);
     agent.upstream.roomTasks = tasks;
     if (reportsAtOnce) this.report(agent);
   }
@@ -373,7 +370,7 @@
     this.lastPingAt = now;
     for (const link of this.links.values()) {
       const { gate } = link.agent;
-      if (link.life !== '' && !gate.isFrozen && !gate.dead) this.toEntry(link, this.buildPing(link));
+      if (link.life !== '' && !gate.isFrozen && !gate.dead) this.toEntry(link, buildPing(link));
     }
   }
 
@@ -432,7 +429,7 @@
       lastLives.set(link.entry.index, message.life);
       link.life = message.life;
       core.noteWelcome(message.life, link.openedAt);
-      this.toEntry(link, this.buildPing(link));
+      this.toEntry(link, buildPing(link));
     }
     if (message.type === 'pong') {
       core.noteEcho(link.life, message);
@@ -442,11 +439,6 @@
     if (message.type === 'stop') core.handleStop(link.life, message);
   }
 
-  private buildPing({ agent, life }: Link): Ping {
-    const { emptiedRevision } = agent.exchange.versions;
-    return { ...agent.core.buildPing(life, VERSION), emptiedRevision };
-  }
-
   private toEntry(link: Link, message: AgentMessage): void {
     link.toEntry.push({ at: this.clock.now() + this.nextRandom() * 4, message });
   }
@@ -478,8 +470,8 @@
   }
 
   private buildLateHello(index: number, life: number): AgentHello {
-    const { gate } = this.pick(this.agents, index);
-    return this.createCore(index, life, gate, () => this.pick(this.agents, index)).buildHello('');
+    const { gate } = pickOne(this.agents, index);
+    return this.createCore(index, life, gate, () => pickOne(this.agents, index)).buildHello('');
   }
 
   private createEntry(index: number, life: number, gate = new ProcessGate(this.clock)): WorldEntry {
@@ -550,10 +542,4 @@
       },
     );
   }
-
-  private pick<Item>(items: readonly Item[], index: number): Item {
-    const item = items[index % items.length];
-    if (item === undefined) throw new Error('nothing to pick from');
-    return item;
-  }
 }
--- a/test/fakes/dispatchWorldState.ts
+++ b/test/fakes/dispatchWorldState.ts
@@ -1,5 +1,5 @@
 /** What the randomised runs of dispatchers and agents hold: links, processes, upstreams and jobs. */
-import type { AgentMessage, EntryMessage } from '../../src/connection/peer/peerMessages.js';
+import type { AgentMessage, EntryMessage, Ping } from '../../src/connection/peer/peerMessages.js';
 import type { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
 import type { OperatorExchange } from '../../src/process/OperatorExchange.js';
 import type { AgentCore } from '../../src/process/executor/AgentCore.js';
@@ -85,3 +85,19 @@
   readonly callers: { caller: FakeCaller; entry: WorldEntry; leftAt: number | undefined }[];
   started: boolean;
 }
+
+/** Configurations play no part in the runs. */
+export const VERSION = 1;
+
+/** Builds the next ping of a link. */
+export function buildPing({ agent, life }: Link): Ping {
+  const { emptiedRevision } = agent.exchange.versions;
+  return { ...agent.core.buildPing(life, VERSION), emptiedRevision };
+}
+
+/** Picks an item by a number that may be larger than there are items. */
+export function pickOne<Item>(items: readonly Item[], index: number): Item {
+  const item = items[index % items.length];
+  if (item === undefined) throw new Error('nothing to pick from');
+  return item;
+}
