--- a/test/fakes/DispatchWorld.ts
+++ b/test/fakes/DispatchWorld.ts
@@ -29,7 +29,7 @@
   takeStart,
 } from './dispatchWorldDomains.js';
 import { WorldUpstreams } from './dispatchWorldUpstreams.js';
-import { buildPing, createLink, pickOne, VERSION } from './dispatchWorldState.js';
+import { buildPing, buildPong, createLink, pickOne } from './dispatchWorldState.js';
 import type { Link, WorldAgent, WorldEntry, WorldJob } from './dispatchWorldState.js';
 import { FakeCaller } from './FakeCaller.js';
 import { FakeClock } from './FakeClock.js';
@@ -400,18 +400,7 @@
       core.handleHello(message, entryLife, now);
     }
     if (message.type === 'ping') {
-      const { typicalSpeed } = core;
-      const { emptiedRevision } = exchange.versions;
-      const { at } = message;
-      const pong = {
-        type: 'pong',
-        at,
-        version: VERSION,
-        emptiedRevision,
-        typicalSpeed,
-        isWaiting: true,
-      } as const;
-      this.toAgent(link, pong);
+      this.toAgent(link, buildPong(link.entry, message));
       compareEmptied(exchange, message, reply, now);
       core.handlePing(link.agentId, message, now);
     }
--- a/test/fakes/dispatchWorldState.ts
+++ b/test/fakes/dispatchWorldState.ts
@@ -1,5 +1,5 @@
 /** What the randomised runs of dispatchers and agents hold: links, processes, upstreams and jobs. */
-import type { AgentMessage, EntryMessage, Ping } from '../../src/connection/peer/peerMessages.js';
+import type { AgentMessage, EntryMessage, Ping, Pong } from '../../src/connection/peer/peerMessages.js';
 import type { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
 import type { OperatorExchange } from '../../src/process/OperatorExchange.js';
 import type { AgentCore } from '../../src/process/executor/AgentCore.js';
@@ -87,7 +87,7 @@
 }
 
 /** Configurations play no part in the runs. */
-export const VERSION = 1;
+const VERSION = 1;
 
 /** Builds the next ping of a link. */
 export function buildPing({ agent, life }: Link): Ping {
@@ -95,6 +95,13 @@
   return { ...agent.core.buildPing(life, VERSION), emptiedRevision };
 }
 
+/** Builds the echo of a ping, as of an entry at which tasks wait. */
+export function buildPong({ core, exchange }: WorldEntry, { at }: Ping): Pong {
+  const { emptiedRevision } = exchange.versions;
+  const { typicalSpeed } = core;
+  return { type: 'pong', at, version: VERSION, emptiedRevision, typicalSpeed, isWaiting: true };
+}
+
 /** Picks an item by a number that may be larger than there are items. */
 export function pickOne<Item>(items: readonly Item[], index: number): Item {
   const item = items[index % items.length];
