--- a/src/connection/peer/EchoWatch.test.ts
+++ b/src/connection/peer/EchoWatch.test.ts
@@ -82,6 +82,13 @@
     expect(watch.isOverdue(FIRST_MS + 1)).to.equal(true);
   });
 
+  it('does not wait longer for the next echo after one that spans a standstill', () => {
+    for (let at = 0; at < 20; at += 1) watch.noteEcho(10);
+    watch.noteEcho(2_000);
+    watch.notePing(0);
+    expect(watch.isOverdue(FIRST_MS)).to.equal(true);
+  });
+
   it('counts anew after a pause of this process', () => {
     watch.notePing(0);
     watch.notePause(5_000);
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -346,6 +346,13 @@
       expect(bench.results).to.deep.equal(['0 lost upstream-crashed']);
     });
 
+    it('nothing against a task whose only start another life has refused', async () => {
+      bench.upstream.isReplaced = true;
+      bench.session.offer(buildStartOrder(0), 'entry');
+      await bench.clock.advance(300);
+      expect(bench.results).to.deep.equal(['0 lost other-life']);
+    });
+
     it('that it was out of reach, if it only answers nothing', async () => {
       bench.session.offer(buildStartOrder(0), 'entry');
       await bench.clock.advance(50);
