A boot clock that goes at another pace is found out before links and leases exist

The first look, 250 ms after the start, counted 4.1 to 4.6 s as a suspension in each life, so that each link opened until then seemed silent for as long. Change: looks each 20 ms in the first 60 ms of a clock. Ruled out: to count nothing before the boot clock is known (breaks the spec of a suspension that a step back hides).

--- a/src/_lib/BootClock.test.ts
+++ b/src/_lib/BootClock.test.ts
@@ -116,6 +116,14 @@
     expect(clock.now() - before).to.be.closeTo(2_300, CLOSE_MS);
   });
 
+  it('finds out early that a boot clock goes at many times the pace of the others', () => {
+    boot = () => 50_000 + (bootMs - 50_000) * 18;
+    clock.now();
+    const before = steady;
+    advance(5_000);
+    expect(clock.now() - before - 5_000).to.be.below(600);
+  });
+
   const oddClocks: Readonly<Record<string, () => number>> = {
     'stands still': () => 50_000,
     'goes back': () => -bootMs,
--- a/src/_lib/BootClock.ts
+++ b/src/_lib/BootClock.ts
@@ -14,6 +14,12 @@
  * this bounds only how long a suspension stays hidden that a step back of the same length makes up for.
  */
 const LOOK_MS = 250;
+/**
+ * The same in the first moments of a clock, and how long those are, ms: a boot clock that goes at another pace is found out
+ * before much of that has counted as a suspension, and before there are links and leases that it would end.
+ */
+const EARLY_LOOK_MS = 20;
+const EARLY_MS = 60;
 /** Looks in a row at which the boot clock must go as the steady one does before it is relied on. */
 const LOOKS_TO_TRUST = 40;
 /** Looks in a row at which it is ahead and nothing else bears that out, after which it is not relied on. */
@@ -66,6 +72,8 @@
 export class BootClock extends Clock {
   private suspendedMs = 0;
   private last: Look;
+  /** When the clock was created, by the steady clock, ms. */
+  private readonly createdAt: number;
   private trust: BootTrust = 'unknown';
   /** Looks in a row at which the boot clock went as the steady one did. */
   private evenLooks = 0;
@@ -82,6 +90,7 @@
   ) {
     super();
     this.last = this.look();
+    this.createdAt = this.last.steady;
   }
 
   override now(): number {
@@ -89,7 +98,8 @@
     const steady = this.readings.readSteady();
     const { last } = this;
     const drift = timeOfDay - last.timeOfDay - (steady - last.steady);
-    if (Math.abs(drift) <= DRIFT_MS && steady - last.steady < LOOK_MS) return steady + this.suspendedMs;
+    if (Math.abs(drift) <= DRIFT_MS && steady - last.steady < this.findLookMs(steady))
+      return steady + this.suspendedMs;
     this.review(last, this.look());
     return this.readings.readSteady() + this.suspendedMs;
   }
@@ -102,6 +112,11 @@
     return new Promise((resolve) => setTimeout(resolve, ms));
   }
 
+  private findLookMs(steady: number): number {
+    const isEarly = this.trust === 'unknown' && steady - this.createdAt < EARLY_MS;
+    return isEarly ? EARLY_LOOK_MS : LOOK_MS;
+  }
+
   private get isBootTrusted(): boolean {
     return this.trust === 'trusted';
   }
