--- a/src/process/dispatcher/AgentTable.ts
+++ b/src/process/dispatcher/AgentTable.ts
@@ -35,8 +35,7 @@
   /** Whether an agent of any service is linked and takes work. */
   hasReady(now: number): boolean {
     for (const agent of this.agents.values()) {
-      if (agent.isEmptied) continue;
-      if (agent.linked && agent.room?.state === 'ready' && this.isFresh(agent, now)) return true;
+      if (agent.isReady(now, this.staleMs)) return true;
     }
     return false;
   }
--- a/src/process/dispatcher/AgentView.ts
+++ b/src/process/dispatcher/AgentView.ts
@@ -102,6 +102,17 @@
     return this.room?.isHome === true;
   }
 
+  /**
+   * Whether it is linked and takes work.
+   *
+   * @param now - monotonic time, ms
+   * @param staleMs - time since it was last heard from which on it gets nothing new, ms
+   */
+  isReady(now: number, staleMs: number): boolean {
+    if (!this.linked || this.isEmptied || now - this.heardAt > staleMs) return false;
+    return this.room?.state === 'ready';
+  }
+
   /** Starts that are on their way. */
   get unseenStarts(): number {
     return this.unseen.length;
--- a/src/process/dispatcher/Placement.ts
+++ b/src/process/dispatcher/Placement.ts
@@ -119,8 +119,7 @@
   { now, typicalSpeed, staleMs }: PlacementContext,
 ): boolean {
   const { room } = agent;
-  if (!agent.linked || agent.isEmptied || !room || room.state !== 'ready' || now - agent.heardAt > staleMs)
-    return false;
+  if (!room || !agent.isReady(now, staleMs)) return false;
   if (now < agent.pausedUntil || room.service !== task.job.submission.route.service) return false;
   const { requiredLabel } = task.need;
   if (requiredLabel !== '' && !room.labels.includes(requiredLabel)) return false;
--- a/src/process/dispatcher/RoomForecast.ts
+++ b/src/process/dispatcher/RoomForecast.ts
@@ -160,8 +160,7 @@
 
   private isUsable(agent: AgentView, { now, staleMs, typicalSpeed }: RoomView): boolean {
     const { room } = agent;
-    if (!agent.linked || agent.isEmptied || room?.state !== 'ready') return false;
-    if (room.service !== this.service || now - agent.heardAt > staleMs) return false;
+    if (!room || room.service !== this.service || !agent.isReady(now, staleMs)) return false;
     return room.trust !== 'suspect' && room.speed >= typicalSpeed * SLOW_SHARE;
   }
 }
--- a/src/version/RouteIndex.ts
+++ b/src/version/RouteIndex.ts
@@ -37,9 +37,8 @@
     }
     if (routes.byPrefix.has(pathPrefix)) return;
     routes.byPrefix.set(pathPrefix, route);
-    const { length } = pathPrefix;
-    if (!routes.lengths.includes(length)) routes.lengths.push(length);
-    // Few lengths differ, and they come in order mostly: to sort them costs nothing then.
-    if (routes.lengths.at(-1) === length) routes.lengths.sort((a, b) => b - a);
+    if (routes.lengths.includes(pathPrefix.length)) return;
+    routes.lengths.push(pathPrefix.length);
+    routes.lengths.sort((a, b) => b - a);
   }
 }
