The view of the room is built once a tick, not once for each open job

Cause: each tick of a dispatcher built a view of the room, with two closures, for each open job, also where admission goes by patience and reads none of it. Change: one view for all jobs of a tick; it reads agents and what waits when it is asked, as before. Result: no decision changes; the specs of the dispatcher and of scarce room (118), and the randomised runs, congestion and cancelled jobs pass.

--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -295,7 +295,8 @@
     this.agents.updateSpeed();
     this.suspects.tick(now);
     for (const agent of this.agents.list()) this.expireAgent(agent, now);
-    for (const job of this.jobs.list()) this.reviewJob(job, now);
+    const view = this.buildRoomView(now);
+    for (const job of this.jobs.list()) this.reviewJob(job, view);
     for (const [id, { deadlineAt, caller }] of [...this.jobs.successors]) {
       if (now < deadlineAt - ANSWER_MARGIN_MS) continue;
       this.jobs.successors.delete(id);
@@ -338,13 +339,13 @@
     this.admission.noteArrived(job, now);
     if (job.left === 0) return this.endJob(job, { kind: 'completed' }, now);
     this.reviewCrashes(job.id, now);
-    this.reviewJob(job, now);
+    this.reviewJob(job, this.buildRoomView(now));
   }
 
   /** Gives a job up if it cannot be served any more. */
-  private reviewJob(job: DispatchJob, now: number): void {
-    const reason = job.answered ? undefined : this.admission.findReason(job, this.buildRoomView(now));
-    if (reason !== undefined) this.giveUp(job, reason, now);
+  private reviewJob(job: DispatchJob, view: RoomView): void {
+    const reason = job.answered ? undefined : this.admission.findReason(job, view);
+    if (reason !== undefined) this.giveUp(job, reason, view.now);
   }
 
   private buildRoomView(now: number): RoomView {
