Log owner, attempt, run, lease end and answer of each start and stop

Change: run-start and run-stop (start-unanswered and stop-unanswered with the same fields) in RunOrders; place-again, never left out, and ages in attempt-over; owner and attempt in task-ended.

--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -25,6 +25,7 @@
 
 class DispatcherFixture {
   readonly sent: { executorId: string; message: DispatcherMessage }[] = [];
+  readonly logged: { readonly event: string; readonly fields: Readonly<Record<string, unknown>> }[] = [];
   readonly caller = new FakeCaller();
   readonly dispatcher = new Dispatcher(
     {
@@ -36,7 +37,7 @@
     },
     {
       send: (executorId, message) => this.sent.push({ executorId, message }),
-      log: () => undefined,
+      log: (event, fields) => void this.logged.push({ event, fields }),
       recordOutcome: () => undefined,
     },
   );
@@ -222,6 +223,29 @@
     expect(fixture.starts.slice(2).map(({ executorId }) => executorId)).to.deep.equal(['b@1', 'b@1']);
   });
 
+  it('logs which attempt was started elsewhere, and why the one before counted as over', () => {
+    fixture.submit(10, { steps: [{ ...STEP, count: 1 }] });
+    fixture.ping(fixture.link('b', 20), 20);
+    fixture.dispatcher.handleClose('a@1', 'reset', 100);
+    fixture.ping('b@1', 1_010);
+    fixture.dispatcher.tick(1_010);
+    fixture.dispatcher.place(1_020);
+    const [over] = fixture.logged.filter(({ event }) => event === 'attempt-over');
+    expect(over?.fields).to.include({ attempt: 1, reason: 'agent-silent', sentMs: 1_000, heardMs: 1_010 });
+    const [again] = fixture.logged.filter(({ event }) => event === 'place-again');
+    expect(again?.fields).to.deep.equal({
+      job: 'job',
+      task: '0/0',
+      attempt: 2,
+      agent: 'b@1',
+      before: 1,
+      beforeAgent: 'a@1',
+      end: 'lost',
+      reason: 'agent-silent',
+      overMs: 10,
+    });
+  });
+
   it('restarts tasks of an earlier incarnation of an executor once the next one is ready', () => {
     fixture.submit(10);
     const id = fixture.link('a', 300, { life: '2' });
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -30,6 +30,7 @@
 import { Backlog } from './Backlog.js';
 import { buildAttemptName, createDispatchJob, isOutstanding, transitionTask } from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
+import { describeAttemptOver, describePlacedAgain, describePlacement } from './attemptLog.js';
 import { ANSWER_MARGIN_MS } from './findGiveUpReason.js';
 import { JobTable } from './JobTable.js';
 import type { Submission } from './JobTable.js';
@@ -377,23 +378,15 @@
     job.lastExecutorId = executor.id;
     job.lastSentAt = now;
     executor.reserve(need.resources, bytes);
-    const { id, spec, route } = job.submission;
+    const { spec, route } = job.submission;
     const name = buildAttemptName(task);
     const expiresAt = executor.estimateClock(now) + this.options.pingMs * START_EXPIRY_PING_INTERVALS;
     const { resources, estimateMs } = need;
     const rank = Math.round(job.rank - now);
     const order = { name, service: route.service, spec, resources, estimateMs, rank, expiresAt };
     this.effects.send(executor.id, { type: 'start', ...order, ...(task.isIsolated && { isSuspect: true }) });
-    this.effects.log('place', {
-      job: id,
-      task: `${task.step}/${task.index}`,
-      attempt: task.attempt,
-      agent: executor.id,
-      freeCpu: executor.free.cpuMilli,
-      speed: executor.report?.speed,
-      roomAgeMs: Math.round(now - executor.lastReceivedAt),
-      waitedMs: Math.round(now - job.arrivedAt),
-    });
+    if (task.previous) this.effects.log('place-again', describePlacedAgain(task, task.previous, now));
+    this.effects.log('place', describePlacement(task, executor, now));
     return bytes;
   }
 
@@ -403,17 +396,10 @@
     assertInvariant(isOutstanding(task), 'only an outstanding attempt can end');
     if (end !== 'not-run') job.begun = true;
     this.suspects.recordEnd(task, end, reason, now);
-    if (end !== 'done') {
-      const { attempt, executorId } = task;
-      this.effects.log('attempt-over', {
-        job: job.id,
-        task: `${task.step}/${task.index}`,
-        attempt,
-        agent: executorId,
-        end,
-        reason,
-      });
-    }
+    if (end !== 'done')
+      this.effects.log('attempt-over', describeAttemptOver(task, end, reason, this.executors, now));
+    if (end !== 'done' && end !== 'not-run')
+      task.previous = { attempt: task.attempt, executorId: task.executorId, end, reason, overAt: now };
     this.admission.recordEnded(task, end === 'done', now);
     if (end === 'not-run') this.backlog.recordReturned(task, now);
     if (job.answered) return this.drop(task, now);
--- a/src/process/dispatcher/dispatchJob.ts
+++ b/src/process/dispatcher/dispatchJob.ts
@@ -2,7 +2,7 @@
 import { createMachine } from 'xstate';
 
 import { compileMachine, stepMachine } from '../../_lib/compileMachine.js';
-import type { AttemptName } from '../../connection/peer/peerMessages.js';
+import type { AttemptName, AttemptResult } from '../../connection/peer/peerMessages.js';
 import type { Caller } from '../../ports/CallerGateway.js';
 import type { JobSubmission, StepNeed } from '../../request/dispatch/submission.js';
 
@@ -32,6 +32,16 @@
 /** The transitions of `dispatchTaskMachine`. */
 export const DISPATCH_TASK_TABLE = compileMachine<DispatchPhase, DispatchEvent>(dispatchTaskMachine);
 
+/** An attempt that has ended and may have run. */
+export interface PreviousAttempt {
+  readonly attempt: number;
+  readonly executorId: string;
+  readonly end: AttemptResult['end'];
+  readonly reason: string;
+  /** When it counted as over, ms. */
+  readonly overAt: number;
+}
+
 /** A task of a job. */
 export interface DispatchTask {
   readonly job: DispatchJob;
@@ -47,6 +57,8 @@
   executorId: string;
   /** When the latest attempt was sent, ms. */
   sentAt: number;
+  /** The newest attempt that may have run and has ended without success; undefined before the first. */
+  previous: PreviousAttempt | undefined;
   /** Whether the latest attempt was sent as a suspect, so that no other suspect runs at its upstream. */
   isIsolated: boolean;
   /** Ids of executors that have failed, lost or delayed the task. */
@@ -174,6 +186,7 @@
     failures: 0,
     executorId: '',
     sentAt: 0,
+    previous: undefined,
     isIsolated: false,
     avoid: new Set(),
   };
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -541,9 +541,11 @@
   private finish(task: LocalTask, end: AttemptResult['end'], reason: string): void {
     const result: AttemptResult = { type: 'result', name: task.order.name, end, reason };
     if (end !== 'done') {
-      const { key, run } = task;
+      const { key, run, owner } = task;
+      const { attempt } = task.order.name;
       const waitedMs = Math.round((task.sentAt ?? this.clock.now()) - task.receivedAt);
-      this.effects.log('task-ended', { task: key, run, end, reason, percent: task.percent, waitedMs });
+      const names = { task: key, run, attempt, entryLife: owner };
+      this.effects.log('task-ended', { ...names, end, reason, percent: task.percent, waitedMs });
     }
     this.sendResult(task.owner, result, this.findCrash(task, reason));
   }
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -160,6 +160,7 @@
 
   private logDecision(event: string, fields: LogFields): void {
     this.metrics.increment('executor_decisions', { decision: event });
+    if (event === 'run-start' && !this.settings.decisionLog) return;
     this.logger.info(event, fields);
   }
 
--- a/src/process/executor/RunOrders.ts
+++ b/src/process/executor/RunOrders.ts
@@ -65,15 +65,19 @@
     for (let sends = 0; task.phase === 'starting' && !this.callbacks.isOver(); sends += 1) {
       if (sends >= MAX_START_SENDS) return this.callbacks.withdraw(task, 'start-unanswered');
       task.openSends += 1;
+      const sent = this.describeOrder(task, sends);
       try {
-        const verdict = await this.calls.start(buildRunName(task), task.order.spec);
+        const call = this.calls.start(buildRunName(task), task.order.spec);
+        sent.leaseUntilMs = this.calls.leaseUntilMs;
+        const verdict = await call;
+        this.logAnswer('run-start', sent, verdict);
         if (task.phase !== 'starting' || this.callbacks.isOver()) return;
         if (verdict === 'superseded' && sends > 0) await this.waitForRenewal();
         if (task.phase !== 'starting' || this.callbacks.isOver()) return;
         if (this.settleStart(task, verdict)) return;
       } catch (error) {
         if (error instanceof ConnectionRefusedError) task.openSends -= 1;
-        this.callbacks.log('start-unanswered', { task: task.key, run: task.run, error: String(error) });
+        this.callbacks.log('start-unanswered', { ...sent, error: String(error) });
       }
       await this.clock.sleep(REPEAT_PAUSE_MS);
       this.callbacks.revalidate(task);
@@ -127,17 +131,21 @@
 
   /** Repeats a stop until the end of the run is listed; waits while the upstream is unresponsive. */
   async stop(task: LocalTask): Promise<void> {
+    let sends = 0;
     while (task.phase === 'stopping' && !this.callbacks.isOver()) {
       if (!this.calls.isAnswering) {
         await this.clock.sleep(ANSWER_POLL_MS);
         continue;
       }
+      const sent = { ...this.describeOrder(task, sends), reason: task.stopReason };
+      sends += 1;
       try {
         const verdict = await this.calls.stop(buildRunName(task));
+        this.logAnswer('run-stop', sent, verdict);
         if (verdict === 'accepted') task.stopAcceptedAt ??= this.clock.now();
         if (verdict === 'other-life') return this.callbacks.handleOtherIncarnation();
       } catch (error) {
-        this.callbacks.log('stop-unanswered', { task: task.key, run: task.run, error: String(error) });
+        this.callbacks.log('stop-unanswered', { ...sent, error: String(error) });
       }
       await this.clock.sleep(task.stopAcceptedAt === undefined ? REPEAT_PAUSE_MS : STOP_REPEAT_PAUSE_MS);
     }
@@ -151,4 +159,33 @@
       this.callbacks.log('stop-unanswered', { job: name.job, run: name.run, error: String(error) });
     });
   }
+
+  /** Describes an order that is sent now, for the log. */
+  private describeOrder({ key, run, order, owner }: LocalTask, sends: number): SentOrder {
+    const { attempt } = order.name;
+    const { token, leaseUntilMs } = this.calls;
+    const sentAt = this.clock.now();
+    return { task: key, run, attempt, entryLife: owner, sends, token, leaseUntilMs, sentAt };
+  }
+
+  private logAnswer(event: 'run-start' | 'run-stop', { sentAt, ...sent }: SentOrder, answer: string): void {
+    const tookMs = Math.round(this.clock.now() - sentAt);
+    this.callbacks.log(event, { ...sent, answer, tookMs });
+  }
+}
+
+/** An order that was sent, as it is logged. */
+interface SentOrder {
+  readonly task: string;
+  readonly run: number;
+  readonly attempt: number;
+  /** Incarnation of the dispatcher that ordered the attempt. */
+  readonly entryLife: string;
+  /** Number of earlier sends of the order. */
+  readonly sends: number;
+  readonly token: number;
+  /** End of the lease last named, which a start extends, on the upstream's clock, ms. */
+  leaseUntilMs: number;
+  /** Monotonic time at which it was sent, ms. */
+  readonly sentAt: number;
 }
--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -91,6 +91,11 @@
     return this.fencingToken;
   }
 
+  /** End of the lease last named in a call, on the upstream's clock, ms. */
+  get leaseUntilMs(): number {
+    return this.lease.untilMs;
+  }
+
   /** Sends a start, which extends the lease of all runs. Rejects if no valid answer arrives in time. */
   async start(name: RunName, spec: string): Promise<StartVerdict> {
     const sentAt = this.clock.now();
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -21,6 +21,7 @@
 /** Lease of one incarnation of an upstream. */
 export class UpstreamLease {
   private aliveUntilMs: number;
+  private lastUntilMs = 0;
 
   /**
    * @param clockMs - clock of the upstream in its first report
@@ -44,6 +45,11 @@
     return this.aliveUntilMs;
   }
 
+  /** End of the lease as last extended, on the upstream's clock, ms; 0 before the first time. */
+  get untilMs(): number {
+    return this.lastUntilMs;
+  }
+
   /**
    * Accounts for calls intended for another incarnation that may have extended the lease of this one until
    * now.
@@ -67,7 +73,8 @@
   extend(now: number): number {
     const lapse = (this.effectiveMs + (now - this.receivedAt) * CLOCK_DRIFT) * (1 + CLOCK_DRIFT);
     this.aliveUntilMs = Math.max(this.aliveUntilMs, now + lapse + ORDER_TRANSIT_MS);
-    return Math.floor(this.estimate(now) + this.leaseMs);
+    this.lastUntilMs = Math.floor(this.estimate(now) + this.leaseMs);
+    return this.lastUntilMs;
   }
 
   private estimate(now: number): number {
--- a/src/process/executor/UpstreamSession.test.ts
+++ b/src/process/executor/UpstreamSession.test.ts
@@ -1,65 +1,18 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
 
-import { FakeClock } from '../../../test/fakes/FakeClock.js';
-import { FakeUpstream } from '../../../test/fakes/FakeUpstream.js';
+import { FIRST_TOKEN, SessionFixture } from '../../../test/fakes/SessionFixture.js';
 import {
   buildStartOrder,
   buildUpstreamReport,
   UPSTREAM_CAPACITY,
 } from '../../../test/fakes/upstreamFixtures.js';
-import { FencingTokens } from './FencingTokens.js';
-import { UpstreamSession } from './UpstreamSession.js';
-
-const FIRST_TOKEN = 1_000_000;
-
-class Fixture {
-  readonly clock = new FakeClock();
-  readonly upstream = new FakeUpstream(this.clock);
-  readonly results: string[] = [];
-  capacityChanges = 0;
-  readonly tokens = new FencingTokens(FIRST_TOKEN, this.clock);
-  readonly session = new UpstreamSession(
-    buildUpstreamReport({ clockMs: this.upstream.clockMs }),
-    true,
-    this.upstream,
-    this.clock,
-    this.tokens,
-    { leaseMs: 500, maxLeaseMs: 1_000, stopMs: 50 },
-    {
-      finish: (task, end, reason) => this.results.push(`${task.order.name.index} ${end} ${reason}`),
-      join: () => undefined,
-      settle: () => true,
-      findOtherLife: () => undefined,
-      change: () => undefined,
-      changeCapacity: () => void (this.capacityChanges += 1),
-      revalidate: () => undefined,
-      log: () => undefined,
-    },
-  );
-
-  async start(): Promise<void> {
-    void this.session.run();
-    await this.clock.advance(10);
-  }
-
-  /** Reports a capacity for the given number of tasks. */
-  report(tasks: number, sequence: number): void {
-    const capacity = { ...UPSTREAM_CAPACITY, cpuMilli: tasks * 1_000 };
-    const { clockMs } = this.upstream;
-    this.session.update(buildUpstreamReport({ clockMs, capacity, sequence }));
-  }
-
-  offer(from: number, to: number): void {
-    for (let index = from; index <= to; index += 1) this.session.offer(buildStartOrder(index), 'dispatcher');
-  }
-}
 
 describe('UpstreamSession', () => {
-  let fixture: Fixture;
+  let fixture: SessionFixture;
 
   beforeEach(() => {
-    fixture = new Fixture();
+    fixture = new SessionFixture();
   });
 
   afterEach(() => fixture.session.close('test ends'));
@@ -463,7 +416,7 @@
         fc.array(change, { maxLength: 12 }),
         fates,
         async (changes, drawn) => {
-          const one = new Fixture();
+          const one = new SessionFixture();
           await one.start();
           one.upstream.taskMs = 80;
           one.upstream.fates.push(...drawn);
