Extend no lease beyond the time by which a run of it must be over

Cause: the lease at an upstream is one for all runs there. Renewals, and starts of other tasks, extended it also while a run that its dispatcher or caller had given up was there and its stop not confirmed; so it ran on for as long as its stops were lost or late, or were held back by the executor itself, which sends none while the upstream does not answer in time, though renewals then still extend the lease for a lease. Change: every run has a time by which it must be over: its dispatcher's newest acknowledged ping, fixed once the run is given up, plus what is announced to dispatchers less its margin (RunLimits). No renewal and no start names a later lease while the run may go on. What counts as stopped is listed again later: then it may go on (stop-without-effect). Once the lease is half as long nothing new starts there; once it has lapsed, a run that is not listed is over though its stop was never accepted. Ruled out: more or earlier stops alone make this rarer and exclude none.

--- a/src/process/dispatchTimes.ts
+++ b/src/process/dispatchTimes.ts
@@ -29,7 +29,10 @@
  * @example
  * deriveDispatchTimes(settings).leaseMs; // 585 for a resubmitMs of 1,300
  */
-export function deriveDispatchTimes({ resubmitMs, maxLeaseMs }: DispatchSettings): DispatchTimes {
+export function deriveDispatchTimes({
+  resubmitMs,
+  maxLeaseMs,
+}: Pick<DispatchSettings, 'resubmitMs' | 'maxLeaseMs'>): DispatchTimes {
   const leaseMs = Math.floor(Math.min(maxLeaseMs, resubmitMs * LEASE_SHARE));
   const orphanAfterMs = resubmitMs * ORPHAN_TIMEOUT_SHARE;
   return { leaseMs, orphanAfterMs, pingMs: orphanAfterMs / PINGS_PER_ORPHAN_TIMEOUT };
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -39,6 +39,8 @@
 const RESULT_RETENTION_MS = 2_500;
 /** Allowance for transit and event loop delay in the announced orphan timeout, ms. */
 const ORPHAN_MARGIN_MS = 60;
+/** Duration of a lease including the drift of the upstream's clock, as a multiple. */
+const LEASE_ALLOWANCE = 1.05;
 /** Time without progress after which a task is reported as stalled, ms. */
 const STALL_MS = 150;
 /**
@@ -141,6 +143,7 @@
         change: () => effects.handleChange(),
         changeCapacity: (report, before) => effects.handleCapacityChange(report, before),
         revalidate: (now) => this.expireDispatchers(now),
+        findEndLimit: (owner) => this.findEndLimit(owner),
         log: effects.log,
       },
     );
@@ -259,8 +262,7 @@
   buildHello(dispatcher: string): ExecutorHello {
     const held = this.incarnations.list().flatMap((session) => session.listHeld(dispatcher));
     const { id, incarnation, failureDomain } = this.identity;
-    const { leaseMs, stopMs, orphanAfterMs } = this.bounds;
-    const orphanMs = orphanAfterMs + leaseMs * 1.05 + stopMs + ORPHAN_MARGIN_MS;
+    const orphanMs = this.endLimitMs + ORPHAN_MARGIN_MS;
     const holding = held.map(({ order }) => order.name);
     const results = (this.liveness.get(dispatcher)?.results ?? []).map(({ result }) => result);
     const takesBatches = true;
@@ -494,6 +496,16 @@
     return best;
   }
 
+  /** Time after the newest acknowledged ping of a dispatcher by which its runs are over, ms. */
+  private get endLimitMs(): number {
+    const { leaseMs, stopMs, orphanAfterMs } = this.bounds;
+    return orphanAfterMs + leaseMs * LEASE_ALLOWANCE + stopMs;
+  }
+
+  private findEndLimit(dispatcher: string): number {
+    return (this.liveness.get(dispatcher)?.acknowledgedAt ?? -Infinity) + this.endLimitMs;
+  }
+
   private stopDispatcher(dispatcher: string, reason: string): number {
     let stopped = 0;
     for (const session of this.incarnations.list()) stopped += session.stopOwner(dispatcher, reason);
--- a/src/process/executor/RunLists.ts
+++ b/src/process/executor/RunLists.ts
@@ -17,6 +17,7 @@
   readonly finish: (task: LocalTask, end: AttemptEnd, reason: string) => void;
   /** Stops a run that this process has not ordered. */
   readonly stopUnknown: (name: RunName) => void;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
 /** Lists of one incarnation. */
@@ -26,11 +27,13 @@
   /**
    * @param tasks - tasks that may run there, by key
    * @param runs - run numbers at this incarnation
+   * @param stopMs - longest time that a stop takes at the upstream, ms
    * @param callbacks - callbacks to the session
    */
   constructor(
     private readonly tasks: ReadonlyMap<string, LocalTask>,
     private readonly runs: RunHistory,
+    private readonly stopMs: number,
     private readonly callbacks: RunListCallbacks,
   ) {}
 
@@ -45,12 +48,18 @@
    * @param answer - answer to a renewal
    * @param sentAt - when the renewal was sent
    * @param now - when the answer arrived
+   * @param hadLapsed - whether all leases had expired when the renewal was sent
    * @returns the number of running runs that this process has not ordered
    */
-  applyAnswer(answer: Extract<LeaseAnswer, { verdict: 'held' }>, sentAt: number, now: number): number {
+  applyAnswer(
+    answer: Extract<LeaseAnswer, { verdict: 'held' }>,
+    sentAt: number,
+    now: number,
+    hadLapsed: boolean,
+  ): number {
     for (const ended of answer.ended) this.handleEnd(ended, now);
-    const unknown = this.handleRunning(answer.running, now);
-    this.handleMissing(answer.running, sentAt);
+    const unknown = this.handleRunning(answer.running, sentAt, now);
+    this.handleMissing(answer.running, sentAt, hadLapsed);
     return unknown;
   }
 
@@ -66,12 +75,13 @@
   }
 
   /** Records progress, and stops unknown runs; returns the number of unknown runs. */
-  private handleRunning(running: readonly RunningRun[], now: number): number {
+  private handleRunning(running: readonly RunningRun[], sentAt: number, now: number): number {
     let unknown = 0;
     for (const { name, percent } of running) {
       const task = this.tasks.get(buildTaskKey(name));
       if (task && task.run === name.run) {
         if (task.phase === 'starting') this.callbacks.confirm(task, now);
+        this.reviewStop(task, sentAt);
         this.callbacks.recordProgress(task, percent, now);
       } else {
         unknown += 1;
@@ -82,18 +92,31 @@
     return unknown;
   }
 
+  /** Counts a stop as not accepted if its run is still listed after the longest time that a stop takes. */
+  private reviewStop(task: LocalTask, sentAt: number): void {
+    if (task.stopAcceptedAt === undefined || sentAt <= task.stopAcceptedAt + this.stopMs) return;
+    task.stopAcceptedAt = undefined;
+    this.callbacks.log('stop-without-effect', { task: task.key, run: task.run, entryLife: task.owner });
+  }
+
   /**
    * Finishes tasks that were confirmed, or whose stop was accepted, before the renewal was sent and are not
-   * listed.
+   * listed. Once all leases have expired, a start still on its way is refused as late, so that a run that is
+   * not listed is over without its stop being accepted.
    */
-  private handleMissing(running: readonly RunningRun[], sentAt: number): void {
+  private handleMissing(running: readonly RunningRun[], sentAt: number, hadLapsed: boolean): void {
     const names = new Set(running.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
     for (const task of [...this.tasks.values()]) {
       if (names.has(`${task.key}/${task.run}`)) continue;
       const since = task.phase === 'stopping' ? task.stopAcceptedAt : task.confirmedAt;
-      if (task.phase === 'starting' || since === undefined || since >= sentAt) continue;
-      const ran = task.confirmedAt !== undefined;
-      this.callbacks.finish(task, ran ? 'stopped' : 'not-run', 'not-listed');
+      const isOver = since !== undefined && since < sentAt;
+      if (task.phase === 'starting') continue;
+      if (isOver) this.callbacks.finish(task, hasRun(task) ? 'stopped' : 'not-run', 'not-listed');
+      else if (hadLapsed && task.phase === 'stopping') this.callbacks.finish(task, 'lost', 'lapsed');
     }
   }
 }
+
+function hasRun({ confirmedAt }: LocalTask): boolean {
+  return confirmedAt !== undefined;
+}
--- a/src/process/executor/RunOrders.ts
+++ b/src/process/executor/RunOrders.ts
@@ -24,6 +24,9 @@
 /** Number of times that a start is sent before it is withdrawn. */
 const MAX_START_SENDS = 4;
 
+/** Reason for withdrawing a start for which the lease may not be extended any more. */
+const LEASE_LIMITED = 'lease-limited';
+
 /** Callbacks to the session. */
 export interface RunOrderCallbacks {
   /** Whether nothing more may be sent to this incarnation. */
@@ -64,6 +67,7 @@
   async start(task: LocalTask): Promise<void> {
     for (let sends = 0; task.phase === 'starting' && !this.callbacks.isOver(); sends += 1) {
       if (sends >= MAX_START_SENDS) return this.callbacks.withdraw(task, 'start-unanswered');
+      if (!this.calls.canStart) return this.callbacks.withdraw(task, LEASE_LIMITED);
       task.openSends += 1;
       const sent = this.describeOrder(task, sends);
       try {
--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -33,6 +33,8 @@
 
 /** Callbacks to the session. */
 export interface CallEvents {
+  /** Finds the time from now on after which the first run must be over, so that no lease may be longer, ms. */
+  readonly findAllowance: () => number;
   /** Called when the upstream starts or stops answering. */
   readonly changeAnswers: (answers: boolean) => void;
   /** Called when the fencing token was raised, as the upstream has accepted a higher one. */
@@ -96,10 +98,19 @@
     return this.lease.untilMs;
   }
 
-  /** Sends a start, which extends the lease of all runs. Rejects if no valid answer arrives in time. */
+  /** Whether a start, which extends the lease of all runs, may be sent. */
+  get canStart(): boolean {
+    return this.lease.canExtend(this.clock.readSteady(), this.events.findAllowance());
+  }
+
+  /**
+   * Sends a start, which extends the lease of all runs. Rejects if no valid answer arrives in time, or if the
+   * lease may not be extended.
+   */
   async start(name: RunName, spec: string): Promise<StartVerdict> {
     const sentAt = this.clock.now();
-    const leaseUntilMs = this.lease.extend(this.clock.readSteady());
+    const leaseUntilMs = this.extendLease();
+    if (leaseUntilMs === undefined) throw new Error('the lease may not be extended');
     const order = { name, spec, leaseUntilMs, fencingToken: this.fencingToken };
     return this.sendOrder(sentAt, () => this.api.start(order, this.monitor.timeoutMs));
   }
@@ -111,8 +122,8 @@
   }
 
   /**
-   * Renews the lease. If no renewal has been granted for the duration of a lease, further ones do not extend
-   * it, so that all runs end at a known time. Rejects if no valid answer arrives in time.
+   * Renews the lease, by no more than its runs allow. If no renewal has been granted for the duration of a
+   * lease, further ones do not extend it, so that all runs end at a known time. Rejects if no valid answer arrives in time.
    *
    * @param lastSequence - sequence number up to which ends have been applied
    * @param mayWait - whether the upstream may hold the renewal until a run ends
@@ -121,7 +132,7 @@
     const sentAt = this.clock.now();
     const waitMs = mayWait && this.isAnswering ? this.findRenewalWait(sentAt) : 0;
     const mayExtend = sentAt - this.renewalSentAt <= this.bounds.leaseMs;
-    const leaseUntilMs = mayExtend ? this.lease.extend(this.clock.readSteady()) : undefined;
+    const leaseUntilMs = mayExtend ? this.extendLease() : undefined;
     const renewal = { leaseUntilMs, fencingToken: this.fencingToken, lastSequence, waitMs };
     try {
       const answer = await this.api.renew(renewal, waitMs + this.monitor.timeoutMs);
@@ -152,6 +163,10 @@
     this.api.close();
   }
 
+  private extendLease(): number | undefined {
+    return this.lease.extend(this.clock.readSteady(), this.events.findAllowance());
+  }
+
   private findRenewalWait(now: number): number {
     const longestMs = this.monitor.isLossy(now) ? SHORT_RENEWAL_WAIT_MS : RENEWAL_WAIT_MS;
     return Math.floor(Math.min(longestMs, this.bounds.leaseMs * RENEWAL_LEASE_SHARE));
--- a/src/process/executor/UpstreamIncarnations.test.ts
+++ b/src/process/executor/UpstreamIncarnations.test.ts
@@ -77,6 +77,7 @@
         change: () => undefined,
         changeCapacity: () => undefined,
         revalidate: () => undefined,
+        findEndLimit: () => Infinity,
         log: (event, { reason }) => void (event === 'report-passed-over' && skipped.push(reason)),
       },
     );
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -69,14 +69,40 @@
     this.receivedAt = now;
   }
 
-  /** Extends the lease from now on, and returns its end on the upstream's clock. */
-  extend(now: number): number {
-    const lapse = (this.effectiveMs + (now - this.receivedAt) * CLOCK_DRIFT) * (1 + CLOCK_DRIFT);
+  /**
+   * Extends the lease from now on, by no more than is allowed.
+   *
+   * @param now - steady time, ms
+   * @param allowedMs - time from now on after which no run may be active any more, ms
+   * @returns its end on the upstream's clock; undefined if it may not be extended
+   */
+  extend(now: number, allowedMs = Infinity): number | undefined {
+    const leaseMs = this.findLongest(now, allowedMs);
+    if (leaseMs <= 0) return undefined;
+    // Where incarnations share an id, the next one grants its longest lease, whatever end is named.
+    const effectiveMs = this.effectiveMs > this.leaseMs ? this.effectiveMs : leaseMs;
+    const lapse = (effectiveMs + this.findClockError(now)) * (1 + CLOCK_DRIFT);
     this.aliveUntilMs = Math.max(this.aliveUntilMs, now + lapse + ORDER_TRANSIT_MS);
-    this.lastUntilMs = Math.floor(this.estimate(now) + this.leaseMs);
+    this.lastUntilMs = Math.floor(this.estimate(now) + leaseMs);
     return this.lastUntilMs;
   }
 
+  /** Whether the lease may be extended if no run may be active after the given time from now on, ms. */
+  canExtend(now: number, allowedMs: number): boolean {
+    return this.findLongest(now, allowedMs) > 0;
+  }
+
+  /** Finds the longest lease after which all runs have ended within the allowed time, drift included, ms. */
+  private findLongest(now: number, allowedMs: number): number {
+    const longestMs = (allowedMs - ORDER_TRANSIT_MS) / (1 + CLOCK_DRIFT) - this.findClockError(now);
+    return Math.min(this.leaseMs, Math.floor(longestMs));
+  }
+
+  /** Finds by how much the estimate of the upstream's clock may be ahead of it, ms. */
+  private findClockError(now: number): number {
+    return (now - this.receivedAt) * CLOCK_DRIFT;
+  }
+
   private estimate(now: number): number {
     return this.clockMs + (now - this.receivedAt);
   }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -33,6 +33,7 @@
 import type { LocalEvent, LocalTask } from './localTask.js';
 import { RunHistory } from './RunHistory.js';
 import { RunLists } from './RunLists.js';
+import { RunLimits } from './RunLimits.js';
 import { RunOrders } from './RunOrders.js';
 import type { SessionBounds, SessionEvents } from './sessionEvents.js';
 import { createSpeedMeter } from './SpeedMeter.js';
@@ -45,12 +46,15 @@
 const REPEAT_PAUSE_MS = 15;
 /** Pause between two renewals while the upstream is unreachable, ms. */
 const UNREACHABLE_PAUSE_MS = 150;
+/** Fraction of a lease that must be allowed for a new task to be started: what runs ends with the lease. */
+const MIN_LEASE_SHARE = 0.5;
 
 /** Session with one incarnation of an upstream. */
 export class UpstreamSession {
   readonly tasks = new Map<string, LocalTask>();
   private readonly waiting = new WaitingStarts();
   private readonly calls: UpstreamCalls;
+  private readonly limits: RunLimits;
   private readonly orders: RunOrders;
   private readonly lists: RunLists;
   private readonly speedMeter: SpeedMeter;
@@ -63,6 +67,8 @@
   private supersededSince: number | undefined;
   private leaving = false;
   private reachable = true;
+  /** Whether the lease was too short for new tasks when a renewal was last sent or answered. */
+  private isReportedLimited = false;
 
   /**
    * @param report - first report of this incarnation
@@ -84,7 +90,9 @@
     private readonly events: SessionEvents,
   ) {
     const now = clock.now();
+    this.limits = new RunLimits(this.tasks, clock, events.findEndLimit);
     this.calls = new UpstreamCalls(api, report, bounds, clock, tokens, {
+      findAllowance: () => this.limits.findAllowance(),
       changeAnswers: (answers) => {
         this.events.log('upstream-answers', { upstream: this.name, answers, tasks: this.load });
         this.events.change();
@@ -101,11 +109,12 @@
       handleOtherIncarnation: () => this.close('other-life'),
       log: this.events.log,
     });
-    this.lists = new RunLists(this.tasks, this.runs, {
+    this.lists = new RunLists(this.tasks, this.runs, bounds.stopMs, {
       confirm: (task, at) => this.confirm(task, at),
       recordProgress: (task, percent, at) => this.recordProgress(task, percent, at),
       finish: (task, end, reason) => this.finish(task, end, reason),
       stopUnknown: (name) => this.orders.stopUnknown(name),
+      log: this.events.log,
     });
     this.speedMeter = createSpeedMeter(bounds.speedMeasure ?? 'mean', now);
     this.reportedDescription = describeReport(report);
@@ -179,7 +188,7 @@
     if (this.isOver || !this.reachable) return 'absent';
     if (this.report.isDraining || this.leaving) return 'draining';
     if (!this.joined || !this.described) return 'joining';
-    return this.calls.isAnswering ? 'ready' : 'silent';
+    return this.calls.isAnswering && !this.isReportedLimited ? 'ready' : 'silent';
   }
 
   /** Returns the health, which depends on failed tasks. */
@@ -264,7 +273,7 @@
     const now = this.clock.now();
     const task = createLocalTask(buildTaskKey(order.name), order, owner, now);
     const other = this.tasks.get(task.key);
-    if (other && other.owner !== owner) this.stopTask(other, 'submitted-elsewhere');
+    if (other && other.owner !== owner) this.giveUp(other, 'submitted-elsewhere');
     this.waiting.add(task);
     this.startWaitingTasks();
     if (task.phase === 'waiting') void this.clock.sleep(OVERDUE_MS).then(() => this.startWaitingTasks());
@@ -279,18 +288,19 @@
     }
     const task = this.tasks.get(key);
     if (!task || !isAttempt(task, key, attempt, owner)) return false;
-    this.stopTask(task, reason);
+    this.giveUp(task, reason);
     return true;
   }
 
   /** Stops all tasks ordered by a dispatcher; returns how many of them were not being stopped already. */
   stopOwner(owner: string, reason: string): number {
-    const held = this.listHeld(owner).filter(({ phase }) => phase !== 'stopping');
+    const held = this.listHeld(owner);
+    const active = held.filter(({ phase }) => phase !== 'stopping');
     for (const task of held) {
       if (task.phase === 'waiting') this.dropStart(task, reason);
-      else this.stopTask(task, reason);
+      else this.giveUp(task, reason);
     }
-    return held.length;
+    return active.length;
   }
 
   /** Stops all tasks. */
@@ -345,11 +355,13 @@
   async run(): Promise<void> {
     while (!this.isOver) {
       this.events.revalidate(this.clock.now());
+      this.updateLimit();
       const sentAt = this.clock.now();
+      const hadLapsed = this.calls.hasLapsedFor(0);
       try {
         const answer = await this.calls.renew(this.lists.lastSequence, this.joined);
         if (this.isOver) return;
-        this.handleLease(answer, sentAt);
+        this.handleLease(answer, sentAt, hadLapsed);
         if (!this.joined || !this.calls.isAnswering) await this.clock.sleep(REPEAT_PAUSE_MS);
       } catch (error) {
         if (this.isOver) return;
@@ -394,7 +406,23 @@
     this.events.change();
   }
 
-  private handleLease(answer: LeaseAnswer, sentAt: number): void {
+  /** Logs and reports when the lease becomes too short for new tasks, and when it no longer is. */
+  private updateLimit(): void {
+    const { isLimited } = this;
+    if (isLimited === this.isReportedLimited) return;
+    this.isReportedLimited = isLimited;
+    const upstream = { upstream: this.name, tasks: this.tasks.size };
+    if (isLimited) this.events.log('lease-limited', { ...upstream, ...this.limits.describeFirst() });
+    else this.events.log('lease-unlimited', upstream);
+    this.events.change();
+  }
+
+  /** Whether a run that must be over soon leaves too little of the lease for new tasks. */
+  private get isLimited(): boolean {
+    return this.limits.findAllowance() < this.bounds.leaseMs * MIN_LEASE_SHARE;
+  }
+
+  private handleLease(answer: LeaseAnswer, sentAt: number, hadLapsed: boolean): void {
     const now = this.clock.now();
     if (answer.verdict === 'other-life') return this.close('other-life');
     if (answer.verdict === 'refused') return this.handleUnresponsive('refused');
@@ -404,7 +432,8 @@
       return this.events.findOtherLife(bornAt, answer.clockMs);
     if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.name });
     this.reachable = true;
-    const unknown = this.lists.applyAnswer(answer, sentAt, now);
+    const unknown = this.lists.applyAnswer(answer, sentAt, now, hadLapsed);
+    this.updateLimit();
     if (unknown === 0 && this.events.settle(sentAt) && !this.joined) this.join();
     this.startWaitingTasks();
   }
@@ -446,7 +475,7 @@
   }
 
   private canStart(task: LocalTask): boolean {
-    if (this.state !== 'ready' || this.tasks.has(task.key)) return false;
+    if (this.state !== 'ready' || this.isLimited || this.tasks.has(task.key)) return false;
     const health = this.readHealth();
     if (health === 'suspect' || (health === 'probation' && this.tasks.size > 0)) return false;
     return fitResources(task.order.resources, this.free);
@@ -471,6 +500,12 @@
     task.sampledAt = now;
   }
 
+  /** Stops a task that its dispatcher or caller has given up, and that may soon be started elsewhere. */
+  private giveUp(task: LocalTask, reason: string): void {
+    this.limits.fix(task);
+    this.stopTask(task, reason);
+  }
+
   private stopTask(task: LocalTask, reason: string): void {
     if (task.phase === 'stopping' || task.phase === 'ended') return;
     this.applyEvent(task, 'stop');
--- a/src/process/executor/localTask.ts
+++ b/src/process/executor/localTask.ts
@@ -58,6 +58,11 @@
   stopReason: string;
   /** When the upstream accepted the stop; undefined before. */
   stopAcceptedAt: number | undefined;
+  /**
+   * Monotonic time by which its run must be over, fixed once its dispatcher or caller has given it up;
+   * undefined before, while each ping that the dispatcher acknowledges moves it on.
+   */
+  endBy: number | undefined;
 }
 
 /**
@@ -85,6 +90,7 @@
     sampledAt: now,
     stopReason: '',
     stopAcceptedAt: undefined,
+    endBy: undefined,
   };
 }
 
--- a/src/process/executor/sessionEvents.ts
+++ b/src/process/executor/sessionEvents.ts
@@ -36,6 +36,11 @@
    * longer.
    */
   readonly revalidate: (now: number) => void;
+  /**
+   * Finds the monotonic time by which the runs of a dispatcher must be over if it acknowledges no further
+   * ping.
+   */
+  readonly findEndLimit: (owner: string) => number;
   /** Logs a decision. */
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -55,6 +55,10 @@
   refuses = false;
   /** Fates of the next orders; `answered` when empty. */
   readonly fates: OrderFate[] = [];
+  /** Number of next stops that are neither applied nor answered, apart from `fates`. */
+  lostStops = 0;
+  /** Whether renewals are applied but get no answer. */
+  mutesRenewals = false;
   /** Number of next renewals to lose. */
   lostRenewals = 0;
   /** Number of received renewals. */
@@ -129,6 +133,10 @@
     timeoutMs: number,
   ): Promise<OrderAnswer<StopVerdict>> {
     this.stops += 1;
+    if (this.lostStops > 0) {
+      this.lostStops -= 1;
+      await this.timeOut(timeoutMs);
+    }
     const fate = await this.takeFate(timeoutMs);
     if (this.isReplaced) return { verdict: 'other-life', clockMs: undefined };
     if (fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
@@ -150,6 +158,7 @@
     if (renewal.fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
     this.token = renewal.fencingToken;
     this.extendLease(renewal.leaseUntilMs ?? 0);
+    if (this.mutesRenewals) await this.timeOut(timeoutMs);
     while (this.ended[0] && this.ended[0].sequence <= renewal.lastSequence) this.ended.shift();
     const until = this.clock.now() + renewal.waitMs;
     while (this.ended.length === 0 && this.clock.now() < until) {
--- a/test/fakes/SessionFixture.ts
+++ b/test/fakes/SessionFixture.ts
@@ -15,6 +15,8 @@
   readonly results: string[] = [];
   readonly logged: { readonly event: string; readonly fields: Readonly<Record<string, unknown>> }[] = [];
   capacityChanges = 0;
+  /** Monotonic time by which the runs of the dispatcher must be over. */
+  endLimit = Infinity;
   readonly tokens = new FencingTokens(FIRST_TOKEN, this.clock);
   readonly session = new UpstreamSession(
     buildUpstreamReport({ clockMs: this.upstream.clockMs }),
@@ -31,6 +33,7 @@
       change: () => undefined,
       changeCapacity: () => void (this.capacityChanges += 1),
       revalidate: () => undefined,
+      findEndLimit: () => this.endLimit,
       log: (event, fields) => void this.logged.push({ event, fields }),
     },
   );
