Extend no lease while runs of an earlier executor incarnation may be there

Cause: the next incarnation of an executor renewed the lease while it joined, also of the runs that it wanted gone and of which it cannot know when they must be over. The same holds for every run that a list shows and this process has not ordered. Change: no lease is extended until a list shows no unknown run (RunLimits), in a joining session, one that takes over from another, and one that has joined. What the earlier incarnation named last is not later than the runs' limit. Price: none for sound work while joining, as nothing of ours runs there then.

--- a/src/process/executor/RunLimits.ts
+++ b/src/process/executor/RunLimits.ts
@@ -17,6 +17,9 @@
 
 /** Limits of the runs at one incarnation. */
 export class RunLimits {
+  /** Number of runs there that this process has not ordered; undefined until a list shows it. */
+  private unknown: number | undefined;
+
   /**
    * @param tasks - tasks that may run there
    * @param clock - clock of this process
@@ -41,15 +44,34 @@
     return first;
   }
 
-  /** Finds the time from now on after which no run may be active any more, ms. */
+  /**
+   * Finds the time from now on after which no run may be active any more, ms. While runs may be there that
+   * this process has not ordered, it is 0: when these have to be over is not known here, and what an earlier
+   * incarnation of this executor or another session has named as their lease is not later than that.
+   */
   findAllowance(): number {
-    return this.findFirst()?.allowedMs ?? Infinity;
+    return this.unknown === 0 ? (this.findFirst()?.allowedMs ?? Infinity) : 0;
+  }
+
+  /** Whether a list has shown which unknown runs are there since calls of others may have reached it. */
+  get isListed(): boolean {
+    return this.unknown !== undefined;
+  }
+
+  /** Accounts for calls intended for another incarnation, which may have started runs at this one. */
+  handleForeignWriter(): void {
+    this.unknown = undefined;
+  }
+
+  /** Records the number of unknown runs in the newest list of the upstream. */
+  recordUnknown(count: number): void {
+    this.unknown = count;
   }
 
   /** Describes the run that limits the lease, for the log. */
   describeFirst(): Readonly<Record<string, unknown>> {
     const first = this.findFirst();
-    if (!first) return {};
+    if (this.unknown !== 0 || !first) return { reason: 'unknown-runs' };
     const { key, run, owner, phase, stopReason } = first.task;
     const allowedMs = Math.round(first.allowedMs);
     return { task: key, run, entryLife: owner, phase, reason: stopReason, allowedMs };
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -393,6 +393,7 @@
   takeOver(): void {
     this.calls.fenceOff();
     this.calls.handleForeignWriter();
+    this.limits.handleForeignWriter();
   }
 
   /** Closes the session, as the incarnation is gone, and finishes its tasks as lost. */
@@ -408,7 +409,7 @@
 
   /** Logs and reports when the lease becomes too short for new tasks, and when it no longer is. */
   private updateLimit(): void {
-    const { isLimited } = this;
+    const isLimited = this.joined && this.limits.isListed && this.isLimited;
     if (isLimited === this.isReportedLimited) return;
     this.isReportedLimited = isLimited;
     const upstream = { upstream: this.name, tasks: this.tasks.size };
@@ -433,6 +434,7 @@
     if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.name });
     this.reachable = true;
     const unknown = this.lists.applyAnswer(answer, sentAt, now, hadLapsed);
+    this.limits.recordUnknown(unknown);
     this.updateLimit();
     if (unknown === 0 && this.events.settle(sentAt) && !this.joined) this.join();
     this.startWaitingTasks();
