Keep a start while an earlier run of its task goes on at the same upstream

What callers would see: a task that runs twice at once, where the caller has come again elsewhere and the second start reaches the upstream at which the first run still goes on. Cause: the executor stopped the first run, and after 8 ms returned the second start as not run (full); its dispatcher then started it at another upstream, while the first run went on for as long as its stop took. Change: such a start waits until the run is over, and is then started, or returned as it would have been. Found by reading; not seen in a run. A second line only: the first run is to be over before the caller comes again.

--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -231,6 +231,7 @@
       waiting: this.waiting.size,
     });
     for (const task of this.waiting.list()) {
+      if (this.tasks.has(task.key)) continue;
       if (this.isOverfull || !fitResources(task.order.resources, capacity)) this.dropStart(task, 'full');
     }
     this.startWaitingTasks();
@@ -337,10 +338,14 @@
     return this.closed || this.isSuperseded;
   }
 
-  /** Starts waiting tasks that fit, and returns those that have waited too long. */
+  /**
+   * Starts waiting tasks that fit, and returns those that have waited too long. One of which an earlier run
+   * may go on here is kept until that is over, as it would be started elsewhere once it is returned.
+   */
   startWaitingTasks(): void {
     const now = this.clock.now();
     for (const task of this.waiting.list()) {
+      if (this.tasks.has(task.key)) continue;
       const reason = findReturnReason(task, now);
       if (reason !== undefined) {
         this.dropStart(task, reason);
@@ -401,8 +406,8 @@
     if (this.closed) return;
     this.closed = true;
     this.events.log('upstream-gone', { upstream: this.name, reason, tasks: this.load });
-    this.dropWaiting(reason);
     this.finishAllAsLost(reason, undefined);
+    this.dropWaiting(reason);
     this.calls.close();
     this.events.change();
   }
@@ -459,8 +464,8 @@
     if (!this.reachable || !this.calls.hasLapsedFor(this.bounds.stopMs)) return;
     this.reachable = false;
     this.events.log('upstream-unreachable', { upstream: this.name, error: String(error), tasks: this.load });
-    this.dropWaiting('unreachable');
     this.finishAllAsLost('unreachable', error);
+    this.dropWaiting('unreachable');
     // A start without an answer may still be executed later, when its task has been started elsewhere.
     this.calls.fenceOff();
     this.events.change();
@@ -556,9 +561,9 @@
     this.events.finish(task, 'not-run', reason);
   }
 
-  /** Returns all waiting tasks as not run. */
+  /** Returns all waiting tasks as not run, except those of which an earlier run may go on here. */
   dropWaiting(reason: string): void {
-    for (const task of this.waiting.list()) this.dropStart(task, reason);
+    for (const task of this.waiting.list()) if (!this.tasks.has(task.key)) this.dropStart(task, reason);
   }
 
   private applyEvent(task: LocalTask, event: LocalEvent): void {
