Take an executor's incarnation for replaced only by a later one

What callers would see: tasks that run twice at once after an executor was restarted. Cause: a ping of any incarnation that is ready made the dispatcher count the tasks of all other incarnations as lost (agent-replaced). A ping of an earlier incarnation that arrives late, with its hello or without, thereby released the tasks of the one that is at work, which were started again at once. Change: an incarnation is replaced only by one that did not start earlier (by the time in its name), and only if it has sent nothing since that one was first linked. Otherwise its tasks wait for the orphan timeout. Evidence: two tests of Dispatcher.test.ts fail before with four starts in place of two, hold now. Found by reading; not seen in a run.

--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -51,10 +51,10 @@
     );
   }
 
-  ping(id: string, now: number, change: Partial<CapacityReport> = {}): void {
+  buildCapacity(id: string, change: Partial<CapacityReport> = {}): CapacityReport {
     const capacity = { cpuMilli: 4_000, memoryMb: 1_000, gpus: 0 };
     const upstream = `of-${id.split('@')[0]}`;
-    const room: CapacityReport = {
+    return {
       description: { upstream, service: 'service', labels: [], capacity },
       state: 'ready',
       trust: 'healthy',
@@ -63,6 +63,10 @@
       speed: 1,
       ...change,
     };
+  }
+
+  ping(id: string, now: number, change: Partial<CapacityReport> = {}): void {
+    const room = this.buildCapacity(id, change);
     this.dispatcher.handlePing(id, { type: 'ping', version: 1, at: now, room, progress: [] }, now);
   }
 
@@ -257,6 +261,23 @@
     expect(fixture.starts.slice(2).map(({ executorId }) => executorId)).to.deep.equal(['a@2', 'a@2']);
   });
 
+  // Guards against a second start of tasks that run, when a message of an earlier incarnation arrives late.
+  for (const isHelloLate of [false, true]) {
+    it(`keeps the tasks of an executor when a ${isHelloLate ? 'hello' : 'ping'} of its earlier incarnation arrives late`, () => {
+      const newer = fixture.link('a', 100, { life: '2' });
+      fixture.dispatcher.handleCapacity(
+        newer,
+        { type: 'room', at: 110, room: fixture.buildCapacity(newer) },
+        110,
+      );
+      fixture.submit(120);
+      if (isHelloLate) fixture.link('a', 130, { life: '1' });
+      fixture.ping('a@1', 131);
+      fixture.dispatcher.place(131);
+      expect(fixture.starts.map(({ executorId }) => executorId)).to.deep.equal([newer, newer]);
+    });
+  }
+
   it('accepts results from the hello after a broken link, and restarts attempts that are not held', () => {
     fixture.submit(10);
     const [first, second] = fixture.starts;
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -497,7 +497,7 @@
   /** Removes earlier incarnations: an executor is ready only after it has stopped and fenced their tasks. */
   private expireEarlierIncarnations(executor: ExecutorView, now: number): void {
     if (executor.report?.state !== 'ready') return;
-    for (const earlier of this.executors.listOtherIncarnations(executor)) {
+    for (const earlier of this.executors.listEarlierIncarnations(executor)) {
       for (const task of this.jobs.listTasksAt(earlier.id)) this.settle(task, 'lost', 'agent-replaced', now);
       this.executors.delete(earlier.id);
     }
--- a/src/process/dispatcher/ExecutorTable.ts
+++ b/src/process/dispatcher/ExecutorTable.ts
@@ -63,13 +63,19 @@
     }
   }
 
-  /** Lists the other incarnations of an executor that had the same upstream. */
-  listOtherIncarnations(executor: ExecutorView): ExecutorView[] {
+  /**
+   * Lists the earlier incarnations of an executor that had the same upstream. A message of an earlier
+   * incarnation may arrive late, so one counts as earlier only if it did not start later and has sent nothing
+   * since this one was first linked. The tasks of any other are waited for until its orphan timeout.
+   */
+  listEarlierIncarnations(executor: ExecutorView): ExecutorView[] {
     return this.list().filter(
       (other) =>
         other !== executor &&
         other.processId === executor.processId &&
-        other.report?.upstream === executor.report?.upstream,
+        other.report?.upstream === executor.report?.upstream &&
+        !(other.startedAt > executor.startedAt) &&
+        other.lastReceivedAt <= executor.firstLinkedAt,
     );
   }
 
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -12,6 +12,7 @@
   subtractResources,
 } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
+import { parseIncarnationStart } from '../parseIncarnationStart.js';
 
 /**
  * Builds the id of an incarnation of an executor.
@@ -52,6 +53,10 @@
   readonly failureDomain: string;
   /** Orphan timeout: how long tasks of this dispatcher can still run there after the last message, ms. */
   readonly orphanMs: number;
+  /** Start of its incarnation by the time of day of its VM, Unix ms; NaN if not known. */
+  readonly startedAt: number;
+  /** When its first hello arrived. */
+  readonly firstLinkedAt: number;
   linked = true;
   /** Whether operators have emptied its failure domain, so that no task is placed there. */
   isEmptied = false;
@@ -89,6 +94,8 @@
     this.processId = hello.agent;
     this.failureDomain = hello.failureDomain;
     this.orphanMs = hello.orphanMs;
+    this.startedAt = parseIncarnationStart(hello.life);
+    this.firstLinkedAt = now;
     this.lastReceivedAt = now;
     this.reportedAt = now;
   }
