Count the end of a run from the time at which its caller may have left

What callers would see: a task that runs twice at once, where a dispatcher was paused for less than 0.52 s while its caller left, or where the caller left while the link to the executor was down, and stops are lost. Cause: the executor takes a run's end limit from the newest ping that the dispatcher has acknowledged when the stop arrives. After a pause the dispatcher acknowledges the waiting pings before it reads that a caller has left, and a link that is opened again acknowledges before the stop is sent; so the limit was up to 0.52 s later than the caller's return allows. Change: a stop tells how long ago the attempt may have been given up (givenUpMs, optional, ignored by earlier versions): the age of the input that the dispatcher is handling (PauseGuard.findInputLag: since the update before the last four turns of its loop), and the time since then when the stop is sent again on a new link; for an attempt that is not known any more, the whole orphan timeout. Ruled out: to acknowledge later, after what waits was read: a welcome would have to wait as well, and stops before a welcome are dropped.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -188,6 +188,11 @@
 export interface StopOrder {
   readonly type: 'stop';
   readonly name: AttemptName;
+  /**
+   * How long ago the attempt may have been given up, at most, ms: its caller may submit the job again some
+   * time after that. Not set by earlier versions, which means 0.
+   */
+  readonly givenUpMs?: number | undefined;
 }
 
 /** How an attempt ended. `not-run`: it never started. `lost`: its outcome is lost with its upstream. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -148,7 +148,7 @@
     expiresAt: FINITE,
     tasks: buildList(START_TASK),
   }),
-  stop: buildObject({ name: NAME }),
+  stop: buildObject({ name: NAME }, { givenUpMs: { type: 'number', minimum: 0 } }),
   result: RESULT,
   crashes: buildObject({ tasks: buildList(CRASHED) }),
   suspects: buildObject({ tasks: buildList(SUSPECT) }),
--- a/src/process/PauseGuard.ts
+++ b/src/process/PauseGuard.ts
@@ -1,9 +1,14 @@
-/** Detects pauses of the process, so that pending input is read before decisions are made on stale state. */
+/**
+ * Detects pauses of the process, so that pending input is read before decisions are made on stale state, and
+ * tells how old input may be that is handled now.
+ */
 
 /** Gap between two updates above which the process was paused, ms. */
 const MIN_PAUSE_MS = 250;
 /** Turns of the event loop in which pending input is read after a pause. */
 const CATCH_UP_TURNS = 3;
+/** Turns of the event loop from the arrival of the end of a connection until that is handled, at most. */
+const HANDLING_TURNS = 4;
 
 /**
  * Detects pauses from the time between updates; `update` must be called at least every `MIN_PAUSE_MS` / 2.
@@ -11,6 +16,9 @@
 export class PauseGuard {
   private lastAt: number;
   private turnsLeft = 0;
+  /** Times of the last updates before each of the latest turns, oldest first. */
+  private readonly turnMarks: number[] = [];
+  private isTurnOpen = false;
 
   constructor(
     now: number,
@@ -24,8 +32,18 @@
     return this.turnsLeft > 0;
   }
 
+  /**
+   * Finds how long ago input may have arrived that is handled now, ms.
+   *
+   * @param now - monotonic time, ms
+   */
+  findInputLag(now: number): number {
+    return now - (this.turnMarks[0] ?? this.lastAt);
+  }
+
   /** Checks for a pause at the start of a turn. */
   update(now: number): void {
+    this.recordTurn();
     const gapMs = now - this.lastAt;
     this.lastAt = now;
     if (gapMs <= MIN_PAUSE_MS) return;
@@ -34,6 +52,14 @@
     this.turnsLeft = CATCH_UP_TURNS;
   }
 
+  private recordTurn(): void {
+    if (this.isTurnOpen) return;
+    this.isTurnOpen = true;
+    this.turnMarks.push(this.lastAt);
+    if (this.turnMarks.length > HANDLING_TURNS) this.turnMarks.shift();
+    setImmediate(() => (this.isTurnOpen = false));
+  }
+
   private endTurn(): void {
     this.turnsLeft -= 1;
     if (this.turnsLeft > 0) setImmediate(() => this.endTurn());
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -27,12 +27,15 @@
   readonly sent: { executorId: string; message: DispatcherMessage }[] = [];
   readonly logged: { readonly event: string; readonly fields: Readonly<Record<string, unknown>> }[] = [];
   readonly caller = new FakeCaller();
+  /** How long ago input may have arrived that is handled now, ms. */
+  inputLagMs = 0;
   readonly dispatcher = new Dispatcher(
     {
       pingMs: PING_MS,
       bounds: new JobBounds(WIDE_LIMITS),
       placement: new SpeedPlacement(1.5),
       window: new UnboundedWindow(),
+      findInputLag: () => this.inputLagMs,
       nextRandom: () => 0.5,
     },
     {
@@ -291,6 +294,13 @@
     expect(fixture.starts[2]?.order.name).to.include({ job: 'job', index: second.order.name.index });
   });
 
+  it('tells with a stop how long ago the caller may have left', () => {
+    fixture.submit(10, { steps: [{ ...STEP, count: 1 }] });
+    fixture.inputLagMs = 30;
+    fixture.dispatcher.abandon('job', fixture.caller, 60);
+    expect(fixture.sent.at(-1)?.message).to.include({ type: 'stop', givenUpMs: 30 });
+  });
+
   it('stops held attempts of a job that ended while the link was down', () => {
     fixture.submit(10, { steps: [{ ...STEP, count: 1 }] });
     const [start] = fixture.starts;
@@ -301,8 +311,8 @@
     const before = fixture.sent.length;
     fixture.link('a', 100, { holding: [start.order.name, unknown] });
     expect(fixture.sent.slice(before).map(({ message }) => message)).to.deep.equal([
-      { type: 'stop', name: start.order.name },
-      { type: 'stop', name: unknown },
+      { type: 'stop', name: start.order.name, givenUpMs: 40 },
+      { type: 'stop', name: unknown, givenUpMs: ORPHAN_MS },
     ]);
   });
 
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -9,6 +9,7 @@
 import { assertInvariant } from '../../_lib/assertInvariant.js';
 import type {
   ExecutorHello,
+  AttemptName,
   AttemptProgress,
   AttemptResult,
   CrashedTask,
@@ -82,6 +83,8 @@
   readonly bounds: JobBounds;
   /** Crashes of upstreams under one task after which its job fails; 0 or undefined for no limit. */
   readonly crashLimit?: number;
+  /** Finds how long ago input may have arrived that is handled now, ms; 0 if undefined. */
+  readonly findInputLag?: (now: number) => number;
   readonly nextRandom: () => number;
 }
 
@@ -452,14 +455,19 @@
     this.effects.recordOutcome(job, outcome, now);
     for (const task of job.tasks) {
       if (task.phase === 'waiting' || task.phase === 'blocked') transitionTask(task, 'drop');
-      if (task.phase === 'sent') this.withdraw(task);
+      if (task.phase === 'sent') this.withdraw(task, now);
     }
     this.deleteIfFinished(job, now);
   }
 
-  private withdraw(task: DispatchTask): void {
+  private withdraw(task: DispatchTask, now: number): void {
     transitionTask(task, 'withdraw');
-    this.effects.send(task.executorId, { type: 'stop', name: buildAttemptName(task) });
+    task.givenUpAt = now - (this.options.findInputLag?.(now) ?? 0);
+    this.sendStop(task.executorId, buildAttemptName(task), now - task.givenUpAt);
+  }
+
+  private sendStop(executorId: string, name: AttemptName, givenUpMs: number): void {
+    this.effects.send(executorId, { type: 'stop', name, givenUpMs: Math.ceil(givenUpMs) });
   }
 
   private drop(task: DispatchTask, now: number): void {
@@ -520,7 +528,7 @@
       stalledMs,
       speed,
     });
-    this.withdraw(task);
+    this.withdraw(task, now);
   }
 
   private hasAlternative(task: DispatchTask, from: ExecutorView, now: number): boolean {
@@ -547,8 +555,11 @@
     }
     for (const name of hello.holding) {
       const task = this.jobs.findTask(name);
-      const isWanted = task?.phase === 'sent' && task.attempt === name.attempt && task.executorId === id;
-      if (!isWanted) this.effects.send(id, { type: 'stop', name });
+      const isHeld = task?.attempt === name.attempt && task.executorId === id;
+      if (isHeld && task.phase === 'sent') continue;
+      // When an attempt was given up that is not known any more, its task may run elsewhere already.
+      const givenUpMs = isHeld && task.phase === 'withdrawn' ? now - task.givenUpAt : hello.orphanMs;
+      this.sendStop(id, name, givenUpMs);
     }
   }
 }
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -120,6 +120,7 @@
         window: createSendWindow(settings),
         order: createTaskOrder(settings),
         admission: createAdmission(settings, nextRandom),
+        findInputLag: (now) => this.pauseGuard.findInputLag(now),
         nextRandom,
       },
       {
--- a/src/process/dispatcher/dispatchJob.ts
+++ b/src/process/dispatcher/dispatchJob.ts
@@ -57,6 +57,11 @@
   executorId: string;
   /** When the latest attempt was sent, ms. */
   sentAt: number;
+  /**
+   * When the latest attempt may have been given up, at the earliest, ms: its caller has left, or it is to
+   * run elsewhere.
+   */
+  givenUpAt: number;
   /** The newest attempt that may have run and has ended without success; undefined before the first. */
   previous: PreviousAttempt | undefined;
   /** Whether the latest attempt was sent as a suspect, so that no other suspect runs at its upstream. */
@@ -186,6 +191,7 @@
     failures: 0,
     executorId: '',
     sentAt: 0,
+    givenUpAt: 0,
     previous: undefined,
     isIsolated: false,
     avoid: new Set(),
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -299,10 +299,11 @@
   }
 
   /** Handles the order of a dispatcher to stop an attempt; sends nothing if the attempt is not here. */
-  handleStop(dispatcher: string, { name }: StopOrder): void {
+  handleStop(dispatcher: string, { name, givenUpMs = 0 }: StopOrder): void {
     const key = buildTaskKey(name);
+    const endBy = this.findEndLimit(dispatcher) - givenUpMs;
     for (const session of this.incarnations.list()) {
-      if (session.stop(key, name.attempt, dispatcher, 'stopped-by-entry')) return;
+      if (session.stop(key, name.attempt, dispatcher, 'stopped-by-entry', endBy)) return;
     }
   }
 
--- a/src/process/executor/RunLimits.ts
+++ b/src/process/executor/RunLimits.ts
@@ -77,8 +77,14 @@
     return { task: key, run, entryLife: owner, phase, reason: stopReason, allowedMs };
   }
 
-  /** Fixes the time by which a run must be over: pings that its dispatcher acknowledges later do not count. */
-  fix(task: LocalTask): void {
-    task.endBy ??= this.findEndLimit(task.owner);
+  /**
+   * Fixes the time by which a run must be over, unless an earlier one is fixed: pings that its dispatcher
+   * acknowledges later do not count.
+   *
+   * @param task - the task
+   * @param endBy - monotonic time, ms; by default what its dispatcher has acknowledged so far tells it
+   */
+  fix(task: LocalTask, endBy = this.findEndLimit(task.owner)): void {
+    task.endBy = Math.min(task.endBy ?? Infinity, endBy);
   }
 }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -280,8 +280,13 @@
     if (task.phase === 'waiting') void this.clock.sleep(OVERDUE_MS).then(() => this.startWaitingTasks());
   }
 
-  /** Stops a waiting or running attempt; returns false if it is not here. */
-  stop(key: string, attempt: number, owner: string, reason: string): boolean {
+  /**
+   * Stops a waiting or running attempt; returns false if it is not here.
+   *
+   * @param endBy - monotonic time by which its run must be over; by default what its dispatcher has
+   *   acknowledged last tells it
+   */
+  stop(key: string, attempt: number, owner: string, reason: string, endBy?: number): boolean {
     const waiting = this.waiting.find(key, attempt, owner);
     if (waiting) {
       this.dropStart(waiting, reason);
@@ -289,7 +294,7 @@
     }
     const task = this.tasks.get(key);
     if (!task || !isAttempt(task, key, attempt, owner)) return false;
-    this.giveUp(task, reason);
+    this.giveUp(task, reason, endBy);
     return true;
   }
 
@@ -508,8 +513,8 @@
   }
 
   /** Stops a task that its dispatcher or caller has given up, and that may soon be started elsewhere. */
-  private giveUp(task: LocalTask, reason: string): void {
-    this.limits.fix(task);
+  private giveUp(task: LocalTask, reason: string, endBy?: number): void {
+    this.limits.fix(task, endBy);
     this.stopTask(task, reason);
   }
 
--- a/src/process/executor/orphanedRuns.test.ts
+++ b/src/process/executor/orphanedRuns.test.ts
@@ -138,6 +138,17 @@
     expect(end).to.be.at.most(fixture.orphanMs);
   });
 
+  it('is over in time after its caller left while the link to its dispatcher was down', async () => {
+    fixture.upstream.lostStops = ALL;
+    const givenUpAt = fixture.clock.now();
+    await fixture.clock.advance(400);
+    fixture.executor.handleWelcome('d@1', fixture.clock.now());
+    const givenUpMs = fixture.clock.now() - givenUpAt;
+    fixture.executor.handleStop('d@1', { type: 'stop', name: buildStartOrder(0).name, givenUpMs });
+    const end = await fixture.measureEnd(() => fixture.executor.handleWelcome('d@1', fixture.clock.now()));
+    expect(end + fixture.acknowledgedAt - givenUpAt).to.be.at.most(fixture.orphanMs);
+  });
+
   for (const downMs of [0, 500]) {
     it(`is over in time after its executor was killed and back after ${downMs} ms, though its stops are lost`, async () => {
       fixture.upstream.lostStops = ALL;
