Have starts on their way refused before a run counts as over without a confirmed stop

What callers would see: a task that runs twice at once, where its start is carried out seconds late with a lease that counts from then (the kind applied_late with grants). Cause: since leases are limited, a run whose stop is not accepted counts as over once the lease has lapsed and it is not listed. A start of it that is still on its way is late by then, but an upstream that counts the lease from its arrival begins it all the same. Change: before such a run counts as over, the fencing token is raised, and the renewal that does not list it has been answered with the new token, so that every earlier start is refused. Evidence: the test in orphanedRuns.test.ts fails without the new token (started in place of fenced), holds with it.

--- a/src/process/executor/RunLists.ts
+++ b/src/process/executor/RunLists.ts
@@ -42,13 +42,21 @@
     return this.lastAppliedSequence;
   }
 
+  /** Whether a task is being stopped whose stop is not accepted. */
+  get hasUnconfirmedStop(): boolean {
+    for (const { phase, stopAcceptedAt } of this.tasks.values())
+      if (phase === 'stopping' && stopAcceptedAt === undefined) return true;
+    return false;
+  }
+
   /**
    * Applies the lists of an answer.
    *
    * @param answer - answer to a renewal
    * @param sentAt - when the renewal was sent
    * @param now - when the answer arrived
-   * @param hadLapsed - whether all leases had expired when the renewal was sent
+   * @param hadLapsed - whether all leases had expired when the renewal was sent, with a new token if a stop
+   *   was not accepted
    * @returns the number of running runs that this process has not ordered
    */
   applyAnswer(
@@ -101,8 +109,8 @@
 
   /**
    * Finishes tasks that were confirmed, or whose stop was accepted, before the renewal was sent and are not
-   * listed. Once all leases have expired, a start still on its way is refused as late, so that a run that is
-   * not listed is over without its stop being accepted.
+   * listed. Once all leases have expired and a new token is accepted, a start still on its way is refused, so
+   * that a run that is not listed is over without its stop being accepted.
    */
   private handleMissing(running: readonly RunningRun[], sentAt: number, hadLapsed: boolean): void {
     const names = new Set(running.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -368,6 +368,8 @@
       this.updateLimit();
       const sentAt = this.clock.now();
       const hadLapsed = this.calls.hasLapsedFor(0);
+      // Starts still on their way must not count as over before this renewal has had them refused.
+      if (hadLapsed && this.lists.hasUnconfirmedStop) this.calls.fenceOff();
       try {
         const answer = await this.calls.renew(this.lists.lastSequence, this.joined);
         if (this.isOver) return;
--- a/src/process/executor/orphanedRuns.test.ts
+++ b/src/process/executor/orphanedRuns.test.ts
@@ -117,6 +117,24 @@
     });
   }
 
+  // Guards against a start that is carried out late, when its task was given up and runs elsewhere.
+  it('counts as over without a confirmed stop only once a start on its way is refused', async () => {
+    const late = { spec: '', leaseUntilMs: Infinity, fencingToken: fixture.upstream.token };
+    fixture.upstream.lostStops = ALL;
+    fixture.upstream.fates.push('lost', 'lost', 'lost', 'lost');
+    fixture.executor.handleStart('d@1', buildStartOrder(1));
+    await fixture.measureEnd();
+    while (fixture.results.length < 2) await fixture.clock.advance(STEP_MS);
+    expect(fixture.results).to.include('d@1 lost start-unanswered');
+    const name = { job: 'job', step: 0, index: 1, run: 1 };
+    expect(fixture.upstream.applyStart({ ...late, name })).to.equal('fenced');
+    fixture.executor.handleWelcome('other@1', fixture.clock.now());
+    await fixture.clock.advance(100);
+    fixture.executor.handleStart('other@1', buildStartOrder(2));
+    await fixture.clock.advance(50);
+    expect([...fixture.upstream.running.keys()]).to.deep.equal(['job/0/2']);
+  });
+
   it('is over in time though starts of another dispatcher extend the lease', async () => {
     fixture.upstream.lostStops = ALL;
     const handleStep = fixture.createOtherDispatcher();
