--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -123,7 +123,8 @@
 
   /**
    * Renews the lease, by no more than its runs allow. If no renewal has been granted for the duration of a
-   * lease, further ones do not extend it, so that all runs end at a known time. Rejects if no valid answer arrives in time.
+   * lease, further ones do not extend it, so that all runs end at a known time. Rejects if no valid answer
+   * arrives in time.
    *
    * @param lastSequence - sequence number up to which ends have been applied
    * @param mayWait - whether the upstream may hold the renewal until a run ends
