Pass over the hello of an earlier link that arrives late

What callers saw, or may have: tasks that run twice at once, several of one executor at the same moment, the earlier run ended by a late stop; starts in time. Cause: the first message of a link lists what the executor holds, and the dispatcher starts again at once what is not listed (link-broke). The first message of an earlier link of the same executor, held up by a cut or a silent connection until a later link was in use, lists nothing of what was started since. All of that was started elsewhere while it ran; the link in use was closed as replaced, and the next one had the runs stopped. Change: an executor numbers its links (linkNumber in agent-hello, optional); a hello of an earlier link than the newest is passed over (hello-passed-over in the log) and its connection closed.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -72,6 +72,11 @@
   readonly orphanMs: number;
   /** Whether the executor accepts batches of starts; earlier versions do not. */
   readonly takesBatches?: boolean;
+  /**
+   * Rises with each link that this incarnation opens, since the first message of an earlier link may arrive
+   * after that of a later one. Not set by earlier versions.
+   */
+  readonly linkNumber?: number;
 }
 
 /** Address at which a dispatcher accepts links. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -109,7 +109,7 @@
       results: buildList(RESULT),
       orphanMs: { type: 'number', minimum: 0 },
     },
-    { takesBatches: { type: 'boolean' } },
+    { takesBatches: { type: 'boolean' }, linkNumber: COUNT },
   ),
   'entry-welcome': buildObject({ entry: TEXT, life: TEXT, place: PLACE }),
   'entry-hello': buildObject({ entry: TEXT, place: PLACE }),
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -281,6 +281,20 @@
     });
   }
 
+  // Guards against a second start of tasks that run, when the hello of an earlier link of the same executor arrives late.
+  for (const entryLife of ['me', '']) {
+    it(`keeps the tasks of an executor when the hello of its earlier link (entryLife "${entryLife}") arrives late`, () => {
+      fixture.link('a', 10, { linkNumber: 2 });
+      fixture.ping('a@1', 11);
+      fixture.ping(fixture.link('b', 11), 11);
+      fixture.submit(20);
+      expect(fixture.starts).to.have.length(2);
+      fixture.link('a', 30, { entryLife, linkNumber: 1 });
+      fixture.dispatcher.place(31);
+      expect(fixture.starts).to.have.length(2);
+    });
+  }
+
   it('accepts results from the hello after a broken link, and restarts attempts that are not held', () => {
     fixture.submit(10);
     const [first, second] = fixture.starts;
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -198,7 +198,15 @@
   }
 
   /**
-   * Handles the first message on a link of an executor. Attempts that the executor neither holds nor reports
+   * Whether the first message on a link of an executor arrives after that of a later link, on which attempts
+   * may have been started since that this message does not list.
+   */
+  isLateHello(hello: ExecutorHello): boolean {
+    return this.executors.find(buildExecutorId(hello))?.isLateHello(hello) ?? false;
+  }
+
+  /**
+   * Handles the first message on a link of an executor, unless it is late. Attempts that the executor neither holds nor reports
    * are lost; so are all of them if it was linked to another incarnation of this dispatcher. The link must be
    * open, as stop orders may be sent to the executor.
    *
@@ -206,6 +214,7 @@
    */
   handleHello(hello: ExecutorHello, ownIncarnation: string, now: number): string {
     const id = buildExecutorId(hello);
+    if (this.isLateHello(hello)) return id;
     const known = this.executors.find(id);
     this.executors.unlinkOthers(hello);
     if (!known) {
@@ -221,7 +230,7 @@
       tasks,
       held: hello.holding.length,
     });
-    known.reopen(now);
+    known.reopen(hello, now);
     if (hello.entryLife === ownIncarnation) this.reconcileHeld(id, hello, now);
     else for (const task of this.jobs.listTasksAt(id)) this.settle(task, 'lost', 'link-broke', now);
     return id;
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -384,6 +384,10 @@
     now: number,
   ): void {
     const id = buildExecutorId(hello);
+    if (this.dispatcher.isLateHello(hello)) {
+      this.logDecision('hello-passed-over', { agent: id, linkNumber: hello.linkNumber });
+      return channel.close('late hello');
+    }
     const before = this.channels.get(id);
     this.channels.set(id, channel);
     this.executorIds.set(channel, id);
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -57,6 +57,8 @@
   readonly startedAt: number;
   /** When its first hello arrived. */
   readonly firstLinkedAt: number;
+  /** Number of its newest link; undefined for earlier versions. */
+  private linkNumber: number | undefined;
   linked = true;
   /** Whether operators have emptied its failure domain, so that no task is placed there. */
   isEmptied = false;
@@ -96,6 +98,7 @@
     this.orphanMs = hello.orphanMs;
     this.startedAt = parseIncarnationStart(hello.life);
     this.firstLinkedAt = now;
+    this.linkNumber = hello.linkNumber;
     this.lastReceivedAt = now;
     this.reportedAt = now;
   }
@@ -138,9 +141,15 @@
     return roundTripMs - this.minRoundTripMs;
   }
 
+  /** Whether a hello was sent on an earlier link than the newest. */
+  isLateHello({ linkNumber }: ExecutorHello): boolean {
+    return linkNumber !== undefined && this.linkNumber !== undefined && linkNumber < this.linkNumber;
+  }
+
   /** Resets the starts in flight and the released resources for a reopened link. */
-  reopen(now: number): void {
+  reopen({ linkNumber }: ExecutorHello, now: number): void {
     this.linked = true;
+    this.linkNumber = linkNumber;
     this.lastReceivedAt = Math.max(this.lastReceivedAt, now);
     this.startsSent = 0;
     this.inFlight.length = 0;
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -112,6 +112,8 @@
   private readonly liveness = new Map<string, DispatcherLiveness>();
   private readonly shares = new CapacityShares();
   private readonly incarnations: UpstreamIncarnations;
+  /** Number of hello messages that were built, one for each link. */
+  private builtHellos = 0;
   private leaving = false;
   /** Whether operators have emptied the executor's failure domain. */
   private isEmptied = false;
@@ -266,6 +268,8 @@
     const holding = held.map(({ order }) => order.name);
     const results = (this.liveness.get(dispatcher)?.results ?? []).map(({ result }) => result);
     const takesBatches = true;
+    this.builtHellos += 1;
+    const linkNumber = this.builtHellos;
     return {
       type: 'agent-hello',
       agent: id,
@@ -276,6 +280,7 @@
       entryLife: dispatcher,
       orphanMs,
       takesBatches,
+      linkNumber,
     };
   }
 
