Count a start that was sent after a lapse as on its way

Cause: a run that is not listed by a renewal sent after all leases had lapsed counted as over also if its start was sent after that renewal, with a new lease. Change: only if its start was last sent before the renewal (lastSentAt).

--- a/src/process/executor/RunLists.ts
+++ b/src/process/executor/RunLists.ts
@@ -109,8 +109,8 @@
 
   /**
    * Finishes tasks that were confirmed, or whose stop was accepted, before the renewal was sent and are not
-   * listed. Once all leases have expired and a new token is accepted, a start still on its way is refused, so
-   * that a run that is not listed is over without its stop being accepted.
+   * listed. Once all leases have expired and a new token is accepted, a start sent before is refused, so that
+   * a run that is not listed is over without its stop being accepted.
    */
   private handleMissing(running: readonly RunningRun[], sentAt: number, hadLapsed: boolean): void {
     const names = new Set(running.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
@@ -120,7 +120,8 @@
       const isOver = since !== undefined && since < sentAt;
       if (task.phase === 'starting') continue;
       if (isOver) this.callbacks.finish(task, hasRun(task) ? 'stopped' : 'not-run', 'not-listed');
-      else if (hadLapsed && task.phase === 'stopping') this.callbacks.finish(task, 'lost', 'lapsed');
+      else if (hadLapsed && task.phase === 'stopping' && (task.lastSentAt ?? 0) < sentAt)
+        this.callbacks.finish(task, 'lost', 'lapsed');
     }
   }
 }
--- a/src/process/executor/RunOrders.ts
+++ b/src/process/executor/RunOrders.ts
@@ -69,6 +69,7 @@
       if (sends >= MAX_START_SENDS) return this.callbacks.withdraw(task, 'start-unanswered');
       if (!this.calls.canStart) return this.callbacks.withdraw(task, LEASE_LIMITED);
       task.openSends += 1;
+      task.lastSentAt = this.clock.now();
       const sent = this.describeOrder(task, sends);
       try {
         const call = this.calls.start(buildRunName(task), task.order.spec);
--- a/src/process/executor/localTask.ts
+++ b/src/process/executor/localTask.ts
@@ -42,6 +42,8 @@
   run: number;
   /** When the first start was sent; undefined before. */
   sentAt: number | undefined;
+  /** When the start was last sent; undefined before. */
+  lastSentAt: number | undefined;
   /**
    * Number of sends of the start that may have been executed: all but those whose connection was refused or
    * that another incarnation rejected.
@@ -83,6 +85,7 @@
     phase: 'waiting',
     run: 0,
     sentAt: undefined,
+    lastSentAt: undefined,
     openSends: 0,
     confirmedAt: undefined,
     percent: 0,
