Count the end limit from what a dispatcher has read, not from its pong alone

What callers would see: a task that runs twice at once, where a dispatcher was paused, acknowledged the pings that waited, and died before it read that a caller had left, and stops are lost. Cause: a pong says that the dispatcher was alive, not that it has handled the ends of its callers' connections; the end limit counted from the ping. Change: pong and welcome tell how old unread input may be, from 50 ms on (lagMs, optional); the end limit counts from the ping less that (handledUntil), the orphan timeout from the ping as before, so no work is stopped sooner.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -92,6 +92,8 @@
   readonly entry: string;
   readonly life: string;
   readonly place: DispatcherPlace;
+  /** As in a pong. */
+  readonly lagMs?: number | undefined;
 }
 
 /** First message of a dispatcher that dials another one, to announce itself. */
@@ -134,6 +136,11 @@
    * not sent by earlier versions.
    */
   readonly waitingCpuMilli?: number | undefined;
+  /**
+   * How long ago the end of a caller's connection may have arrived that is not handled yet, ms. Undefined for
+   * a short time; not sent by earlier versions.
+   */
+  readonly lagMs?: number | undefined;
 }
 
 /** Tasks have begun to wait at the dispatcher; the next pong reports whether they still do. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -111,7 +111,7 @@
     },
     { takesBatches: { type: 'boolean' }, linkNumber: COUNT },
   ),
-  'entry-welcome': buildObject({ entry: TEXT, life: TEXT, place: PLACE }),
+  'entry-welcome': buildObject({ entry: TEXT, life: TEXT, place: PLACE }, { lagMs: COUNT }),
   'entry-hello': buildObject({ entry: TEXT, place: PLACE }),
   ping: buildObject(
     { at: FINITE, version: FINITE },
@@ -124,7 +124,7 @@
       typicalSpeed: { type: 'number', minimum: 0 },
       isWaiting: { type: 'boolean' },
     },
-    { waitingCpuMilli: RESOURCE_AMOUNT, emptiedRevision: FINITE },
+    { waitingCpuMilli: RESOURCE_AMOUNT, emptiedRevision: FINITE, lagMs: COUNT },
   ),
   demand: buildObject({}, { waitingCpuMilli: RESOURCE_AMOUNT }),
   room: buildObject({ at: FINITE, room: ROOM }),
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -476,7 +476,7 @@
   }
 
   private sendStop(executorId: string, name: AttemptName, givenUpMs: number): void {
-    this.effects.send(executorId, { type: 'stop', name, givenUpMs: Math.ceil(givenUpMs) });
+    this.effects.send(executorId, { type: 'stop', name, givenUpMs: Math.max(0, Math.ceil(givenUpMs)) });
   }
 
   private drop(task: DispatchTask, now: number): void {
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -63,6 +63,12 @@
 /** Time of the grace period reserved to answer the remaining jobs and exit, ms. */
 const END_MARGIN_MS = 500;
 
+/**
+ * Lag that is not reported to executors, ms; the time between the end of a run and the return of its caller
+ * allows for it.
+ */
+const MIN_REPORTED_LAG_MS = 50;
+
 /** Limit on log lines about placements, per second; other decisions are not limited. */
 const PLACE_LINES_PER_S = 400;
 
@@ -363,7 +369,8 @@
       const needsDemand = isWaiting || !this.demandReportedTo.has(channel);
       this.demandReportedTo.add(channel);
       const waitingCpuMilli = needsDemand ? this.dispatcher.waitingCpuMilli : undefined;
-      channel.send({ type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting, waitingCpuMilli });
+      const reply = { type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting } as const;
+      channel.send({ ...reply, waitingCpuMilli, lagMs: this.findReportedLag(now) });
       this.exchange.compareVersions(message, channel, now);
     }
     this.handle(channel, message, now);
@@ -390,6 +397,12 @@
     this.dispatcher.handleResult(executorId, result, now);
   }
 
+  /** Finds how long ago the end of a caller's connection may have arrived; undefined if not worth reporting. */
+  private findReportedLag(now: number): number | undefined {
+    const lagMs = Math.ceil(this.pauseGuard.findInputLag(now));
+    return lagMs < MIN_REPORTED_LAG_MS ? undefined : lagMs;
+  }
+
   private handleExecutorHello(
     channel: LineChannel,
     hello: Extract<PeerMessage, { type: 'agent-hello' }>,
@@ -406,7 +419,8 @@
     before?.close('replaced');
     if (hello.takesBatches === true) channel.allowBatches();
     const { place, incarnation } = this;
-    channel.send({ type: 'entry-welcome', entry: this.settings.id, life: incarnation, place });
+    const lagMs = this.findReportedLag(now);
+    channel.send({ type: 'entry-welcome', entry: this.settings.id, life: incarnation, place, lagMs });
     channel.send({ type: 'members', entries: [this.place, ...this.members.list(now)] });
     this.dispatcher.handleHello(hello, this.incarnation, now);
   }
--- a/src/process/executor/DispatcherLinks.ts
+++ b/src/process/executor/DispatcherLinks.ts
@@ -308,7 +308,7 @@
 
   private handleWelcome(
     link: DispatcherLink,
-    { life: incarnation, place }: DispatcherWelcome,
+    { life: incarnation, place, lagMs }: DispatcherWelcome,
     now: number,
   ): void {
     const { address } = link;
@@ -319,7 +319,7 @@
     this.log('entry-linked', { address, life: incarnation, before });
     this.directory.recordMembers([{ ...place, address }], now);
     this.directory.recordAlive(address, now);
-    this.executor.handleWelcome(incarnation, link.openedAt);
+    this.executor.handleWelcome(incarnation, link.openedAt, lagMs);
     if (link.retiringSince !== undefined) this.executor.setRetiring(incarnation, true);
     this.sendPing(link, now);
     this.sendMembers();
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -30,6 +30,8 @@
 import { FencingTokens } from './FencingTokens.js';
 import type { LocalTask } from './localTask.js';
 import { CapacityShares } from './CapacityShares.js';
+import { createLiveness, NOTHING_REPORTED } from './dispatcherLiveness.js';
+import type { DispatcherLiveness } from './dispatcherLiveness.js';
 import type { DispatcherUsage } from './CapacityShares.js';
 import { UpstreamIncarnations } from './UpstreamIncarnations.js';
 import { UpstreamSession } from './UpstreamSession.js';
@@ -75,38 +77,6 @@
   readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
-interface DispatcherLiveness {
-  /** Local time at which the ping that it last acknowledged, or the hello message of its link, was sent. */
-  acknowledgedAt: number;
-  /** Number of start orders received on its current link. */
-  startsSeen: number;
-  /** Typical speed of upstreams as reported by the dispatcher. */
-  typicalSpeed: number;
-  /** Capacity last reported on its link. */
-  reported: ReportedCapacity;
-  /** Whether its link is about to be closed, so that it must not order new tasks. */
-  isRetiring: boolean;
-  /** Recent results, oldest first. */
-  results: RetainedResult[];
-}
-
-/** A recently sent result. */
-interface RetainedResult {
-  readonly at: number;
-  readonly result: AttemptResult;
-  /** Set if the task was lost in a crash. */
-  readonly crash: CrashedTask | undefined;
-}
-
-/** Capacity last reported on a link, in a form for comparison. */
-interface ReportedCapacity {
-  readonly description: UpstreamDescription | undefined;
-  /** State, health, speed and preference as JSON. */
-  readonly status: string;
-  /** The status, free capacity and number of received starts as JSON; empty to force the next report. */
-  readonly capacity: string;
-}
-
 /** State and decisions of one executor. */
 export class Executor {
   private readonly liveness = new Map<string, DispatcherLiveness>();
@@ -178,9 +148,10 @@
    *
    * @param dispatcher - incarnation of the dispatcher
    * @param openedAt - when the link was opened, monotonic ms
+   * @param lagMs - how long ago the end of a caller's connection may have arrived that is not handled yet
    */
-  handleWelcome(dispatcher: string, openedAt: number): void {
-    const liveness = this.recordLiveness(dispatcher, openedAt);
+  handleWelcome(dispatcher: string, openedAt: number, lagMs = 0): void {
+    const liveness = this.recordLiveness(dispatcher, openedAt, lagMs);
     liveness.startsSeen = 0;
     liveness.reported = NOTHING_REPORTED;
     liveness.isRetiring = false;
@@ -248,11 +219,11 @@
   }
 
   /** Handles the reply of a dispatcher to a ping. */
-  handlePong(dispatcher: string, { at, typicalSpeed, isWaiting, waitingCpuMilli }: Pong): void {
+  handlePong(dispatcher: string, { at, typicalSpeed, isWaiting, waitingCpuMilli, lagMs = 0 }: Pong): void {
     // Only the first pong of a link always has the amount; later ones omit it while no tasks wait.
     const hasNoDemand = !isWaiting && this.shares.hasReportedDemand(dispatcher);
     this.shares.recordDemand(dispatcher, hasNoDemand ? 0 : waitingCpuMilli);
-    const liveness = this.recordLiveness(dispatcher, at);
+    const liveness = this.recordLiveness(dispatcher, at, lagMs);
     liveness.typicalSpeed = typicalSpeed;
   }
 
@@ -502,14 +473,14 @@
     return best;
   }
 
-  /** Time after the newest acknowledged ping of a dispatcher by which its runs are over, ms. */
+  /** Time after the newest acknowledged ping of a dispatcher by which its runs are over at the latest, ms. */
   private get endLimitMs(): number {
     const { leaseMs, stopMs, orphanAfterMs } = this.bounds;
     return orphanAfterMs + leaseMs * LEASE_ALLOWANCE + stopMs;
   }
 
   private findEndLimit(dispatcher: string): number {
-    return (this.liveness.get(dispatcher)?.acknowledgedAt ?? -Infinity) + this.endLimitMs;
+    return (this.liveness.get(dispatcher)?.handledUntil ?? -Infinity) + this.endLimitMs;
   }
 
   private stopDispatcher(dispatcher: string, reason: string): number {
@@ -543,10 +514,11 @@
   }
 
   /** Records an acknowledged ping; work that has expired before is stopped first. */
-  private recordLiveness(dispatcher: string, acknowledgedAt: number): DispatcherLiveness {
+  private recordLiveness(dispatcher: string, acknowledgedAt: number, lagMs: number): DispatcherLiveness {
     this.expireDispatchers(this.clock.now());
     const liveness = this.findLiveness(dispatcher, acknowledgedAt);
     liveness.acknowledgedAt = Math.max(liveness.acknowledgedAt, acknowledgedAt);
+    liveness.handledUntil = Math.max(liveness.handledUntil, acknowledgedAt - lagMs);
     return liveness;
   }
 
@@ -597,8 +569,6 @@
 
 const STATE_PREFERENCE = ['ready', 'silent', 'joining', 'draining', 'absent'] as const;
 
-const NOTHING_REPORTED: ReportedCapacity = { description: undefined, status: '', capacity: '' };
-
 const ABSENT_DESCRIPTION: UpstreamDescription = {
   upstream: '',
   service: '',
@@ -612,14 +582,3 @@
   trust: 'healthy',
   speed: 1,
 } as const;
-
-function createLiveness(acknowledgedAt: number): DispatcherLiveness {
-  return {
-    acknowledgedAt,
-    startsSeen: 0,
-    typicalSpeed: 1,
-    reported: NOTHING_REPORTED,
-    isRetiring: false,
-    results: [],
-  };
-}
--- a/src/process/executor/RunLimits.ts
+++ b/src/process/executor/RunLimits.ts
@@ -19,6 +19,8 @@
 export class RunLimits {
   /** Number of runs there that this process has not ordered; undefined until a list shows it. */
   private unknown: number | undefined;
+  /** Time from which on renewals list what calls of others have started. */
+  private listedFrom = -Infinity;
 
   /**
    * @param tasks - tasks that may run there
@@ -61,11 +63,17 @@
   /** Accounts for calls intended for another incarnation, which may have started runs at this one. */
   handleForeignWriter(): void {
     this.unknown = undefined;
+    this.listedFrom = this.clock.now();
   }
 
-  /** Records the number of unknown runs in the newest list of the upstream. */
-  recordUnknown(count: number): void {
-    this.unknown = count;
+  /**
+   * Records the number of unknown runs in the newest list of the upstream.
+   *
+   * @param count - number of unknown runs
+   * @param sentAt - when the renewal was sent that lists them
+   */
+  recordUnknown(count: number, sentAt: number): void {
+    if (sentAt >= this.listedFrom) this.unknown = count;
   }
 
   /** Describes the run that limits the lease, for the log. */
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -274,7 +274,7 @@
     const now = this.clock.now();
     const task = createLocalTask(buildTaskKey(order.name), order, owner, now);
     const other = this.tasks.get(task.key);
-    if (other && other.owner !== owner) this.giveUp(other, 'submitted-elsewhere');
+    if (other) this.giveUp(other, 'submitted-elsewhere');
     this.waiting.add(task);
     this.startWaitingTasks();
     if (task.phase === 'waiting') void this.clock.sleep(OVERDUE_MS).then(() => this.startWaitingTasks());
@@ -345,7 +345,8 @@
 
   /**
    * Starts waiting tasks that fit, and returns those that have waited too long. One of which an earlier run
-   * may go on here is kept until that is over, as it would be started elsewhere once it is returned.
+   * may go on here is kept until that is over, as it would be started elsewhere once it is returned; by then
+   * it has mostly waited too long.
    */
   startWaitingTasks(): void {
     const now = this.clock.now();
@@ -446,7 +447,7 @@
     if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.name });
     this.reachable = true;
     const unknown = this.lists.applyAnswer(answer, sentAt, now, hadLapsed);
-    this.limits.recordUnknown(unknown);
+    this.limits.recordUnknown(unknown, sentAt);
     this.updateLimit();
     if (unknown === 0 && this.events.settle(sentAt) && !this.joined) this.join();
     this.startWaitingTasks();
