--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -11,7 +11,8 @@
   capacityCommands,
   suspensionCommands,
 } from '../test/fakes/dispatchCommands.js';
-import { runDispatchSimulation } from '../test/fakes/runDispatchSimulation.js';
+import { orphanCommands } from '../test/fakes/orphanCommands.js';
+import { runDispatchSimulation, runOrphanSimulation } from '../test/fakes/runDispatchSimulation.js';
 import { runProcessSoak } from './runProcessSoak.js';
 import { RUN_AGENTS, RUN_ENTRIES, clusterCommands } from '../test/fakes/clusterCommands.js';
 
@@ -67,6 +68,8 @@
 
 async function runSoak(core: string, seed: number): Promise<void> {
   if (core === 'processes') return console.log(JSON.stringify(await runProcessSoak(seed)));
+  if (core === 'orphans')
+    return console.log(JSON.stringify(await runOrphanSimulation(orphanCommands, seed, BATCH_RUNS, true)));
   const simulationCommands = DISPATCH_COMMANDS[core];
   if (simulationCommands) {
     return console.log(
@@ -96,7 +99,7 @@
 };
 
 const CORE_HELP =
-  'registrar (entries and agents), dispatch (dispatchers and executors), late (with late reports of earlier incarnations), domains (with evacuated failure domains), restarts (with upstreams that keep their ids), suspensions (with suspended VMs and clock changes), rooms (with changing capacity) or processes (real processes of the platform)';
+  'registrar (entries and agents), dispatch (dispatchers and executors), late (with late reports of earlier incarnations), domains (with evacuated failure domains), restarts (with upstreams that keep their ids), suspensions (with suspended VMs and clock changes), rooms (with changing capacity), orphans (with many lost or late stops, and callers that come again) or processes (real processes of the platform)';
 
 const cli = cac('soak');
 cli.option('--core <name>', CORE_HELP, { default: 'registrar' });
--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -8,7 +8,9 @@
   capacityCommands,
   suspensionCommands,
 } from './fakes/dispatchCommands.js';
-import { runDispatchSimulation } from './fakes/runDispatchSimulation.js';
+import { DispatchSimulation } from './fakes/DispatchSimulation.js';
+import { orphanCommands } from './fakes/orphanCommands.js';
+import { runDispatchSimulation, runOrphanSimulation } from './fakes/runDispatchSimulation.js';
 
 /** Runs in CI; `npm run soak -- --core dispatch` runs more. */
 const RUNS = 40;
@@ -17,6 +19,20 @@
 const SUSPENSION_SEED = 50_000_001;
 /** First seed of runs with capacity changes. */
 const CAPACITY_SEED = 51_000_001;
+/** First seed of runs with many lost or late stops. */
+const ORPHAN_SEED = 52_000_001;
+/** Seeds of such runs that violated an invariant, with the number of runs to reproduce it. */
+const ORPHAN_SEEDS = [
+  { seed: 1, runs: 87 },
+  { seed: 3, runs: 11 },
+  { seed: 6, runs: 2 },
+  { seed: 9, runs: 15 },
+  { seed: 10, runs: 1 },
+  { seed: 11, runs: 9 },
+  { seed: 12, runs: 12 },
+];
+/** Seeds of the simulation with which the task starts at the upstream that loses orders. */
+const LOST_ORDER_SEEDS = [3, 4, 5];
 /** Seeds that violated an invariant, with the number of runs to reproduce it. */
 const RESTART_SEEDS = [
   { seed: 100_014, runs: 170 },
@@ -72,6 +88,40 @@
     });
   }
 
+  it('hold when many stops are lost or late and callers come again', async () => {
+    const totals = await runOrphanSimulation(orphanCommands, ORPHAN_SEED, RUNS, false);
+    expect(totals['completed']).to.be.greaterThan(0);
+    expect(totals['interrupted']).to.be.greaterThan(0);
+  });
+
+  // Guards against runs that go on beside a second start of their task, because their lease is extended while their
+  // stops are lost.
+  for (const { seed, runs } of ORPHAN_SEEDS) {
+    it(`hold when many stops are lost or late and callers come again, seed ${seed}`, async () => {
+      const totals = await runOrphanSimulation(orphanCommands, seed, runs, false);
+      expect(totals['submitted']).to.be.greaterThan(0);
+    });
+  }
+
+  // Guards against a run that goes on for long after its caller left, because 18 orders in a row are lost.
+  for (const seed of LOST_ORDER_SEEDS) {
+    it(`hold when a caller leaves while 18 orders in a row are lost, seed ${seed}`, async () => {
+      const simulation = new DispatchSimulation(seed);
+      try {
+        await simulation.advance(200);
+        simulation.submit(0, 1, 20, 600);
+        await simulation.advance(5);
+        simulation.hang(5, true);
+        simulation.setFates(2, 'lost', 18);
+        await simulation.resubmit(0, 0);
+        await simulation.settle();
+      } finally {
+        simulation.close();
+      }
+      expect(simulation.counts.submitted).to.equal(2);
+    });
+  }
+
   // Guards against a killed dispatcher passing an outdated list of emptied domains to its next incarnation.
   it('hold when a dispatcher is killed before it receives an emptied domain, seed 5004', async () => {
     const totals = await runDispatchSimulation(domainCommands, 5_004, 70, false);
--- a/test/fakes/DispatchSimulation.ts
+++ b/test/fakes/DispatchSimulation.ts
@@ -9,27 +9,25 @@
   DispatcherMessage,
   PeerMessage,
 } from '../../src/connection/peer/peerMessages.js';
-import { createPolicies, ROUTE, STEP } from './dispatchFixtures.js';
+import { ROUTE, STEP } from './dispatchFixtures.js';
 import type { JobSubmission } from '../../src/request/dispatch/submission.js';
 import type { EmptiedDomains } from '../../src/version/emptiedDomains.js';
-import { Executor } from '../../src/process/executor/Executor.js';
+import type { Executor } from '../../src/process/executor/Executor.js';
 import { buildExecutorId } from '../../src/process/dispatcher/ExecutorView.js';
-import { Dispatcher } from '../../src/process/dispatcher/Dispatcher.js';
 import { OperatorExchange } from '../../src/process/OperatorExchange.js';
-import { deriveDispatchTimes } from '../../src/process/dispatchTimes.js';
 import { checkAnswers, checkEmptiedRevision, checkRuns, RESUBMIT_MS } from './checkDispatchSimulation.js';
 import {
   applyWrittenChange,
   compareEmptied,
   createExecutorExchange,
   DOMAINS,
-  findDomain,
   isKnownEmptied,
   handleStart,
 } from './dispatchSimulationDomains.js';
+import { createDispatcherCore, createExecutorCore, TIMES } from './dispatchSimulationCores.js';
 import { SimUpstreams } from './dispatchSimulationUpstreams.js';
-import { buildPing, buildPong, createLink, pickOne } from './dispatchSimulationState.js';
-import type { Link, SimExecutor, SimDispatcher, SimJob } from './dispatchSimulationState.js';
+import { buildEntryLife, buildPing, buildPong, createLink, pickOne } from './dispatchSimulationState.js';
+import type { Link, SimCaller, SimExecutor, SimDispatcher, SimJob } from './dispatchSimulationState.js';
 import { FakeCaller } from './FakeCaller.js';
 import { FakeClock } from './FakeClock.js';
 import { GatedUpstreamApi, ProcessGate } from './ProcessGate.js';
@@ -37,19 +35,15 @@
 export const DISPATCHERS = 2;
 export const EXECUTORS = 3;
 
-const STOP_MS = 50;
-const MAX_LEASE_MS = 1_000;
 const STEP_MS = 5;
 const TICK_MS = 40;
 const RECONNECT_MS = 60;
 const REPORT_MS = 500;
+/** Time after the end of all faults in which every waiting caller gets its answer, ms. */
+const SETTLE_MS = 6_000;
 const RESTART_MS = 300;
 /** Time of day at the start of a run, Unix ms. */
 const FIRST_START_MS = 1_000_000;
-const TIMES = deriveDispatchTimes({
-  resubmitMs: RESUBMIT_MS,
-  maxLeaseMs: 1_000,
-} as Parameters<typeof deriveDispatchTimes>[0]);
 
 /** Small deployment in memory. */
 export class DispatchSimulation {
@@ -58,15 +52,15 @@
   /** Answers by kind. */
   readonly counts = { submitted: 0, completed: 0, interrupted: 0, refused: 0, rejected: 0, failed: 0 };
   private readonly nextRandom: () => number;
-  private readonly dispatchers: SimDispatcher[];
-  private readonly executors: SimExecutor[];
+  protected readonly dispatchers: SimDispatcher[];
+  protected readonly executors: SimExecutor[];
   private readonly links = new Map<string, Link>();
   private readonly cutUntil = new Map<string, number>();
   private readonly reconnectAt = new Map<string, number>();
   private lastTickAt = 0;
   private lastPingAt = 0;
   private lastReportAt = 0;
-  private readonly upstreams: SimUpstreams;
+  protected readonly upstreams: SimUpstreams;
   /** Newest record of emptied failure domains; undefined for none. */
   private written: EmptiedDomains | undefined;
 
@@ -74,13 +68,15 @@
    * @param seed - of the random numbers
    * @param keepsIds - whether incarnations of an upstream share an id, each with its own report sequence
    * @param crashLimit - the dispatchers' crash limit
+   * @param clockRates - rates of the upstreams' clocks, by index of the executor; 1 if not set
    */
   constructor(
     seed: number,
     keepsIds = false,
     private readonly crashLimit = 0,
+    clockRates: readonly number[] = [],
   ) {
-    this.upstreams = new SimUpstreams(this.clock, keepsIds);
+    this.upstreams = new SimUpstreams(this.clock, keepsIds, clockRates);
     this.nextRandom = createRandom(seed);
     this.dispatchers = Array.from({ length: DISPATCHERS }, (_, index) => this.createDispatcher(index, 1));
     this.executors = Array.from({ length: EXECUTORS }, (_, index) => this.createExecutor(index));
@@ -133,9 +129,14 @@
   /** Kills a process; its next incarnation starts later. */
   kill(kind: 'entry' | 'agent', index: number): void {
     if (kind === 'entry') return this.killDispatcher(pickOne(this.dispatchers, index));
+    this.killExecutor(index, RESTART_MS);
+  }
+
+  /** Kills an executor; its next incarnation starts after the given time. */
+  killExecutor(index: number, downMs: number): void {
     const executor = pickOne(this.executors, index);
     executor.gate.dead = true;
-    executor.restartAt = this.clock.now() + RESTART_MS;
+    executor.restartAt = this.clock.now() + downMs;
     for (const link of [...this.links.values()]) if (link.executor === executor) this.breakLink(link);
   }
 
@@ -207,7 +208,7 @@
     const { index, incarnation } = pickOne(this.executors, executorIndex);
     if (peer.gate.isFrozen || peer.gate.dead || incarnation === 1) return;
     const hello = this.buildLateHello(index, incarnation - 1);
-    const id = peer.core.handleHello(hello, `entry-${peer.index}@${peer.incarnation}`, peer.gate.now());
+    const id = peer.core.handleHello(hello, buildEntryLife(peer), peer.gate.now());
     await this.advance(STEP_MS);
     if (!peer.gate.isFrozen) peer.core.handleClose(id, 'ended', peer.gate.now());
   }
@@ -245,10 +246,15 @@
       await this.clock.advance(STEP_MS, STEP_MS);
       this.step();
       await this.clock.settle();
-      checkRuns(this.executors, this.jobs, this.clock.now());
+      this.check();
     }
   }
 
+  /** Checks the invariants after a step. */
+  protected check(): void {
+    checkRuns(this.executors, this.jobs, this.clock.now());
+  }
+
   /** Ends all faults and checks that every waiting caller has an answer. */
   async settle(): Promise<void> {
     this.cutUntil.clear();
@@ -259,7 +265,7 @@
       upstream.fake.hangs = false;
       upstream.fake.fates.length = 0;
     }
-    await this.advance(6_000);
+    await this.advanceUntilIdle();
     for (const job of this.jobs) {
       for (const { kind } of checkAnswers(job)) this.counts[kind] += 1;
     }
@@ -275,20 +281,26 @@
     for (const { core } of this.executors) core.close();
   }
 
-  private submitAt(job: SimJob, dispatcher: SimDispatcher, taskMs: number, patienceMs: number): void {
+  /** Advances time until every waiting caller must have its answer. */
+  protected async advanceUntilIdle(): Promise<void> {
+    await this.advance(SETTLE_MS);
+  }
+
+  protected submitAt(job: SimJob, dispatcher: SimDispatcher, taskMs: number, patienceMs: number): void {
     const caller = new FakeCaller();
-    job.callers.push({ caller, dispatcher, leftAt: undefined });
+    const spec = String(job.callers.length);
+    job.callers.push({ caller, dispatcher, entryLife: buildEntryLife(dispatcher), leftAt: undefined });
     this.counts.submitted += 1;
     for (const { upstream } of this.executors) upstream.fake.taskMs = taskMs;
     const route = { ...ROUTE, maxAttempts: 3 };
     const step = { ...STEP, count: job.tasks, estimateMs: taskMs };
-    const submission: JobSubmission = { id: job.id, route, spec: '', steps: [step], patienceMs };
+    const submission: JobSubmission = { id: job.id, route, spec, steps: [step], patienceMs };
     if (dispatcher.gate.isFrozen) return this.leave(job, job.callers.at(-1));
     dispatcher.core.submit(submission, caller, dispatcher.gate.now());
     dispatcher.core.place(dispatcher.gate.now());
   }
 
-  private leave(job: SimJob, one: SimJob['callers'][number] | undefined): void {
+  protected leave(job: SimJob, one: SimCaller | undefined): void {
     if (!one || one.leftAt !== undefined) return;
     one.leftAt = this.clock.now();
     this.runWhenAwake(one.dispatcher.gate, () =>
@@ -310,7 +322,7 @@
     Object.assign(dead, this.createDispatcher(dead.index, dead.incarnation + 1, dead.gate.createNext()));
   }
 
-  private step(): void {
+  protected step(): void {
     const now = this.clock.now();
     this.upstreams.restartCrashed(this.executors, (executor) => this.report(executor));
     this.restartExecutors(now);
@@ -384,11 +396,11 @@
     }
   }
 
-  private receiveAtDispatcher(link: Link, message: ExecutorMessage, now: number): void {
-    const { core, incarnation, index, exchange } = link.dispatcher;
+  protected receiveAtDispatcher(link: Link, message: ExecutorMessage, now: number): void {
+    const { core, index, exchange } = link.dispatcher;
     const reply = { send: (answer: PeerMessage) => this.sendBack(link, answer as DispatcherMessage) };
     if (exchange.receive(message, reply)) return;
-    const name = `entry-${index}@${incarnation}`;
+    const name = buildEntryLife(link.dispatcher);
     if (message.type === 'agent-hello') {
       link.executorId = buildExecutorId(message);
       const place = { address: `entry-${index}`, failureDomain: 'x' };
@@ -464,23 +476,11 @@
     incarnation: number,
     gate = new ProcessGate(this.clock),
   ): SimDispatcher {
-    const core = new Dispatcher(
-      {
-        pingMs: TIMES.pingMs,
-        ...createPolicies(),
-        crashLimit: this.crashLimit,
-        nextRandom: this.nextRandom,
-      },
-      {
-        send: (id, message) => {
-          for (const link of this.links.values()) {
-            if (link.dispatcher.index === at && link.executorId === id) this.sendBack(link, message);
-          }
-        },
-        log: () => undefined,
-        recordOutcome: () => undefined,
-      },
-    );
+    const core = createDispatcherCore(this.crashLimit, this.nextRandom, (id, message) => {
+      for (const link of this.links.values()) {
+        if (link.dispatcher.index === at && link.executorId === id) this.sendBack(link, message);
+      }
+    });
     const exchange = new OperatorExchange({
       changeConfiguration: () => undefined,
       changeEmptied: ({ domains }) => core.setEmptied(domains),
@@ -506,29 +506,15 @@
   }
 
   private buildCore(at: number, incarnation: number, gate: ProcessGate, find: () => SimExecutor): Executor {
-    return new Executor(
-      {
-        id: `agent-${at}`,
-        incarnation: String(incarnation),
-        failureDomain: findDomain({ index: at }),
-        startedAt: FIRST_START_MS + this.clock.now(),
+    const startedAt = FIRST_START_MS + this.clock.now();
+    return createExecutorCore({ index: at, incarnation, startedAt }, gate, {
+      openApi: ({ id }) => new GatedUpstreamApi(this.upstreams.openApi(id, find), gate),
+      sendResult: (name, result) => {
+        for (const link of this.links.values()) {
+          if (link.executor.index === at && link.incarnation === name && !gate.dead)
+            this.sendForth(link, result);
+        }
       },
-      { ...TIMES, maxLeaseMs: MAX_LEASE_MS, stopMs: STOP_MS },
-      gate,
-      {
-        openApi: ({ id }) => new GatedUpstreamApi(this.upstreams.openApi(id, find), gate),
-        sendResult: (name, result) => {
-          for (const link of this.links.values()) {
-            if (link.executor.index === at && link.incarnation === name && !gate.dead)
-              this.sendForth(link, result);
-          }
-        },
-        sendCrashes: () => undefined,
-        handleJoined: () => undefined,
-        handleChange: () => undefined,
-        handleCapacityChange: () => undefined,
-        log: () => undefined,
-      },
-    );
+    });
   }
 }
--- a/test/fakes/FakeUpstream.ts
+++ b/test/fakes/FakeUpstream.ts
@@ -24,6 +24,7 @@
 
 interface Run {
   readonly name: RunName;
+  readonly spec: string;
   readonly startedAt: number;
   workMs: number;
 }
@@ -31,6 +32,14 @@
 /** Fate of an order; `late`: a start gets no answer and is applied later, with a lease from then on. */
 export type OrderFate = 'answered' | 'lost' | 'unanswered' | 'late';
 
+/** Stops that get no answer for some time. */
+interface StopFault {
+  /** Clock of the VM until which stops get no answer, ms. */
+  readonly until: number;
+  /** Delay after which they are applied, ms; undefined if they are lost. */
+  readonly lateMs: number | undefined;
+}
+
 /** Incarnation of an upstream. */
 export class FakeUpstream extends UpstreamApi {
   readonly running = new Map<string, Run>();
@@ -41,6 +50,8 @@
   stops = 0;
   /** Duration of a task, ms. */
   taskMs = 100;
+  /** Duration of the tasks of some jobs, by job, ms. */
+  durations: ReadonlyMap<string, number> = new Map();
   /** Whether tasks are stalled. */
   hangs = false;
   /** Whether tasks fail at once. */
@@ -75,6 +86,7 @@
   doubled = 0;
   private readonly highestRun = new Map<string, number>();
   private sequence = 0;
+  private stopFault: StopFault | undefined;
 
   constructor(
     /** Steady clock of its VM. */
@@ -86,7 +98,7 @@
   }
 
   get clockMs(): number {
-    return this.clock.now() + this.offsetMs;
+    return Math.floor(this.clock.now() + this.offsetMs);
   }
 
   override async start(order: RunStart, timeoutMs: number): Promise<OrderAnswer<StartVerdict>> {
@@ -113,7 +125,7 @@
     if (run) this.doubled += 1;
     this.highestRun.set(key, order.name.run);
     this.starts += 1;
-    this.running.set(key, { name: order.name, startedAt: this.clock.now(), workMs: 0 });
+    this.running.set(key, { name: order.name, spec: order.spec, startedAt: this.clock.now(), workMs: 0 });
     if (this.fails) this.end(order.name, 'failed');
     if (order.name.job === this.poison) this.crash();
     return 'started';
@@ -137,6 +149,10 @@
       this.lostStops -= 1;
       await this.timeOut(timeoutMs);
     }
+    if (this.stopFault && this.clock.now() < this.stopFault.until) {
+      this.scheduleStop(name, fencingToken, this.stopFault);
+      await this.timeOut(timeoutMs);
+    }
     const fate = await this.takeFate(timeoutMs);
     if (this.isReplaced) return { verdict: 'other-life', clockMs: undefined };
     if (fencingToken < this.token) return { verdict: 'fenced', clockMs: this.clockMs };
@@ -145,6 +161,33 @@
     return { verdict: 'accepted', clockMs: this.clockMs };
   }
 
+  /**
+   * Leaves stops without an answer for some time, apart from `fates`.
+   *
+   * @param ms - for how long
+   * @param lateMs - delay after which such a stop is applied; undefined if it is lost
+   */
+  disturbStops(ms: number, lateMs: number | undefined): void {
+    this.stopFault = { until: this.clock.now() + ms, lateMs };
+  }
+
+  /** Ends the faults of orders and renewals. */
+  endFaults(): void {
+    this.fates.length = 0;
+    this.lostStops = 0;
+    this.lostRenewals = 0;
+    this.mutesRenewals = false;
+    this.stopFault = undefined;
+  }
+
+  /** Applies a stop later, with the run and the token that it was sent with. */
+  private scheduleStop(name: RunName, fencingToken: number, { lateMs }: StopFault): void {
+    if (lateMs === undefined) return;
+    void this.clock.sleep(lateMs).then(() => {
+      if (!this.isOver && fencingToken >= this.token) this.applyStop(name);
+    });
+  }
+
   override async renew(renewal: LeaseRenewal, timeoutMs: number): Promise<LeaseAnswer> {
     this.renewals += 1;
     this.checkListens();
@@ -168,7 +211,7 @@
       this.update();
     }
     const running = [...this.running.values()].map(({ name, workMs }) => {
-      return { name, percent: Math.floor(Math.min(99, (workMs / this.taskMs) * 100)) };
+      return { name, percent: Math.floor(Math.min(99, (workMs / this.findTaskMs(name)) * 100)) };
     });
     const { clockMs, bornAt, ended } = this;
     return { verdict: 'held', clockMs, bornAt, running, ended: [...ended] };
@@ -180,7 +223,7 @@
 
   /** Starts a run on behalf of an earlier incarnation of the executor. */
   beginForeign(name: RunName): void {
-    this.running.set(buildKey(name), { name, startedAt: this.clock.now(), workMs: 0 });
+    this.running.set(buildKey(name), { name, spec: '', startedAt: this.clock.now(), workMs: 0 });
     this.highestRun.set(buildKey(name), name.run);
   }
 
@@ -201,11 +244,15 @@
     const lapsed = this.clockMs > this.leaseUntil;
     for (const run of [...this.running.values()]) {
       if (!this.hangs) run.workMs = now - run.startedAt;
-      if (run.workMs >= this.taskMs) this.end(run.name, 'done');
+      if (run.workMs >= this.findTaskMs(run.name)) this.end(run.name, 'done');
       else if (lapsed) this.end(run.name, 'lapsed');
     }
   }
 
+  private findTaskMs({ job }: RunName): number {
+    return this.durations.get(job) ?? this.taskMs;
+  }
+
   private end(name: RunName, end: RunEnd): void {
     this.running.delete(buildKey(name));
     this.sequence += 1;
--- a/test/fakes/checkDispatchSimulation.ts
+++ b/test/fakes/checkDispatchSimulation.ts
@@ -1,5 +1,6 @@
 /** Invariants of the randomised simulation of dispatchers and executors. */
 import type { JobOutcome } from '../../src/request/dispatch/submission.js';
+import type { AcknowledgedPings } from './AcknowledgedPings.js';
 import { STEP } from './dispatchFixtures.js';
 import type { SimExecutor, SimDispatcher, SimJob, SimUpstream } from './dispatchSimulationState.js';
 
@@ -7,6 +8,8 @@
 export const SIMULATION_STEP_MS = 5;
 /** Delay before a caller submits a job again at another dispatcher, ms. */
 export const RESUBMIT_MS = 1_300;
+/** Time after the newest acknowledged ping of a dispatcher by which its runs are over, ms. */
+const ORPHAN_MS = 1_244;
 /** Initial capacity of each upstream, in tasks. */
 export const CAPACITY_TASKS = 4;
 /** Initial capacity of each upstream. */
@@ -41,6 +44,31 @@
   }
 }
 
+/**
+ * Checks that each run whose caller is gone is over before that caller comes again, and if its dispatcher was killed, before
+ * other dispatchers may start its task.
+ */
+export function checkOrphans(
+  executors: readonly SimExecutor[],
+  jobs: readonly SimJob[],
+  pings: AcknowledgedPings,
+  now: number,
+): void {
+  for (const { upstream, index } of executors) {
+    for (const [key, { name, spec }] of upstream.fake.running) {
+      const one = jobs.find(({ id }) => id === name.job)?.callers[Number(spec)];
+      if (!one) throw new Error(`${key} runs for an unknown caller`);
+      const { goneAt, entryLife } = one;
+      if (goneAt === undefined) continue;
+      if (now >= goneAt + RESUBMIT_MS)
+        throw new Error(`${key} runs ${now - goneAt} ms after its caller was gone`);
+      const pingAt = pings.findNewest(entryLife, index, goneAt);
+      if (pingAt !== undefined && now > pingAt + ORPHAN_MS)
+        throw new Error(`${key} runs ${now - pingAt} ms after the newest acknowledged ping of ${entryLife}`);
+    }
+  }
+}
+
 /** Checks that every process has the newest list of emptied failure domains. */
 export function checkEmptiedRevision(
   processes: readonly Pick<SimDispatcher | SimExecutor, 'exchange'>[],
--- a/test/fakes/dispatchCommands.ts
+++ b/test/fakes/dispatchCommands.ts
@@ -3,15 +3,16 @@
 
 import type { DispatchSimulation } from './DispatchSimulation.js';
 
-type SimulationCommand = fc.AsyncCommand<object, DispatchSimulation>;
+type SimulationCommand<Simulation> = fc.AsyncCommand<object, Simulation>;
 
 /** Most commands of one run. */
-const MAX_COMMANDS = 40;
+export const MAX_COMMANDS = 40;
 
-function createCommand(
+/** Creates a command. */
+export function createCommand<Simulation = DispatchSimulation>(
   name: string,
-  run: (simulation: DispatchSimulation) => void | Promise<void>,
-): SimulationCommand {
+  run: (simulation: Simulation) => void | Promise<void>,
+): SimulationCommand<Simulation> {
   return { check: () => true, run: async (_, simulation) => run(simulation), toString: () => name };
 }
 
@@ -144,7 +145,8 @@
     ),
   );
 
-const EARLIER_COMMANDS = [
+/** Commands of all runs. The list must not change, so that a seed reproduces its run. */
+export const EARLIER_COMMANDS = [
   submit,
   submit,
   submit,
@@ -161,7 +163,7 @@
   hang,
 ];
 
-/** Commands of one run. The list must not change, so that a seed reproduces its run. */
+/** Commands of one run. */
 export const dispatchCommands = fc.commands(EARLIER_COMMANDS, { maxCommands: MAX_COMMANDS, size: 'max' });
 
 /** Adds unresponsive connections and delayed messages of earlier incarnations. */
--- a/test/fakes/dispatchSimulationState.ts
+++ b/test/fakes/dispatchSimulationState.ts
@@ -89,14 +89,31 @@
   reports: number;
 }
 
+/** Caller of a job at one dispatcher. */
+export interface SimCaller {
+  readonly caller: FakeCaller;
+  readonly dispatcher: SimDispatcher;
+  /** Incarnation of the dispatcher to which it submitted the job. */
+  readonly entryLife: string;
+  /** When it left, or when its dispatcher was killed; undefined while it waits. */
+  leftAt: number | undefined;
+  /** When it left, lost its dispatcher or was told to come again, if the simulation records that. */
+  goneAt?: number | undefined;
+}
+
 /** Job and its successive callers. */
 export interface SimJob {
   readonly id: string;
   readonly tasks: number;
-  readonly callers: { caller: FakeCaller; dispatcher: SimDispatcher; leftAt: number | undefined }[];
+  readonly callers: SimCaller[];
   started: boolean;
 }
 
+/** Builds the name of the latest incarnation of a dispatcher. */
+export function buildEntryLife({ index, incarnation }: Pick<SimDispatcher, 'index' | 'incarnation'>): string {
+  return `entry-${index}@${incarnation}`;
+}
+
 /** The simulation has no configurations. */
 const VERSION = 1;
 
--- a/test/fakes/dispatchSimulationUpstreams.ts
+++ b/test/fakes/dispatchSimulationUpstreams.ts
@@ -25,6 +25,8 @@
 export class SimUpstreams {
   /** Times at which tasks crashed upstreams. */
   readonly crashedAt: number[] = [];
+  /** Duration of the tasks of some jobs, by job, ms. */
+  readonly durations = new Map<string, number>();
   private readonly crashed = new Set<SimExecutor>();
   private poison = '';
   private sequence = 0;
@@ -34,10 +36,12 @@
   /**
    * @param clock - clock of the run
    * @param keepsIds - whether incarnations of an upstream share an id, each with its own report sequence
+   * @param clockRates - rates of the upstreams' clocks, by index of the executor; 1 if not set
    */
   constructor(
     private readonly clock: FakeClock,
     private readonly keepsIds: boolean,
+    private readonly clockRates: readonly number[] = [],
   ) {}
 
   /** Creates the first incarnation of an executor's upstream. */
@@ -148,12 +152,14 @@
   private createIncarnation(index: number, incarnation: number): SimUpstream {
     const clockStep = this.keepsIds ? -CLOCK_STEP_MS : CLOCK_STEP_MS;
     const suspended = this.findSuspended(index);
+    const rate = this.clockRates[index] ?? 1;
     const clock = {
-      now: () => this.clock.now() - suspended.ms,
+      now: () => (this.clock.now() - suspended.ms) * rate,
       sleep: (ms: number) => this.clock.sleep(ms),
     };
     const fake = new FakeUpstream(clock, FIRST_CLOCK_MS + incarnation * clockStep);
     fake.bornAt = this.findBornAt(incarnation);
+    fake.durations = this.durations;
     return {
       id: this.buildId(index, incarnation),
       incarnation,
--- a/test/fakes/runDispatchSimulation.ts
+++ b/test/fakes/runDispatchSimulation.ts
@@ -2,6 +2,8 @@
 
 import type { dispatchCommands } from './dispatchCommands.js';
 import { DispatchSimulation } from './DispatchSimulation.js';
+import type { orphanCommands } from './orphanCommands.js';
+import { OrphanSimulation } from './OrphanSimulation.js';
 
 /**
  * Simulates dispatchers and executors under random faults.
@@ -20,10 +22,31 @@
   runs: number,
   shrink: boolean,
   keepsIds = false,
+): Promise<Record<string, number>> {
+  const create = (simulationSeed: number) => new DispatchSimulation(simulationSeed, keepsIds);
+  return runSimulations(drawn, create, seed, runs, shrink);
+}
+
+/** Simulates lost dispatchers and callers while orders are lost or late; see `runDispatchSimulation`. */
+export async function runOrphanSimulation(
+  drawn: typeof orphanCommands,
+  seed: number,
+  runs: number,
+  shrink: boolean,
+): Promise<Record<string, number>> {
+  return runSimulations(drawn, (simulationSeed) => new OrphanSimulation(simulationSeed), seed, runs, shrink);
+}
+
+async function runSimulations<Simulation extends DispatchSimulation>(
+  drawn: fc.Arbitrary<Iterable<fc.AsyncCommand<object, Simulation>>>,
+  create: (simulationSeed: number) => Simulation,
+  seed: number,
+  runs: number,
+  shrink: boolean,
 ): Promise<Record<string, number>> {
   const totals: Record<string, number> = {};
   const property = fc.asyncProperty(drawn, fc.integer(), async (commands, simulationSeed) => {
-    const simulation = new DispatchSimulation(simulationSeed, keepsIds);
+    const simulation = create(simulationSeed);
     try {
       await simulation.advance(200);
       await fc.asyncModelRun(() => ({ model: {}, real: simulation }), commands);
