Randomised runs with lost stops: longer patience, unresponsive connections

Cause: callers of long tasks waited 4 s at most and those that came again 3 s, so that dispatchers refused most long tasks; no connection became unresponsive while a caller left. Change: 2 or 10 s of patience for long tasks and 10 s for callers that come again; connections that are unresponsive for 60 to 1,500 ms while other commands go on. Seeds of the new kind are drawn anew with it; the earlier kinds are as they were.

--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -23,13 +23,14 @@
 const ORPHAN_SEED = 52_000_001;
 /** Seeds of such runs that violated an invariant, with the number of runs to reproduce it. */
 const ORPHAN_SEEDS = [
-  { seed: 1, runs: 87 },
-  { seed: 3, runs: 11 },
+  { seed: 1, runs: 11 },
+  { seed: 2, runs: 24 },
+  { seed: 3, runs: 2 },
+  { seed: 4, runs: 6 },
+  { seed: 5, runs: 2 },
   { seed: 6, runs: 2 },
-  { seed: 9, runs: 15 },
-  { seed: 10, runs: 1 },
-  { seed: 11, runs: 9 },
-  { seed: 12, runs: 12 },
+  { seed: 7, runs: 4 },
+  { seed: 8, runs: 6 },
 ];
 /** Seeds of the simulation with which the task starts at the upstream that loses orders. */
 const LOST_ORDER_SEEDS = [3, 4, 5];
--- a/test/fakes/DispatchSimulation.ts
+++ b/test/fakes/DispatchSimulation.ts
@@ -54,7 +54,7 @@
   private readonly nextRandom: () => number;
   protected readonly dispatchers: SimDispatcher[];
   protected readonly executors: SimExecutor[];
-  private readonly links = new Map<string, Link>();
+  protected readonly links = new Map<string, Link>();
   private readonly cutUntil = new Map<string, number>();
   private readonly reconnectAt = new Map<string, number>();
   private lastTickAt = 0;
@@ -308,7 +308,7 @@
     );
   }
 
-  private runWhenAwake(gate: ProcessGate, run: () => void): void {
+  protected runWhenAwake(gate: ProcessGate, run: () => void): void {
     if (!gate.isFrozen) return run();
     void gate.waitUntilAwake().then(run);
   }
@@ -446,7 +446,7 @@
     link.back.push({ at: this.clock.now() + this.nextRandom() * 4, message });
   }
 
-  private breakLink(link: Link): void {
+  protected breakLink(link: Link): void {
     const key = `${link.dispatcher.index}/${link.executor.index}`;
     link.broken = true;
     if (this.links.get(key) === link) this.links.delete(key);
--- a/test/fakes/OrphanSimulation.ts
+++ b/test/fakes/OrphanSimulation.ts
@@ -5,7 +5,7 @@
 import type { ExecutorMessage } from '../../src/connection/peer/peerMessages.js';
 import { checkOrphans, RESUBMIT_MS } from './checkDispatchSimulation.js';
 import { AcknowledgedPings } from './AcknowledgedPings.js';
-import { DISPATCHERS, DispatchSimulation } from './DispatchSimulation.js';
+import { DISPATCHERS, DispatchSimulation, EXECUTORS } from './DispatchSimulation.js';
 import { buildEntryLife, pickOne } from './dispatchSimulationState.js';
 import type { Link, SimCaller, SimJob } from './dispatchSimulationState.js';
 
@@ -50,6 +50,16 @@
     this.leave(job, last);
   }
 
+  /** Makes a connection unresponsive while time goes on; its executor closes it later, which the dispatcher does not notice. */
+  muteLink(dispatcherIndex: number, executorIndex: number, ms: number): void {
+    const link = this.links.get(`${dispatcherIndex % DISPATCHERS}/${executorIndex % EXECUTORS}`);
+    if (!link) return;
+    link.silent = true;
+    void this.clock.sleep(ms).then(() => {
+      if (!link.broken) this.breakLink(link);
+    });
+  }
+
   /** Freezes a dispatcher several times in a row. */
   async freezeRepeatedly(index: number, ms: number, times: number, awakeMs: number): Promise<void> {
     for (let i = 0; i < times; i += 1) {
@@ -137,7 +147,7 @@
 }
 
 /** Patience of callers that come again, ms. */
-const RETURN_PATIENCE_MS = 3_000;
+const RETURN_PATIENCE_MS = 10_000;
 
 function isInterrupted({ caller }: SimCaller): boolean {
   return caller.answers[0]?.kind === 'interrupted';
--- a/test/fakes/orphanCommands.ts
+++ b/test/fakes/orphanCommands.ts
@@ -19,7 +19,7 @@
     index,
     fc.integer({ min: 1, max: 4 }),
     fc.constantFrom(1_500, 3_000, 6_000),
-    fc.constantFrom(600, 2_000, 4_000),
+    fc.constantFrom(2_000, 10_000, 10_000),
   )
   .map(([at, tasks, taskMs, patienceMs]) =>
     create(`submit(${at},${tasks},${taskMs},${patienceMs})`, (simulation) =>
@@ -82,6 +82,14 @@
   .tuple(index, fc.constantFrom(200, 600, 1_200, 3_000))
   .map(([at, ms]) => create(`muteRenewals(${at},${ms})`, (simulation) => simulation.muteRenewals(at, ms)));
 
+const muteLink = fc
+  .tuple(index, index, fc.constantFrom(60, 200, 350, 500, 1_500))
+  .map(([dispatcher, executor, ms]) =>
+    create(`muteLink(${dispatcher},${executor},${ms})`, (simulation) =>
+      simulation.muteLink(dispatcher, executor, ms),
+    ),
+  );
+
 /** Commands of one run. The list must not change, so that a seed reproduces its run. */
 export const orphanCommands = fc.commands(
   [
@@ -101,6 +109,7 @@
     loseAllStops,
     delayStops,
     muteRenewals,
+    muteLink,
   ],
   { maxCommands: MAX_COMMANDS, size: 'max' },
 );
