Tests of a caller that leaves while a connection is unresponsive (known red)

The dispatcher's stop is lost with the connection. The executor connects again, and counts the welcome as an acknowledged ping of the time at which the connection was opened; the stop that follows the welcome fixes the limit of the run from there, up to 300 ms and more after its caller left.

--- a/test/dispatchPromises.test.ts
+++ b/test/dispatchPromises.test.ts
@@ -10,6 +10,7 @@
 } from './fakes/dispatchCommands.js';
 import { DispatchSimulation } from './fakes/DispatchSimulation.js';
 import { orphanCommands } from './fakes/orphanCommands.js';
+import { OrphanSimulation } from './fakes/OrphanSimulation.js';
 import { runDispatchSimulation, runOrphanSimulation } from './fakes/runDispatchSimulation.js';
 
 /** Runs in CI; `npm run soak -- --core dispatch` runs more. */
@@ -32,6 +33,8 @@
   { seed: 7, runs: 4 },
   { seed: 8, runs: 6 },
 ];
+/** Seed of the simulation with which the task starts at the upstream of this executor. */
+const MUTED = { seed: 1, executor: 0 };
 /** Seeds of the simulation with which the task starts at the upstream that loses orders. */
 const LOST_ORDER_SEEDS = [3, 4, 5];
 /** Seeds that violated an invariant, with the number of runs to reproduce it. */
@@ -123,6 +126,26 @@
     });
   }
 
+  // Guards against a run that goes on beside a second start of its task, because a welcome on a new connection counts as a sign
+  // that its dispatcher still wants it.
+  for (const ms of [60, 300, 400]) {
+    it(`hold when a caller leaves while a connection is unresponsive for ${ms} ms and stops are lost`, async () => {
+      const simulation = new OrphanSimulation(MUTED.seed);
+      try {
+        await simulation.advance(700);
+        simulation.submit(0, 1, 6_000, 10_000);
+        await simulation.advance(300);
+        simulation.disturbStops('all', 4_000);
+        simulation.muteLink(0, MUTED.executor, ms);
+        await simulation.resubmit(0, 1);
+        await simulation.settle();
+      } finally {
+        simulation.close();
+      }
+      expect(simulation.counts.completed).to.equal(1);
+    });
+  }
+
   // Guards against a killed dispatcher passing an outdated list of emptied domains to its next incarnation.
   it('hold when a dispatcher is killed before it receives an emptied domain, seed 5004', async () => {
     const totals = await runDispatchSimulation(domainCommands, 5_004, 70, false);
