--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -34,6 +34,7 @@
 import type { DispatcherLiveness } from './dispatcherLiveness.js';
 import type { DispatcherUsage } from './CapacityShares.js';
 import { UpstreamIncarnations } from './UpstreamIncarnations.js';
+import { computeLongestLease } from './UpstreamLease.js';
 import { UpstreamSession } from './UpstreamSession.js';
 import type { SessionBounds } from './sessionEvents.js';
 
@@ -41,8 +42,6 @@
 const RESULT_RETENTION_MS = 2_500;
 /** Allowance for transit and event loop delay in the announced orphan timeout, ms. */
 const ORPHAN_MARGIN_MS = 60;
-/** Duration of a lease including the drift of the upstream's clock, as a multiple. */
-const LEASE_ALLOWANCE = 1.05;
 /** Time without progress after which a task is reported as stalled, ms. */
 const STALL_MS = 150;
 /**
@@ -151,7 +150,9 @@
    * @param lagMs - how long ago the end of a caller's connection may have arrived that is not handled yet
    */
   handleWelcome(dispatcher: string, openedAt: number, lagMs = 0): void {
-    const liveness = this.recordLiveness(dispatcher, openedAt, lagMs);
+    const liveness = this.recordLiveness(dispatcher, openedAt);
+    // Stops of callers that left while an earlier link was down follow the welcome, and precede the first pong.
+    if (liveness.handledUntil === -Infinity) liveness.handledUntil = openedAt - lagMs;
     liveness.startsSeen = 0;
     liveness.reported = NOTHING_REPORTED;
     liveness.isRetiring = false;
@@ -223,7 +224,8 @@
     // Only the first pong of a link always has the amount; later ones omit it while no tasks wait.
     const hasNoDemand = !isWaiting && this.shares.hasReportedDemand(dispatcher);
     this.shares.recordDemand(dispatcher, hasNoDemand ? 0 : waitingCpuMilli);
-    const liveness = this.recordLiveness(dispatcher, at, lagMs);
+    const liveness = this.recordLiveness(dispatcher, at);
+    liveness.handledUntil = Math.max(liveness.handledUntil, at - lagMs);
     liveness.typicalSpeed = typicalSpeed;
   }
 
@@ -475,8 +477,7 @@
 
   /** Time after the newest acknowledged ping of a dispatcher by which its runs are over at the latest, ms. */
   private get endLimitMs(): number {
-    const { leaseMs, stopMs, orphanAfterMs } = this.bounds;
-    return orphanAfterMs + leaseMs * LEASE_ALLOWANCE + stopMs;
+    return this.bounds.orphanAfterMs + computeLongestLease(this.bounds);
   }
 
   private findEndLimit(dispatcher: string): number {
@@ -514,11 +515,10 @@
   }
 
   /** Records an acknowledged ping; work that has expired before is stopped first. */
-  private recordLiveness(dispatcher: string, acknowledgedAt: number, lagMs: number): DispatcherLiveness {
+  private recordLiveness(dispatcher: string, acknowledgedAt: number): DispatcherLiveness {
     this.expireDispatchers(this.clock.now());
     const liveness = this.findLiveness(dispatcher, acknowledgedAt);
     liveness.acknowledgedAt = Math.max(liveness.acknowledgedAt, acknowledgedAt);
-    liveness.handledUntil = Math.max(liveness.handledUntil, acknowledgedAt - lagMs);
     return liveness;
   }
 
--- a/src/process/executor/RunLimits.ts
+++ b/src/process/executor/RunLimits.ts
@@ -25,12 +25,14 @@
   /**
    * @param tasks - tasks that may run there
    * @param clock - clock of this process
+   * @param longestMs - longest time for which a lease that has been granted may go on, ms
    * @param findEndLimit - finds the monotonic time by which the runs of a dispatcher must be over, given the
    *   newest ping that it has acknowledged
    */
   constructor(
     private readonly tasks: ReadonlyMap<string, LocalTask>,
     private readonly clock: Clock,
+    private readonly longestMs: number,
     private readonly findEndLimit: (owner: string) => number,
   ) {}
 
@@ -87,12 +89,12 @@
 
   /**
    * Fixes the time by which a run must be over, unless an earlier one is fixed: pings that its dispatcher
-   * acknowledges later do not count.
+   * acknowledges later do not count. It is no later than the end of the leases granted so far.
    *
    * @param task - the task
    * @param endBy - monotonic time, ms; by default what its dispatcher has acknowledged so far tells it
    */
   fix(task: LocalTask, endBy = this.findEndLimit(task.owner)): void {
-    task.endBy = Math.min(task.endBy ?? Infinity, endBy);
+    task.endBy = Math.min(task.endBy ?? Infinity, endBy, this.clock.now() + this.longestMs);
   }
 }
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -18,6 +18,27 @@
 /** Allowance for the transit and execution of an order within one VM, ms. */
 const ORDER_TRANSIT_MS = 15;
 
+/** Duration of a lease as a multiple, including the drift of the upstream's clock and of its estimate. */
+const LEASE_ALLOWANCE = 1.05;
+
+/**
+ * Computes the longest time for which a lease may go on after it was granted.
+ *
+ * @param bounds - duration of a lease, and longest time that a stop takes, ms
+ * @returns ms
+ * @example
+ * computeLongestLease({ leaseMs: 500, stopMs: 50 }); // 575
+ */
+export function computeLongestLease({
+  leaseMs,
+  stopMs,
+}: {
+  readonly leaseMs: number;
+  readonly stopMs: number;
+}): number {
+  return leaseMs * LEASE_ALLOWANCE + stopMs;
+}
+
 /** Lease of one incarnation of an upstream. */
 export class UpstreamLease {
   private aliveUntilMs: number;
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -40,6 +40,7 @@
 import type { SpeedMeter } from './SpeedMeter.js';
 import { HealthMeter } from './HealthMeter.js';
 import { UpstreamCalls } from './UpstreamCalls.js';
+import { computeLongestLease } from './UpstreamLease.js';
 import { findReturnReason, OVERDUE_MS, WaitingStarts } from './WaitingStarts.js';
 
 /** Pause before a renewal is repeated after a failure, ms. */
@@ -90,7 +91,7 @@
     private readonly events: SessionEvents,
   ) {
     const now = clock.now();
-    this.limits = new RunLimits(this.tasks, clock, events.findEndLimit);
+    this.limits = new RunLimits(this.tasks, clock, computeLongestLease(bounds), events.findEndLimit);
     this.calls = new UpstreamCalls(api, report, bounds, clock, tokens, {
       findAllowance: () => this.limits.findAllowance(),
       changeAnswers: (answers) => {
--- a/src/process/executor/dispatcherLiveness.ts
+++ b/src/process/executor/dispatcherLiveness.ts
@@ -6,8 +6,8 @@
   /** Local time at which the ping that it last acknowledged, or the hello message of its link, was sent. */
   acknowledgedAt: number;
   /**
-   * Local time up to which the dispatcher has handled the ends of its callers' connections: earlier than the
-   * acknowledged ping by what it has not read.
+   * Local time up to which the dispatcher has handled the ends of its callers' connections, and has sent the
+   * stops that follow from them: that of the ping of its newest pong, less the age of what it has not read.
    */
   handledUntil: number;
   /** Number of start orders received on its current link. */
