Test on real processes that no run goes on beside a second start

Cause: the trial of the users (a dispatcher is killed or stopped, runners lose all stops, the caller comes again elsewhere after 1.3 s) was in no test, and the stand-in for a runner could lose a number of stops only, after it had taken their token. Change: CallFaults of the stand-in: starts, stops and holds that are lost, carried out late with the token and run that they named, or carried out without an answer, all or a share of them, with a reset or an open connection. orphanedProcesses.test.ts: two dispatchers, three executors; dispatcher killed or stopped, executors killed and restarted, caller gone, renewals without an answer. Ruled out: 1.3 s with quicker heartbeats to show the fault of restarted executors; a process takes over 0.59 s to start.

--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -15,12 +15,20 @@
 } from '../../platform/names.js';
 import { StandinServer } from '../StandinServer.js';
 import type { StandinRequest } from '../StandinServer.js';
+import { CallFaults } from './CallFaults.js';
+import type { CallDisturbance, CallKind } from './CallFaults.js';
 
 const HEARTBEAT_INTERVAL_MS = 300;
 const POLL_INTERVAL_MS = 5;
 /** Initial clock of the first incarnation, ms. Later ones begin at 0: the clock goes back at a restart. */
 const INITIAL_CLOCK_MS = 5_000_000;
 
+const CALL_KINDS: Readonly<Record<string, CallKind>> = {
+  [RUN_START_PATH]: 'start',
+  [RUN_STOP_PATH]: 'stop',
+  [HOLD_PATH]: 'hold',
+};
+
 interface StandinRun {
   readonly task: string;
   readonly run: number;
@@ -86,6 +94,8 @@
   lateMs = 0;
   /** Number of following stops that are neither executed nor answered. */
   lostStops = 0;
+  /** Faults of the following calls. */
+  readonly callFaults = new CallFaults();
   /** Whether heartbeats are omitted. */
   skipsHeartbeats = false;
   /** Reported capacity, thousandths of a core; undefined for the actual one. */
@@ -152,17 +162,44 @@
     if (expected !== undefined && expected !== this.identity.id) return writeJson(response, 421, '{}');
     this.updateRuns();
     const order = JSON.parse(request.text) as OrderBody;
+    const { pathname } = request.url;
+    const kind = CALL_KINDS[pathname];
+    const disturbance = kind && this.callFaults.choose(kind);
+    if (disturbance) return this.disturbCall(disturbance, pathname, order, response);
+    return this.handleCall(pathname, order, response);
+  }
+
+  /** Loses a call, or carries it out now or later, and does not answer it. */
+  private async disturbCall(
+    { outcome, staysOpen, delayMs }: CallDisturbance,
+    path: string,
+    order: OrderBody,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (!staysOpen) response.destroy();
+    if (outcome === 'lost') return;
+    const { incarnation } = this;
+    await sleep(delayMs, undefined, { ref: false });
+    if (incarnation === this.incarnation) await this.handleCall(path, order, undefined);
+  }
+
+  /** Carries out a call; the response is undefined if it is not to be answered. */
+  private async handleCall(
+    path: string,
+    order: OrderBody,
+    response: ServerResponse | undefined,
+  ): Promise<void> {
+    this.updateRuns();
     if ((order.fencing_token ?? 0) < this.incarnation.token) return this.sendConflict(response, 'fence');
     this.incarnation.token = order.fencing_token ?? 0;
-    const path = request.url.pathname;
     if (path === RUN_START_PATH && this.lateStarts > 0) return this.delayStart(order, response);
     if (path === RUN_START_PATH) return this.handleStart(order, response);
     if (path === RUN_STOP_PATH) return this.handleStop(order, response);
     if (path === HOLD_PATH) return this.handleHold(order, response);
-    writeJson(response, 404, '{}');
+    sendJson(response, 404, '{}');
   }
 
-  private handleStart(order: OrderBody, response: ServerResponse): void {
+  private handleStart(order: OrderBody, response: ServerResponse | undefined): void {
     const { task = '', run = 0, spec = '', deadline_ms: deadlineMs = 0 } = order;
     if (deadlineMs < this.incarnation.clockMs) return this.sendConflict(response, 'late');
     this.incarnation.leaseUntil = Math.max(this.incarnation.leaseUntil, deadlineMs);
@@ -171,13 +208,13 @@
     this.startRun(task, run, spec);
     if (this.unansweredStarts === 0) return this.sendAccepted(response);
     this.unansweredStarts -= 1;
-    response.destroy();
+    response?.destroy();
   }
 
   /** Executes a start after `lateMs` without answering it, and extends its lease by that delay. */
-  private async delayStart(order: OrderBody, response: ServerResponse): Promise<void> {
+  private async delayStart(order: OrderBody, response: ServerResponse | undefined): Promise<void> {
     this.lateStarts -= 1;
-    response.destroy();
+    response?.destroy();
     const { task = '', run = 0, spec = '', deadline_ms: deadlineMs = 0, fencing_token: token = 0 } = order;
     await sleep(this.lateMs);
     if (token < this.incarnation.token || run <= (this.incarnation.highestRun.get(task) ?? 0)) return;
@@ -185,17 +222,17 @@
     this.startRun(task, run, spec);
   }
 
-  private handleStop({ task = '', run = 0 }: OrderBody, response: ServerResponse): void {
+  private handleStop({ task = '', run = 0 }: OrderBody, response: ServerResponse | undefined): void {
     if (this.lostStops > 0) {
       this.lostStops -= 1;
-      return void response.destroy();
+      return void response?.destroy();
     }
     this.incarnation.highestRun.set(task, Math.max(run, this.incarnation.highestRun.get(task) ?? 0));
     if (this.incarnation.running.get(task)?.run === run) this.endRun(task, 'stopped');
     this.sendAccepted(response);
   }
 
-  private async handleHold(order: OrderBody, response: ServerResponse): Promise<void> {
+  private async handleHold(order: OrderBody, response: ServerResponse | undefined): Promise<void> {
     this.incarnation.leaseUntil = Math.max(this.incarnation.leaseUntil, order.deadline_ms ?? 0);
     while (this.incarnation.ended[0] && this.incarnation.ended[0][0] <= (order.last_seen ?? 0))
       this.incarnation.ended.shift();
@@ -205,7 +242,7 @@
       return [task, run, '', Math.min(99, Math.floor(((performance.now() - startedAt) / workMs) * 100)), 0];
     });
     const { clockMs, born, ended } = this.incarnation;
-    writeJson(response, 200, JSON.stringify({ clock_ms: clockMs, born, running, ended }));
+    sendJson(response, 200, JSON.stringify({ clock_ms: clockMs, born, running, ended }));
   }
 
   private startRun(task: string, run: number, spec: string): void {
@@ -215,7 +252,8 @@
     if (this.fails) this.endRun(task, 'failed');
   }
 
-  private updateRuns(): void {
+  /** Ends the runs that are done or whose lease is over. */
+  updateRuns(): void {
     const now = performance.now();
     for (const { task, startedAt, workMs } of [...this.incarnation.running.values()]) {
       if (now - startedAt >= workMs) this.endRun(task, 'done');
@@ -232,12 +270,12 @@
     this.journal.recordEnd(task, this.identity.id, how);
   }
 
-  private sendAccepted(response: ServerResponse): void {
-    writeJson(response, 200, JSON.stringify({ clock_ms: this.incarnation.clockMs }));
+  private sendAccepted(response: ServerResponse | undefined): void {
+    sendJson(response, 200, JSON.stringify({ clock_ms: this.incarnation.clockMs }));
   }
 
-  private sendConflict(response: ServerResponse, reason: string): void {
-    writeJson(response, 409, JSON.stringify({ clock_ms: this.incarnation.clockMs, reason }));
+  private sendConflict(response: ServerResponse | undefined, reason: string): void {
+    sendJson(response, 409, JSON.stringify({ clock_ms: this.incarnation.clockMs, reason }));
   }
 
   private sendHeartbeat(): void {
@@ -266,3 +304,7 @@
     outgoing.end(body);
   }
 }
+
+function sendJson(response: ServerResponse | undefined, status: number, text: string): void {
+  if (response) writeJson(response, status, text);
+}
