Test that a caller who leaves during a short pause finds no run of its job after 1.3 s

What callers would see: a task twice at once, if the dispatcher is paused for less than 0.52 s, the caller leaves meanwhile and the stops are lost; the caller comes again elsewhere after 1.3 s.

--- a/test/orphanedProcesses.test.ts
+++ b/test/orphanedProcesses.test.ts
@@ -21,6 +21,9 @@
 /** Delay of renewals without an answer after the dispatcher is gone, ms: its work is about to be stopped. */
 const BEFORE_STOPS_MS = 400;
 
+/** Duration of a pause that is too short for the work of a dispatcher to be stopped, ms. */
+const SHORT_PAUSE_MS = 340;
+
 const LOST_STOPS = createLoss(['stop']);
 const UNANSWERED_HOLDS: CallFault = {
   ...createLoss(['hold']),
@@ -119,6 +122,21 @@
     await checkSecondRun();
   });
 
+  // Guards against pings that a dispatcher acknowledges after a pause, before it reads that a caller has left.
+  it('end before the job runs again if the caller closes its connection during a short pause', async () => {
+    const leave = new AbortController();
+    await startBench();
+    await startJob(leave.signal);
+    applyFault(LOST_STOPS);
+    bench.signal('entry-1', 'SIGSTOP');
+    leave.abort();
+    const leftAt = performance.now();
+    await sleep(SHORT_PAUSE_MS);
+    bench.signal('entry-1', 'SIGCONT');
+    await submitAgain(leftAt);
+    await checkSecondRun();
+  });
+
   // Guards against stops that are held back while renewals extend the lease without an answer.
   it('end before the job runs again if renewals are carried out without an answer', async () => {
     await startBench();
