Soak of processes: lost and late calls to runners, series of kills and pauses, callers that leave

Cause: no fault of the soak lost stops while renewals passed, tasks were over before a caller could come again, no caller left early, and only the end of a run was checked for tasks without a caller. AbandonedRuns checks all the time that no run goes on 1.3 s after its callers have left. Logs keep earlier incarnations, and list the events of runners, callers and faults; they are saved also if a task ran twice, which they were not. The stand-in carries nothing out between its crash and its restart, which late calls did at first: seed 4000 then reported runs without an end (fault of the stand-in). Lists and loads of earlier seeds are as they were.

--- a/bench/runProcessSoak.ts
+++ b/bench/runProcessSoak.ts
@@ -1,6 +1,13 @@
 import { FaultSoak } from '../test/fakes/FaultSoak.js';
 import type { SoakOptions, SoakReport } from '../test/fakes/FaultSoak.js';
-import { ALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS, RESTART_KINDS } from '../test/fakes/soakFaults.js';
+import {
+  ALL_KINDS,
+  CALL_KINDS,
+  DOMAIN_KINDS,
+  EARLIER_KINDS,
+  RESTART_KINDS,
+} from '../test/fakes/soakFaults.js';
+import { createLongTasks, SHORT_TASKS } from '../test/fakes/soakLoads.js';
 
 /** One run in this many has the largest cluster. */
 const LARGE_RUN_INTERVAL = 10;
@@ -17,6 +24,8 @@
 const FIRST_SEED_OF_DOMAINS = 2_000;
 /** Seeds from here on also restart upstreams under the same id. */
 const FIRST_SEED_OF_RESTARTS = 3_000;
+/** Seeds from here on also lose calls to runners or have them carried out late, and have longer tasks. */
+const FIRST_SEED_OF_CALLS = 4_000;
 
 /**
  * Builds the options of the soak test run of a seed.
@@ -28,13 +37,20 @@
  */
 export function buildSoakOptions(seed: number): SoakOptions {
   const rest = { faultMs: FAULT_MS, recoveryMs: RECOVERY_MS, kinds: selectKinds(seed) };
-  if (seed % LARGE_RUN_INTERVAL === 0) return { seed, ...LARGE_RUN, ...rest };
+  const sizes = selectSizes(seed);
+  const load = seed >= FIRST_SEED_OF_CALLS ? createLongTasks(sizes.agents) : SHORT_TASKS;
+  return { seed, ...sizes, ...rest, load };
+}
+
+function selectSizes(seed: number): typeof LARGE_RUN {
+  if (seed % LARGE_RUN_INTERVAL === 0) return LARGE_RUN;
   const entries = SMALLEST_RUN.entries + (seed % ENTRY_SIZES);
   const agents = SMALLEST_RUN.agents + (seed % AGENT_SIZES);
-  return { seed, entries, agents, ...rest };
+  return { entries, agents };
 }
 
 function selectKinds(seed: number): readonly string[] {
+  if (seed >= FIRST_SEED_OF_CALLS) return CALL_KINDS;
   if (seed >= FIRST_SEED_OF_RESTARTS) return RESTART_KINDS;
   if (seed >= FIRST_SEED_OF_DOMAINS) return DOMAIN_KINDS;
   return seed >= FIRST_SEED_OF_ALL_KINDS ? ALL_KINDS : EARLIER_KINDS;
--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -105,6 +105,8 @@
   private incarnation = new RunnerIncarnation(INITIAL_CLOCK_MS);
   private heartbeatTimer: NodeJS.Timeout | undefined;
   private runTimer: NodeJS.Timeout | undefined;
+  /** Whether it has crashed and not restarted yet. */
+  private isDown = false;
   private address = '';
   private port = 0;
   state: 'ready' | 'draining' = 'ready';
@@ -137,11 +139,14 @@
    * @param downMs - downtime before the restart, ms
    */
   async restart(downMs: number): Promise<void> {
+    this.isDown = true;
     await this.stop();
-    for (const task of this.incarnation.running.keys())
-      this.journal.recordEnd(task, this.identity.id, 'gone');
+    const { running } = this.incarnation;
+    for (const task of running.keys()) this.journal.recordEnd(task, this.identity.id, 'gone');
+    running.clear();
     await sleep(downMs);
     this.incarnation = new RunnerIncarnation(0);
+    this.isDown = false;
     await super.start(splitAddress(this.identity.control).host, this.port);
     this.startHeartbeats();
   }
@@ -180,7 +185,8 @@
     if (outcome === 'lost') return;
     const { incarnation } = this;
     await sleep(delayMs, undefined, { ref: false });
-    if (incarnation === this.incarnation) await this.handleCall(path, order, undefined);
+    if (incarnation !== this.incarnation || this.isDown) return;
+    await this.handleCall(path, order, undefined);
   }
 
   /** Carries out a call; the response is undefined if it is not to be answered. */
--- a/test/fakes/FaultSoak.ts
+++ b/test/fakes/FaultSoak.ts
@@ -2,28 +2,29 @@
  * Soak test of real dispatcher and executor processes under overlapping faults: signals, restarts, delayed, stalled or
  * reset links, and a faulty store and runners. The invariants are checked from what callers and runners observe.
  */
+import { Agent } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { createRandom } from '../../src/_lib/createRandom.js';
+import { AbandonedRuns } from './AbandonedRuns.js';
 import { PlatformBench } from './PlatformBench.js';
 import type { CallerAnswer } from './PlatformBench.js';
 import { assignDomains, drawFault, SOAK_DOMAINS } from './soakFaults.js';
+import { SHORT_TASKS } from './soakLoads.js';
+import type { SoakLoad } from './soakLoads.js';
 
 /** Delay before a caller submits a job again elsewhere, ms. */
 const RESUBMIT_DELAY_MS = 1_300;
 const CALLER_TIMEOUT_MS = 2_500;
 /** Most submissions of a job. */
 const SUBMISSIONS = 3;
-/** Longest pause between two jobs, and between two faults, ms. */
-const JOB_GAP_MS = 60;
+/** Longest pause between two faults, ms. */
 const FAULT_GAP_MS = 500;
 const TARGET_LATENCY_MS = 1_500;
 /** Time after an evacuation from which no task may start in the domain, ms. */
 const EVACUATE_MS = 5_000;
 /** Jobs that are submitted to each dispatcher after that. */
 const JOBS_AFTER = 4;
-const MAX_TASKS = 6;
-const MAX_TASK_MS = 400;
 
 /** Parameters of a run. */
 export interface SoakOptions {
@@ -36,6 +37,8 @@
   readonly kinds: readonly string[];
   /** Longest time to recover after the last fault, ms. */
   readonly recoveryMs: number;
+  /** Jobs and callers. Default: `SHORT_TASKS`. */
+  readonly load?: SoakLoad;
 }
 
 /** Results of a run. */
@@ -61,9 +64,14 @@
   private readonly faults: string[] = [];
   private readonly violations: string[] = [];
   private readonly pending: Promise<void>[] = [];
+  private readonly load: SoakLoad;
+  private readonly abandoned: AbandonedRuns;
 
   constructor(private readonly options: SoakOptions) {
     this.bench = new PlatformBench(options.entries, options.agents, TARGET_LATENCY_MS, true);
+    this.load = options.load ?? SHORT_TASKS;
+    this.abandoned = new AbandonedRuns(this.bench, RESUBMIT_DELAY_MS);
+    if (this.load.keepsConnections) this.bench.callerAgent = new Agent({ keepAlive: true });
     this.nextRandom = createRandom(options.seed);
     if (this.hasDomains) this.bench.domains = assignDomains(options.agents);
   }
@@ -76,43 +84,60 @@
   async run(): Promise<SoakReport> {
     try {
       await this.bench.start();
+      if (this.load.isWatched) this.abandoned.start();
       const until = performance.now() + this.options.faultMs;
       await Promise.all([this.submitUntil(until), this.injectFaultsUntil(until)]);
       await Promise.all(this.pending);
       await this.checkRecovery();
       if (this.hasDomains) await this.checkEvacuation();
       this.checkAnswers();
+      this.checkRuns();
       if (this.violations.length > 0) this.faults.push(`logs: ${await this.bench.saveLogs()}`);
     } catch (cause) {
       const logs = await this.bench.saveLogs();
       throw new Error(`${String(cause)}; logs: ${logs}; ${this.faults.join(', ')}`, { cause });
     } finally {
+      this.abandoned.stop();
       await this.bench.stop();
     }
-    const { doubled, beyondCapacity } = this.bench;
-    for (const task of doubled) this.violations.push(`${task} ran twice at the same time`);
-    for (const task of beyondCapacity) this.violations.push(`${task} was started beyond the capacity`);
+    this.checkRuns();
     return this.report();
   }
 
+  /** Checks what the runners have seen; adds each violation once. */
+  private checkRuns(): void {
+    const { doubled, beyondCapacity } = this.bench;
+    const found = [
+      ...doubled.map((task) => `${task} ran twice at the same time`),
+      ...this.abandoned.found,
+      ...beyondCapacity.map((task) => `${task} was started beyond the capacity`),
+    ];
+    for (const violation of found) if (!this.violations.includes(violation)) this.violations.push(violation);
+  }
+
   private async submitUntil(until: number): Promise<void> {
     while (performance.now() < until) {
       const job: SoakJob = { id: `job${this.jobs.length}`, answers: [] };
       this.jobs.push(job);
       this.pending.push(this.submitUntilAnswered(job));
-      await sleep(this.nextRandom() * JOB_GAP_MS);
+      await sleep(this.nextRandom() * this.load.jobGapMs);
     }
   }
 
   /** Submits a job, and again elsewhere after no answer, 502 or 504. */
   private async submitUntilAnswered(job: SoakJob): Promise<void> {
-    const tasks = 1 + Math.floor(this.nextRandom() * MAX_TASKS);
-    const taskMs = 20 + Math.floor(this.nextRandom() * MAX_TASK_MS);
+    const { maxTasks, maxTaskMs, callerTimeoutMs } = this.load;
+    const tasks = 1 + Math.floor(this.nextRandom() * maxTasks);
+    const taskMs = 20 + Math.floor(this.nextRandom() * maxTaskMs);
     let at = Math.floor(this.nextRandom() * this.options.entries);
     for (let submission = 0; submission < SUBMISSIONS; submission += 1) {
-      const leave = AbortSignal.timeout(CALLER_TIMEOUT_MS);
+      const leave = AbortSignal.timeout(this.drawStay());
       const dispatcher = `entry-${1 + (at % this.options.entries)}`;
-      const answer = await this.bench.submit(dispatcher, job.id, tasks, taskMs, CALLER_TIMEOUT_MS, leave);
+      this.abandoned.enter(job.id);
+      this.bench.note(`caller of ${job.id} to ${dispatcher}`);
+      const answer = await this.bench.submit(dispatcher, job.id, tasks, taskMs, callerTimeoutMs, leave);
+      this.abandoned.leave(job.id);
+      this.bench.note(`answer to ${job.id} from ${dispatcher}: ${answer.status}`);
       job.answers.push(answer);
       if (answer.status !== 0 && answer.status !== 502 && answer.status !== 504) return;
       await sleep(RESUBMIT_DELAY_MS);
@@ -120,11 +145,19 @@
     }
   }
 
+  /** Draws the time after which a caller closes its connection, ms. */
+  private drawStay(): number {
+    const { callerTimeoutMs, leaveShare, longestStayMs } = this.load;
+    if (leaveShare === 0 || this.nextRandom() >= leaveShare) return callerTimeoutMs;
+    return Math.ceil(this.nextRandom() * longestStayMs);
+  }
+
   private async injectFaultsUntil(until: number): Promise<void> {
     const healed: Promise<void>[] = [];
     while (performance.now() < until) {
       const fault = drawFault(this.bench, this.options, this.nextRandom, this.options.kinds);
       this.faults.push(fault.name);
+      this.bench.note(`fault ${fault.name}`);
       healed.push(fault.inject());
       await sleep(this.nextRandom() * FAULT_GAP_MS);
     }
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -2,6 +2,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import type { Agent } from 'node:http';
 import { request as sendRequest } from 'node:http';
 import { connect, createServer } from 'node:net';
 import type { Socket } from 'node:net';
@@ -36,6 +37,8 @@
 interface Daemon {
   readonly child: ChildProcess;
   output: string;
+  /** Output of its earlier incarnations. */
+  readonly earlierOutput: string;
 }
 
 /** Small deployment of real processes. */
@@ -58,6 +61,8 @@
   extraSettings: Readonly<Record<string, unknown>> = {};
   /** Failure domains of daemons outside the default one; to be set before the start. */
   domains: Readonly<Record<string, string>> = {};
+  /** Connections of callers, which are kept open; false for a new one for each call. */
+  callerAgent: Agent | false = false;
   /** Number of starts at each runner. */
   readonly startsByRunner = new Map<string, number>();
   /** Daemons that are being restarted. */
@@ -67,6 +72,7 @@
   /** Proxies of links, runners and the store by the id of their target; empty unless `isProxied`. */
   readonly proxies = new Map<string, LoopbackProxy>();
   private readonly daemons = new Map<string, Daemon>();
+  private readonly events: string[] = [];
   private directory = '';
   private storeAddress = '';
   private ports = { link: 0, front: 0, ready: 0, control: 0 };
@@ -104,6 +110,7 @@
   /** Stops all processes that it started. */
   async stop(): Promise<void> {
     for (const { child } of this.daemons.values()) child.kill('SIGKILL');
+    if (this.callerAgent) this.callerAgent.destroy();
     for (const runner of this.runners) await runner.stop();
     for (const proxy of this.proxies.values()) proxy.stop();
     await this.store.stop();
@@ -153,7 +160,9 @@
     const role = id.startsWith('entry') ? 'dispatcher' : 'executor';
     const args = [BINARY, 'serve', role, '--settings', settings];
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
-    const daemon: Daemon = { child, output: '' };
+    const before = this.daemons.get(id);
+    const earlierOutput = before ? `${before.earlierOutput}${before.output}` : '';
+    const daemon: Daemon = { child, output: '', earlierOutput };
     child.stdout.on('data', (text: Buffer) => (daemon.output += text.toString()));
     child.stderr.on('data', (text: Buffer) => (daemon.output += text.toString()));
     this.daemons.set(id, daemon);
@@ -187,13 +196,19 @@
     return this.findDaemon(id).output;
   }
 
+  /** Notes what a test has done or seen, for the logs. */
+  note(event: string): void {
+    this.events.push(`${new Date().toISOString()} ${event}`);
+  }
+
   /** Writes every daemon's output and exit status to a new directory and returns its path. */
   async saveLogs(): Promise<string> {
     const directory = await mkdtemp(path.join(tmpdir(), 'marblehall-logs-'));
-    for (const [id, { child, output }] of this.daemons) {
+    for (const [id, { child, output, earlierOutput }] of this.daemons) {
       const end = `exit ${child.exitCode} ${child.signalCode}\n`;
-      await writeFile(path.join(directory, `${id}.log`), output + end);
+      await writeFile(path.join(directory, `${id}.log`), earlierOutput + output + end);
     }
+    await writeFile(path.join(directory, 'events.log'), `${this.events.join('\n')}\n`);
     return directory;
   }
 
@@ -229,7 +244,8 @@
     signal?: AbortSignal,
   ): Promise<CallerAnswer> {
     const headers = { host: HOST, 'content-type': 'application/json', [DEADLINE_HEADER]: String(patienceMs) };
-    return send(findIp(id), this.ports.front, 'POST', url, JSON.stringify(body), headers, signal);
+    const text = JSON.stringify(body);
+    return send(findIp(id), this.ports.front, 'POST', url, text, headers, signal, this.callerAgent);
   }
 
   /** Sends a GET request to a dispatcher. */
@@ -289,8 +305,10 @@
           const running = (this.atWork.get(task) ?? 0) + 1;
           this.atWork.set(task, running);
           if (running > 1) this.doubled.push(task);
+          this.note(`start ${task} ${id}${running > 1 ? ' beside another run' : ''}`);
         },
-        recordEnd: (task, id) => {
+        recordEnd: (task, id, how) => {
+          this.note(`end ${task} ${id} ${how}`);
           this.loads.set(id, (this.loads.get(id) ?? 1) - 1);
           this.atWork.set(task, (this.atWork.get(task) ?? 1) - 1);
         },
@@ -354,10 +372,11 @@
   body: string,
   headers: Readonly<Record<string, string>>,
   signal?: AbortSignal,
+  agent: Agent | false = false,
 ): Promise<CallerAnswer> {
   return new Promise((resolve) => {
     const broken = (): void => resolve({ status: 0, body: '', retryAfter: undefined });
-    const options = { host, port, method, path: url, headers, agent: false as const };
+    const options = { host, port, method, path: url, headers, agent };
     const outgoing = sendRequest(signal ? { ...options, signal } : options, (incoming) => {
       const chunks: Buffer[] = [];
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
--- a/test/fakes/soakFaults.ts
+++ b/test/fakes/soakFaults.ts
@@ -3,11 +3,15 @@
 
 import type { DirectionMode, LoopbackProxy } from './LoopbackProxy.js';
 import type { PlatformBench } from './PlatformBench.js';
+import { CALL_FAULTS } from './callFaultKinds.js';
+import { restartDaemon } from './restartDaemon.js';
 
 /** Longest disturbance, ms; long enough to exceed the orphan timeout. */
 const LONGEST_MS = 2_500;
 const MAX_DELAY_MS = 120;
 const MUTED_STARTS = 5;
+/** How many times each fault of calls is listed, so that it is drawn more often than others. */
+const CALL_KIND_WEIGHT = 4;
 
 /** Fault of a soak test. */
 export interface SoakFault {
@@ -26,6 +30,7 @@
 
 interface SoakTarget {
   readonly daemon: string;
+  readonly dispatcher: string;
   readonly runner: number;
   readonly proxy: string;
 }
@@ -54,8 +59,9 @@
   const ms = Math.round(LONGEST_MS * nextRandom() ** 2);
   const strength = nextRandom();
   const name = `${kind} ${daemon} ${proxy} ${ms}`;
-  const target = { daemon, runner: executor - 1, proxy };
-  return { name, inject: () => FAULTS[kind]?.(bench, target, ms, strength) ?? Promise.resolve() };
+  const target = { daemon, dispatcher: `entry-${dispatcher}`, runner: executor - 1, proxy };
+  const build = FAULTS[kind] ?? CALL_FAULTS[kind];
+  return { name, inject: () => build?.(bench, target, ms, strength) ?? Promise.resolve() };
 }
 
 /** Basic kinds of faults. The list must not change, so that a seed reproduces its run. */
@@ -91,6 +97,12 @@
   'restartRunner',
 ];
 
+/** Adds lost and late calls to runners, and series of kills and pauses meanwhile. */
+export const CALL_KINDS: readonly string[] = [
+  ...RESTART_KINDS,
+  ...Object.keys(CALL_FAULTS).flatMap((kind) => Array.from({ length: CALL_KIND_WEIGHT }, () => kind)),
+];
+
 /** Failure domains, assigned to executors in turn. */
 export const SOAK_DOMAINS = ['north', 'south'] as const;
 
@@ -111,8 +123,8 @@
     await sleep(ms);
     bench.signal(daemon, 'SIGCONT');
   },
-  kill: (bench, { daemon }, ms) => restart(bench, daemon, 'SIGKILL', ms / 4),
-  terminate: (bench, { daemon }) => restart(bench, daemon, 'SIGTERM', 0),
+  kill: (bench, { daemon }, ms) => restartDaemon(bench, daemon, 'SIGKILL', ms / 4),
+  terminate: (bench, { daemon }) => restartDaemon(bench, daemon, 'SIGTERM', 0),
   reload: async (bench, { daemon }) => {
     // Until the first output Node is still starting, and SIGHUP would end the process.
     if (bench.isRunning(daemon) && bench.readOutput(daemon) !== '') bench.signal(daemon, 'SIGHUP');
@@ -161,21 +173,6 @@
   configure: async (bench) => bench.putConfiguration(['/q/']),
 };
 
-async function restart(
-  bench: PlatformBench,
-  daemon: string,
-  signal: NodeJS.Signals,
-  downMs: number,
-): Promise<void> {
-  if (!bench.isRunning(daemon) || bench.restarting.has(daemon)) return;
-  bench.restarting.add(daemon);
-  bench.signal(daemon, signal);
-  await bench.waitForExit(daemon);
-  await sleep(downMs);
-  await bench.startDaemon(daemon);
-  bench.restarting.delete(daemon);
-}
-
 async function hold(
   proxy: LoopbackProxy | undefined,
   ms: number,
--- a/test/faultSoak.test.ts
+++ b/test/faultSoak.test.ts
@@ -2,14 +2,21 @@
 import { expect } from 'chai';
 
 import { FaultSoak } from './fakes/FaultSoak.js';
-import { ALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS, RESTART_KINDS } from './fakes/soakFaults.js';
+import { ALL_KINDS, CALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS, RESTART_KINDS } from './fakes/soakFaults.js';
+import { createLongTasks, SHORT_TASKS } from './fakes/soakLoads.js';
 
-/** Runs with increasing sets of faults: basic, unresponsive connections, emptied domains, restarted upstreams. */
+const AGENTS = 3;
+
+/**
+ * Runs with increasing sets of faults: basic, unresponsive connections, emptied domains, restarted upstreams, lost
+ * and late calls to upstreams.
+ */
 const RUNS = [
-  { seed: 1, kinds: EARLIER_KINDS },
-  { seed: 1_001, kinds: ALL_KINDS },
-  { seed: 2_001, kinds: DOMAIN_KINDS },
-  { seed: 3_001, kinds: RESTART_KINDS },
+  { seed: 1, kinds: EARLIER_KINDS, load: SHORT_TASKS },
+  { seed: 1_001, kinds: ALL_KINDS, load: SHORT_TASKS },
+  { seed: 2_001, kinds: DOMAIN_KINDS, load: SHORT_TASKS },
+  { seed: 3_001, kinds: RESTART_KINDS, load: SHORT_TASKS },
+  { seed: 4_001, kinds: CALL_KINDS, load: createLongTasks(AGENTS) },
 ];
 /** Longer than recovery takes on a slow VM, so that no result depends on speed. */
 const ENOUGH_MS = 120_000;
@@ -17,10 +24,10 @@
 describe('invariants of processes under external faults', function () {
   this.timeout(300_000);
 
-  for (const { seed, kinds } of RUNS) {
+  for (const { seed, kinds, load } of RUNS) {
     it(`hold with seed ${seed}`, async () => {
-      const rest = { faultMs: 6_000, recoveryMs: ENOUGH_MS, kinds };
-      const report = await new FaultSoak({ seed, entries: 2, agents: 3, ...rest }).run();
+      const rest = { faultMs: 6_000, recoveryMs: ENOUGH_MS, kinds, load };
+      const report = await new FaultSoak({ seed, entries: 2, agents: AGENTS, ...rest }).run();
       expect(report.broken, report.faults.join('\n')).to.deep.equal([]);
       expect(report.jobs).to.be.greaterThan(0);
     });
