Test that a caller who leaves while links are silent finds no run of its job after 1.3 s

What callers would see: a task twice at once, if the link between dispatcher and executor carries nothing any more, the caller leaves meanwhile, the executor opens a new link, and the stops that are ordered on it are lost.

--- a/test/orphanedProcesses.test.ts
+++ b/test/orphanedProcesses.test.ts
@@ -36,8 +36,8 @@
 
   let bench: PlatformBench;
 
-  async function startBench(resubmitMs = RESUBMIT_DELAY_MS): Promise<void> {
-    bench = new PlatformBench(2, EXECUTORS, ENDLESS_MS);
+  async function startBench(resubmitMs = RESUBMIT_DELAY_MS, isProxied = false): Promise<void> {
+    bench = new PlatformBench(2, EXECUTORS, ENDLESS_MS, isProxied);
     bench.extraSettings = { resubmitMs, maxLeaseMs: Math.max(resubmitMs / 2, MIN_MAX_LEASE_MS) };
     await bench.start();
   }
@@ -68,10 +68,17 @@
     for (const id of ids) await bench.startDaemon(id);
   }
 
-  /** Submits the job again elsewhere, after the delay from a given time on. */
+  function listRunning(): string[] {
+    for (const runner of bench.runners) runner.updateRuns();
+    return [...bench.atWork].filter(([, running]) => running > 0).map(([task]) => task);
+  }
+
+  /** Submits the job again elsewhere, after the delay from a given time on, when nothing of it may run. */
   async function submitAgain(leftAt: number, resubmitMs = RESUBMIT_DELAY_MS): Promise<void> {
     await sleep(leftAt + resubmitMs - performance.now());
+    const running = listRunning();
     submit('entry-2');
+    expect(running, 'tasks that run when the caller returns').to.deep.equal([]);
   }
 
   async function checkSecondRun(): Promise<void> {
@@ -137,6 +144,18 @@
     await checkSecondRun();
   });
 
+  // Guards against a new link that extends the runs of a caller whose departure the old link did not report.
+  it('end before the job runs again if the caller closes its connection while links are silent', async () => {
+    const leave = new AbortController();
+    await startBench(RESUBMIT_DELAY_MS, true);
+    await startJob(leave.signal);
+    applyFault(LOST_STOPS);
+    bench.proxies.get('entry-1')?.silenceConnections();
+    leave.abort();
+    await submitAgain(performance.now());
+    await checkSecondRun();
+  });
+
   // Guards against stops that are held back while renewals extend the lease without an answer.
   it('end before the job runs again if renewals are carried out without an answer', async () => {
     await startBench();
