Soak of processes: pauses and silent links while stops are lost, for seeds from 4500 on

Change: LOSSY_KINDS, each of the two listed 15 times. Seeds from 4000 to 4499 stay as they are. Result: the group was not run yet.

--- a/bench/runProcessSoak.ts
+++ b/bench/runProcessSoak.ts
@@ -5,6 +5,7 @@
   CALL_KINDS,
   DOMAIN_KINDS,
   EARLIER_KINDS,
+  LOSSY_KINDS,
   RESTART_KINDS,
 } from '../test/fakes/soakFaults.js';
 import { createLongTasks, SHORT_TASKS } from '../test/fakes/soakLoads.js';
@@ -26,6 +27,8 @@
 const FIRST_SEED_OF_RESTARTS = 3_000;
 /** Seeds from here on also lose calls to runners or have them carried out late, and have longer tasks. */
 const FIRST_SEED_OF_CALLS = 4_000;
+/** Seeds from here on also pause dispatchers and silence links while stops are lost. */
+const FIRST_SEED_OF_LOSSY_PAUSES = 4_500;
 
 /**
  * Builds the options of the soak test run of a seed.
@@ -50,6 +53,7 @@
 }
 
 function selectKinds(seed: number): readonly string[] {
+  if (seed >= FIRST_SEED_OF_LOSSY_PAUSES) return LOSSY_KINDS;
   if (seed >= FIRST_SEED_OF_CALLS) return CALL_KINDS;
   if (seed >= FIRST_SEED_OF_RESTARTS) return RESTART_KINDS;
   if (seed >= FIRST_SEED_OF_DOMAINS) return DOMAIN_KINDS;
--- a/test/fakes/callFaultKinds.ts
+++ b/test/fakes/callFaultKinds.ts
@@ -20,7 +20,7 @@
 const KILLS = 3;
 /** Duration of faults of calls relative to other faults: a lease must be outlasted. */
 const LENGTH_RATIO = 2;
-/** Time for which stops remain lost after daemons have been killed, ms. */
+/** Time for which stops remain lost at least, ms: longer than a caller takes to return. */
 const AFTER_KILL_MS = 2_500;
 
 /** Target of a fault. */
@@ -60,16 +60,7 @@
     const ids = (strength < 0.5 ? [runner] : [runner, next]).map((at) => `agent-${at + 1}`);
     await Promise.all([lost, ...ids.map((id) => restartDaemon(bench, id, 'SIGKILL', ms / 4))]);
   },
-  pauseDispatcher: async (bench, { dispatcher }, _, strength) => {
-    const random = createSeries(strength);
-    for (let pause = 0; pause < PAUSES; pause += 1) {
-      if (!bench.isRunning(dispatcher)) return;
-      bench.signal(dispatcher, 'SIGSTOP');
-      await sleep(SHORTEST_PAUSE_MS + (LONGEST_PAUSE_MS - SHORTEST_PAUSE_MS) * random());
-      bench.signal(dispatcher, 'SIGCONT');
-      await sleep(SERIES_GAP_MS * random());
-    }
-  },
+  pauseDispatcher: (bench, { dispatcher }, _, strength) => pauseRepeatedly(bench, dispatcher, strength),
   killDispatcher: async (bench, { dispatcher }, _, strength) => {
     const random = createSeries(strength);
     for (let kill = 0; kill < KILLS; kill += 1) {
@@ -79,6 +70,18 @@
   },
 };
 
+/** Faults of dispatchers and links while all stops are lost, by kind. */
+export const LOSSY_FAULTS: Readonly<Record<string, Build>> = {
+  lossyPauses: async (bench, { dispatcher }, ms, strength) => {
+    const lost = disturb(bench, listRunners(bench), createLoss(['stop']), ms + AFTER_KILL_MS / LENGTH_RATIO);
+    await Promise.all([lost, pauseRepeatedly(bench, dispatcher, strength)]);
+  },
+  lossySilence: (bench, { dispatcher }, ms) => {
+    bench.proxies.get(dispatcher)?.silenceConnections();
+    return disturb(bench, listRunners(bench), createLoss(['stop']), ms + AFTER_KILL_MS / LENGTH_RATIO);
+  },
+};
+
 const LATE = {
   outcome: 'late',
   share: 1,
@@ -86,6 +89,17 @@
   longestMs: LONGEST_LATE_MS,
 } as const;
 
+async function pauseRepeatedly(bench: PlatformBench, dispatcher: string, strength: number): Promise<void> {
+  const random = createSeries(strength);
+  for (let pause = 0; pause < PAUSES; pause += 1) {
+    if (!bench.isRunning(dispatcher)) return;
+    bench.signal(dispatcher, 'SIGSTOP');
+    await sleep(SHORTEST_PAUSE_MS + (LONGEST_PAUSE_MS - SHORTEST_PAUSE_MS) * random());
+    bench.signal(dispatcher, 'SIGCONT');
+    await sleep(SERIES_GAP_MS * random());
+  }
+}
+
 function drawConnection(strength: number): { readonly staysOpen: boolean } {
   return { staysOpen: strength < 0.5 };
 }
--- a/test/fakes/soakFaults.ts
+++ b/test/fakes/soakFaults.ts
@@ -3,7 +3,7 @@
 
 import type { DirectionMode, LoopbackProxy } from './LoopbackProxy.js';
 import type { PlatformBench } from './PlatformBench.js';
-import { CALL_FAULTS } from './callFaultKinds.js';
+import { CALL_FAULTS, LOSSY_FAULTS } from './callFaultKinds.js';
 import { restartDaemon } from './restartDaemon.js';
 
 /** Longest disturbance, ms; long enough to exceed the orphan timeout. */
@@ -12,6 +12,7 @@
 const MUTED_STARTS = 5;
 /** How many times each fault of calls is listed, so that it is drawn more often than others. */
 const CALL_KIND_WEIGHT = 4;
+const LOSSY_KIND_WEIGHT = 15;
 
 /** Fault of a soak test. */
 export interface SoakFault {
@@ -60,7 +61,7 @@
   const strength = nextRandom();
   const name = `${kind} ${daemon} ${proxy} ${ms}`;
   const target = { daemon, dispatcher: `entry-${dispatcher}`, runner: executor - 1, proxy };
-  const build = FAULTS[kind] ?? CALL_FAULTS[kind];
+  const build = FAULTS[kind] ?? CALL_FAULTS[kind] ?? LOSSY_FAULTS[kind];
   return { name, inject: () => build?.(bench, target, ms, strength) ?? Promise.resolve() };
 }
 
@@ -100,9 +101,19 @@
 /** Adds lost and late calls to runners, and series of kills and pauses meanwhile. */
 export const CALL_KINDS: readonly string[] = [
   ...RESTART_KINDS,
-  ...Object.keys(CALL_FAULTS).flatMap((kind) => Array.from({ length: CALL_KIND_WEIGHT }, () => kind)),
+  ...repeatKinds(CALL_FAULTS, CALL_KIND_WEIGHT),
 ];
 
+/** Adds pauses of dispatchers and unresponsive links while all stops are lost. */
+export const LOSSY_KINDS: readonly string[] = [
+  ...CALL_KINDS,
+  ...repeatKinds(LOSSY_FAULTS, LOSSY_KIND_WEIGHT),
+];
+
+function repeatKinds(faults: Readonly<Record<string, unknown>>, times: number): string[] {
+  return Object.keys(faults).flatMap((kind) => Array.from({ length: times }, () => kind));
+}
+
 /** Failure domains, assigned to executors in turn. */
 export const SOAK_DOMAINS = ['north', 'south'] as const;
 
