Soak of processes: callers' connections break while their dispatcher is paused or its links are silent

Change: both faults of the group break the connections of all callers at the dispatcher within 200 ms.

--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -73,6 +73,8 @@
   readonly proxies = new Map<string, LoopbackProxy>();
   private readonly daemons = new Map<string, Daemon>();
   private readonly events: string[] = [];
+  /** End the connections of callers that wait at a dispatcher. */
+  private readonly breakSignals = new Map<string, AbortController>();
   private directory = '';
   private storeAddress = '';
   private ports = { link: 0, front: 0, ready: 0, control: 0 };
@@ -245,7 +247,16 @@
   ): Promise<CallerAnswer> {
     const headers = { host: HOST, 'content-type': 'application/json', [DEADLINE_HEADER]: String(patienceMs) };
     const text = JSON.stringify(body);
-    return send(findIp(id), this.ports.front, 'POST', url, text, headers, signal, this.callerAgent);
+    const breaks = this.breakSignals.get(id) ?? new AbortController();
+    this.breakSignals.set(id, breaks);
+    const ends = signal ? AbortSignal.any([signal, breaks.signal]) : breaks.signal;
+    return send(findIp(id), this.ports.front, 'POST', url, text, headers, ends, this.callerAgent);
+  }
+
+  /** Closes the connections of all callers that wait at a dispatcher. */
+  breakCallers(id: string): void {
+    this.breakSignals.get(id)?.abort();
+    this.breakSignals.delete(id);
   }
 
   /** Sends a GET request to a dispatcher. */
--- a/test/fakes/callFaultKinds.ts
+++ b/test/fakes/callFaultKinds.ts
@@ -17,6 +17,8 @@
 const PAUSES = 4;
 /** Longest time between two pauses or kills of a series, ms. */
 const SERIES_GAP_MS = 300;
+/** Longest time from the begin of a fault until callers' connections break, ms. */
+const BREAK_DELAY_MS = 200;
 const KILLS = 3;
 /** Duration of faults of calls relative to other faults: a lease must be outlasted. */
 const LENGTH_RATIO = 2;
@@ -70,15 +72,21 @@
   },
 };
 
-/** Faults of dispatchers and links while all stops are lost, by kind. */
+/** Faults of dispatchers and links, whose callers' connections break, while all stops are lost, by kind. */
 export const LOSSY_FAULTS: Readonly<Record<string, Build>> = {
   lossyPauses: async (bench, { dispatcher }, ms, strength) => {
     const lost = disturb(bench, listRunners(bench), createLoss(['stop']), ms + AFTER_KILL_MS / LENGTH_RATIO);
-    await Promise.all([lost, pauseRepeatedly(bench, dispatcher, strength)]);
+    const paused = pauseRepeatedly(bench, dispatcher, strength);
+    await sleep(BREAK_DELAY_MS * strength);
+    bench.breakCallers(dispatcher);
+    await Promise.all([lost, paused]);
   },
-  lossySilence: (bench, { dispatcher }, ms) => {
+  lossySilence: async (bench, { dispatcher }, ms, strength) => {
+    const lost = disturb(bench, listRunners(bench), createLoss(['stop']), ms + AFTER_KILL_MS / LENGTH_RATIO);
     bench.proxies.get(dispatcher)?.silenceConnections();
-    return disturb(bench, listRunners(bench), createLoss(['stop']), ms + AFTER_KILL_MS / LENGTH_RATIO);
+    await sleep(BREAK_DELAY_MS * strength);
+    bench.breakCallers(dispatcher);
+    await lost;
   },
 };
 
