--- a/src/_lib/Clock.ts
+++ b/src/_lib/Clock.ts
@@ -4,8 +4,8 @@
 /** A monotonic clock. */
 export abstract class Clock {
   /**
-   * Returns ms since an arbitrary origin, including the time in which the VM was suspended. Not comparable
-   * between processes.
+   * Returns ms since an arbitrary origin, including the time in which the VM was suspended, as other VMs
+   * count it too. Not comparable between processes.
    */
   abstract now(): number;
   /**
--- a/src/connection/peer/PeerDialer.ts
+++ b/src/connection/peer/PeerDialer.ts
@@ -8,7 +8,7 @@
 import { LineChannel } from './LineChannel.js';
 import type { PeerMessage } from './peerMessages.js';
 
-/** Timeout of a connection attempt, ms. */
+/** Timeout of a connection attempt, ms; an attempt across a partition gets no reply. */
 const DIAL_TIMEOUT_MS = 500;
 /** Bounds of the backoff between two attempts, before jitter, ms. */
 const MIN_RETRY_MS = 50;
--- a/src/connection/peer/PeerListener.ts
+++ b/src/connection/peer/PeerListener.ts
@@ -12,9 +12,9 @@
 const IDLE_CHECK_INTERVAL_MS = 2_500;
 /**
  * Number of consecutive checks without a message after which the next check closes a channel; peers send a
- * message at least every second. This releases the buffers of connections whose FIN or RST was lost. Checks
- * are counted instead of elapsed time, so that a process resumed after a pause reads pending messages before
- * it closes a channel.
+ * message at least every second. This releases the buffers, up to 8 MiB each, of connections whose FIN or RST
+ * was lost. Checks are counted instead of elapsed time, so that a process resumed after a pause reads pending
+ * messages before it closes a channel.
  */
 const MAX_IDLE_CHECKS = 4;
 
--- a/src/connection/peer/PongMonitor.ts
+++ b/src/connection/peer/PongMonitor.ts
@@ -9,7 +9,10 @@
  * reconnect costs both sides a connection and the initial state that is sent on a new link.
  */
 const MIN_PONG_TIMEOUT_MS = 80;
-/** Longest timeout of a pong, ms; it doubles with each consecutive connection without a pong. */
+/**
+ * Longest timeout of a pong, ms; it doubles with each consecutive connection without a pong, since the peer
+ * is then slow or frozen, and each timeout costs a connection.
+ */
 const MAX_PONG_TIMEOUT_MS = 1_500;
 
 /**
--- a/src/connection/peer/encodedConfiguration.ts
+++ b/src/connection/peer/encodedConfiguration.ts
@@ -11,7 +11,7 @@
 
 /** Longest JSON text, bytes; guards against decompression bombs. */
 const MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024;
-/** Deflate level; low, as compression blocks the event loop. */
+/** Deflate level; low, as compression blocks the event loop and higher levels save few bytes. */
 const COMPRESSION_LEVEL = 3;
 
 /** The decoded configuration, or why the text is invalid. */
--- a/src/process/MemberTable.ts
+++ b/src/process/MemberTable.ts
@@ -1,6 +1,7 @@
 /**
- * Addresses of the other dispatchers, as reported by peers. An address that is no longer reported expires, so
- * that a removed dispatcher disappears from every table.
+ * Addresses of the other dispatchers, as reported by peers. Executors report only dispatchers that respond to
+ * them, and an address that is no longer reported expires, so that a removed dispatcher disappears from every
+ * table.
  */
 import type { DispatcherPlace } from '../connection/peer/peerMessages.js';
 
--- a/src/process/PieceRateLimiter.ts
+++ b/src/process/PieceRateLimiter.ts
@@ -4,7 +4,10 @@
 const PIECES_LINK_SHARE = 0.2;
 /** Longest transmission time of one piece, ms; a message behind it is delayed by as much. */
 const MAX_PIECE_MS = 8;
-/** Shortest and longest piece, characters. */
+/**
+ * Shortest and longest piece, characters. Each piece costs a message, and time in the event loops of both
+ * sides.
+ */
 const MIN_PIECE_LENGTH = 512;
 const MAX_PIECE_LENGTH = 8_192;
 /** Bytes of a piece besides its text. */
--- a/src/process/commands/runQuery.ts
+++ b/src/process/commands/runQuery.ts
@@ -7,7 +7,10 @@
 /** Maximum number of rows of a query without a limit. */
 export const DEFAULT_ROW_LIMIT = 1_000;
 
-/** Subjects that come from the replicated configuration and are the same on every entry. */
+/**
+ * Subjects that come from the replicated configuration and are the same on every entry, so that one entry
+ * answers for all.
+ */
 const SHARED_SUBJECTS: ReadonlySet<Subject> = new Set([
   'events',
   'kinds',
--- a/src/process/dispatchTimes.ts
+++ b/src/process/dispatchTimes.ts
@@ -8,7 +8,10 @@
 const LEASE_SHARE = 0.45;
 /** Orphan timeout, as a share of the time after which a caller resubmits. */
 const ORPHAN_TIMEOUT_SHARE = 0.4;
-/** Pings per orphan timeout; two successive pongs may be late or lost before tasks are stopped. */
+/**
+ * Pings per orphan timeout; two successive pongs may be late or lost before tasks are stopped. Each ping
+ * costs a message and a wake-up on both sides.
+ */
 const PINGS_PER_ORPHAN_TIMEOUT = 3;
 
 /** Intervals and timeouts of links and leases, ms. */
--- a/src/process/dispatcher/Admission.ts
+++ b/src/process/dispatcher/Admission.ts
@@ -10,7 +10,7 @@
 export const RETRY_AFTER_MS = 1_000;
 /** Longest retry delay, ms. Bursts last for seconds, so a longer delay would leave free capacity unused. */
 const MAX_RETRY_AFTER_MS = 10_000;
-/** Jitter of the retry delay, ms; callers receive it in whole seconds. */
+/** Jitter of the retry delay, ms; callers receive it in whole seconds, of which the jitter spans three. */
 const RETRY_SPREAD_MS = 3_000;
 /** Fraction of the forecast wait that is applied; estimates are rough, and other jobs may be refused. */
 const WAIT_CONFIDENCE = 0.5;
--- a/src/process/dispatcher/CapacityForecast.ts
+++ b/src/process/dispatcher/CapacityForecast.ts
@@ -16,7 +16,10 @@
 /** Time constant of the arrival rate, ms; short enough to detect a burst within a second. */
 const ARRIVAL_WINDOW_MS = 1_000;
 
-/** Maximum computations of the state for one time; each refusal makes the state stale. */
+/**
+ * Maximum computations of the state for one time; each refusal makes the state stale, and many jobs may be
+ * refused at once.
+ */
 const MAX_UPDATES = 8;
 
 /** State of the dispatcher that a forecast reads. */
--- a/src/process/dispatcher/CrashLedger.ts
+++ b/src/process/dispatcher/CrashLedger.ts
@@ -21,7 +21,10 @@
 const DOMAIN_MIN_CRASHES = 3;
 const FLEET_SHARE = 0.3;
 const FLEET_MIN_CRASHES = 4;
-/** Crashes beyond the limit after which a task counts as the cause even without proof. */
+/**
+ * Crashes beyond the limit after which a task counts as the cause even without proof. With a limit of two, a
+ * task that crashes every upstream is started at most once more after three crashes.
+ */
 const EXTRA_CRASHES = 2;
 /** A crash is no proof after a run longer than both this multiple of the estimate and this time, ms. */
 const LONG_RUN_FACTOR = 4;
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -98,6 +98,7 @@
     fixture.ping(fixture.link('a', 0), 0);
   });
 
+  // Guards against a late hello of an earlier incarnation that leaves the newer one marked as unlinked.
   it('keeps using an executor when the hello of its earlier incarnation arrives late', () => {
     const newer = fixture.link('a', 0, { life: '2' });
     fixture.ping(newer, 1);
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -50,7 +50,10 @@
 const START_EXPIRY_PING_INTERVALS = 2.4;
 /** Pause in sending to an executor after it returned a start as not run, ms. */
 const REJECTION_PAUSE_MS = 4;
-/** Initial estimate of the time from sending a start to its return, ms. */
+/**
+ * Initial estimate of the time from sending a start to its return, ms: the wait for capacity at the executor
+ * and two transits.
+ */
 const INITIAL_RETURN_MS = 50;
 /** Weight of the latest value in the moving average of that time. */
 const RETURN_SMOOTHING = 0.1;
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -48,15 +48,22 @@
 const TICK_MS = 40;
 /**
  * Interval between pings of another dispatcher, ms. An unresponsive link is usually detected within two
- * intervals; this is not urgent, since executors also pass on configurations and members.
+ * intervals; this is not urgent, since executors also pass on configurations and members, and each ping costs
+ * both sides a message.
  */
 const PEER_PING_MS = 1_000;
 /** Interval between member lists to every executor, ms, and the number of other members in each. */
 const MEMBERS_INTERVAL_MS = 4_000;
 const MEMBERS_PER_MESSAGE = 12;
-/** Minimum time that a stopping dispatcher stays reachable, ms; the load balancer checks once a second. */
+/**
+ * Minimum time that a stopping dispatcher stays reachable, ms: two and a half check intervals of the load
+ * balancer, which checks once a second.
+ */
 const BALANCER_NOTICE_MS = 2_500;
-/** Multiple of a job's critical path that must fit before a stopping dispatcher exits. */
+/**
+ * Multiple of a job's critical path that must fit before a stopping dispatcher exits; estimates are rough,
+ * and tasks may have to wait.
+ */
 const LEAVING_PATH_FACTOR = 2;
 /** Retry delay that a stopping dispatcher sends, ms; the load balancer has removed it by then. */
 const LEAVING_RETRY_MS = 1_000;
--- a/src/process/dispatcher/DispatcherPeers.ts
+++ b/src/process/dispatcher/DispatcherPeers.ts
@@ -57,7 +57,10 @@
     this.dialer = new PeerDialer(dialed, clock, nextRandom, FIRST_PONG_TIMEOUT_MS);
   }
 
-  /** Dials the dispatchers that the settings list as `host:port`; only the host is used. */
+  /**
+   * Dials the dispatchers that the settings list as `host:port`; only the host is used. Executors learn of
+   * this dispatcher from them.
+   */
   recordSeeds(seeds: readonly string[]): void {
     const { linkPort, place } = this.options;
     for (const seed of seeds) {
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -25,7 +25,10 @@
 
 /** Weight of earlier observations, at each ping or report, in the rate at which others take capacity. */
 const HISTORY_WEIGHT = 0.8;
-/** Time from sending a start until it takes capacity at the executor, ms. */
+/**
+ * Time from sending a start until it takes capacity at the executor, ms: one transit and one turn of the
+ * executor's event loop.
+ */
 const START_TRANSIT_MS = 3;
 
 /**
--- a/src/process/dispatcher/FairOrder.ts
+++ b/src/process/dispatcher/FairOrder.ts
@@ -21,7 +21,8 @@
  * Start-time fair queueing: the queue that was served least relative to its weight is next. Unused shares are
  * divided among the other queues and are not saved up. The weight of a queue is its usual arrival rate,
  * reduced with each priority step, so a queue that exceeds its usual rate delays only itself. The most urgent
- * queue is served ahead of all shares within its headroom.
+ * queue is served ahead of all shares within its headroom, since its jobs have no time to wait for their
+ * turn.
  *
  * Within a queue, tasks are ordered by rank. Late tasks follow all tasks that are in time, those of the jobs
  * with the smallest remaining fraction first; ordering by remaining work would leave large jobs for last.
@@ -91,7 +92,10 @@
   }
 }
 
-/** Appends the tasks of all queues to an order, each time from the queue with the lowest start tag. */
+/**
+ * Appends the tasks of all queues to an order, each time from the queue with the lowest start tag. A linear
+ * search suffices, as only few queues have waiting tasks.
+ */
 function mergeQueues(
   queues: readonly QueueTasks[],
   pick: (queue: QueueTasks) => readonly DispatchTask[],
--- a/src/process/dispatcher/Placement.ts
+++ b/src/process/dispatcher/Placement.ts
@@ -19,7 +19,8 @@
 /**
  * Cost bonus of an executor that prefers this dispatcher, as a fraction of the task's time. It equals the
  * cost of a full load, so that these executors are filled first unless they are slower by about a quarter.
- * Most of the capacity of an executor is then used by one dispatcher, and fewer starts are rejected.
+ * Most of the capacity of an executor is then used by one dispatcher, which knows what it has sent there, and
+ * fewer starts are rejected.
  */
 const PREFERRED_BONUS = LOAD_WEIGHT;
 
--- a/src/process/dispatcher/QueueShare.ts
+++ b/src/process/dispatcher/QueueShare.ts
@@ -1,7 +1,10 @@
 /** Share of one queue in the capacity. Work is in thousandths of a core times estimated ms. */
 import { RateMeter } from './RateMeter.js';
 
-/** Factor by which each priority step reduces the weight of a queue; small enough that no queue starves. */
+/**
+ * Factor by which each priority step reduces the weight of a queue: large enough that the queue gives way
+ * first, small enough that three steps leave it more than half of its weight.
+ */
 const WEIGHT_STEP = 1.25;
 /** Time constant of the arrival rate, ms; long enough that a burst of seconds hardly raises the share. */
 const ARRIVAL_WINDOW_MS = 10_000;
--- a/src/process/dispatcher/SendWindow.ts
+++ b/src/process/dispatcher/SendWindow.ts
@@ -7,17 +7,24 @@
  * configurations do not wait behind starts.
  */
 
-/** Initial window, bytes; large enough not to limit a burst on a link of about 20 Mbit/s or more. */
+/**
+ * Initial window, bytes; large enough not to limit a burst on a link of about 20 Mbit/s or more. A link of 2
+ * Mbit/s needs a second for it, so that starts expire and the window is halved.
+ */
 const INITIAL_BYTES = 262_144;
 /** Minimum window, bytes: a few starts of 1.5 KB, so that the state of the link is still observed. */
 const MIN_BYTES = 6_144;
 /** Maximum window, bytes: 0.2 s on a link of 200 Mbit/s. */
 const MAX_BYTES = 5_000_000;
-/** Minimum interval between reviews of the window, ms. */
+/**
+ * Minimum interval between reviews of the window, ms. Executors ping about every 170 ms, so a dozen of them
+ * report enough round-trip times in it.
+ */
 const REVIEW_MS = 100;
 /**
- * Maximum number of delays kept until the next review. Reviews happen only when there is something to send,
- * so an idle dispatcher would otherwise accumulate delays and use old ones.
+ * Maximum number of delays kept until the next review; under load it covers the pongs of more than 300
+ * executors. Reviews happen only when there is something to send, so an idle dispatcher would otherwise
+ * accumulate delays and use old ones.
  */
 const MAX_DELAYS = 256;
 /** Time after a reduction before the next change, ms: about a ping interval, until pongs show the effect. */
@@ -119,7 +126,10 @@
   }
 }
 
-/** Median delay of round trips above which the window shrinks, and below which it may grow, ms. */
+/**
+ * Median delay of round trips above which the window shrinks, and below which it may grow, ms. A start is
+ * valid for 2.4 ping intervals, about 420 ms.
+ */
 const SHRINK_DELAY_MS = 60;
 const GROW_DELAY_MS = 30;
 /** Reduction factor when pongs are delayed. */
--- a/src/process/dispatcher/TaskOrder.ts
+++ b/src/process/dispatcher/TaskOrder.ts
@@ -32,7 +32,7 @@
 
 /**
  * Places tasks that can still end in time first, by rank, so that late tasks do not delay them. Late tasks
- * follow, those of jobs with the least remaining work first.
+ * follow, those of jobs with the least remaining work first, as these are answered soonest.
  */
 export class DeadlineOrder extends TaskOrder {
   override list(tasks: readonly DispatchTask[], context: OrderContext): DispatchTask[] {
--- a/src/process/dispatcher/findGiveUpReason.ts
+++ b/src/process/dispatcher/findGiveUpReason.ts
@@ -9,7 +9,10 @@
 export const USELESS_AFTER_OBJECTIVES = 3;
 /** Fraction of the estimated critical path that a fast upstream may need. */
 const FAST_PATH_FRACTION = 0.8;
-/** Fraction of the caller timeout after which a late job that has not started is refused. */
+/**
+ * Fraction of the caller timeout after which a late job that has not started is refused, so that its caller
+ * can submit it to another dispatcher.
+ */
 const WAIT_FRACTION = 0.4;
 
 /** Reason to give up a job. */
--- a/src/process/entry/finishTurn.ts
+++ b/src/process/entry/finishTurn.ts
@@ -29,8 +29,8 @@
 }
 
 /**
- * Reports waiting tasks, or a clearly more urgent first task, to as many agents as the most urgent job has queued
- * tasks. Agents are selected round-robin.
+ * Reports waiting tasks, or a clearly more urgent first task, to as many agents as the most urgent job has
+ * queued tasks, since each can free a slot for one. Agents are selected round-robin.
  */
 function sendUrgentDemand(state: EntryState, waiting: number, headRank: number, tasks: number): void {
   const agents = [...state.agents.values()];
--- a/src/process/executor/CapacityShares.ts
+++ b/src/process/executor/CapacityShares.ts
@@ -6,7 +6,10 @@
  */
 import { divideCapacity } from './divideCapacity.js';
 
-/** Time constant of the exponential decay of recent starts, ms; about a ping interval. */
+/**
+ * Time constant of the exponential decay of recent starts, ms; about a ping interval, so that capacity stays
+ * reserved for a dispatcher that pauses for a short time.
+ */
 const RECENT_DECAY_MS = 200;
 /**
  * Time for which a reported share is reserved, ms: a round trip and a turn of the dispatcher's event loop.
--- a/src/process/executor/DispatcherLinks.ts
+++ b/src/process/executor/DispatcherLinks.ts
@@ -31,18 +31,19 @@
 const PING_DUE_INTERVALS = 0.9;
 /**
  * Age of the newest ping, in ping intervals, at which a link is pinged together with one that is due: pongs
- * that arrive together wake up the process only once.
+ * that arrive together wake up the process only once, and a wake-up costs more than the messages.
  */
 const BATCH_PING_INTERVALS = 0.5;
 /**
- * Time to wait for the welcome message of a dispatcher before its link is dialed again, ms. Longer than the
- * time after which an unresponsive dispatcher is replaced, so that a frozen peer causes few connections.
+ * Time to wait for the welcome message of a dispatcher before its link is dialed again, ms. It detects a
+ * connection that is dead from the start; later, missing pongs do. Longer than the time after which an
+ * unresponsive dispatcher is replaced, so that a frozen peer causes few connections.
  */
 const WELCOME_TIMEOUT_MS = 1_500;
 /**
  * Time to wait for the first pong, ms. An unresponsive connection has to be replaced before the dispatcher's
- * orphan timeout of three ping intervals stops its work; a ping interval is 170 ms where callers submit again
- * after 1.3 s.
+ * orphan timeout of three ping intervals stops its work: what was sent on it waits there, while both sides
+ * reconcile their attempts on a new one. A ping interval is 170 ms where callers submit again after 1.3 s.
  */
 const FIRST_PONG_TIMEOUT_MS = 170;
 
@@ -182,7 +183,8 @@
 
   /**
    * Schedules reports of changed capacity, at a limited rate, to dispatchers at which tasks wait or whose
-   * reported share is too large. The others get it with the next ping, or ask for it with a demand notice.
+   * reported share is too large. The others get it with the next ping: they have enough capacity for their
+   * tasks until then, or ask for it with a demand notice.
    */
   scheduleCapacityReports(): void {
     const now = this.clock.now();
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -181,7 +181,10 @@
     return false;
   }
 
-  /** Reports the new capacity to all dispatchers at once, and replaces the saved one. */
+  /**
+   * Reports the new capacity to all dispatchers at once, and replaces the saved one, so that the next
+   * incarnation of this process does not start with the earlier capacity.
+   */
   private handleCapacityChange(report: UpstreamReport, before: Resources): void {
     const direction = fitResources(before, report.capacity) ? 'grown' : 'shrunk';
     this.metrics.increment('executor_capacity_changes', { direction });
--- a/src/process/executor/FencingTokens.ts
+++ b/src/process/executor/FencingTokens.ts
@@ -1,7 +1,9 @@
 /** Fencing tokens for the calls of one process to upstreams. */
 import type { Clock } from '../../_lib/Clock.js';
 
-/** Largest step above a refused token, ms; keeps tokens within the safe integers. */
+/**
+ * Largest step above a refused token, ms: about a quarter of an hour; keeps tokens within the safe integers.
+ */
 const MAX_STEP_MS = 2 ** 20;
 
 /**
--- a/src/process/executor/SpeedMeter.ts
+++ b/src/process/executor/SpeedMeter.ts
@@ -65,7 +65,10 @@
   }
 }
 
-/** Time constant of the exponential decay of a running task's progress, ms. */
+/**
+ * Time constant of the exponential decay of a running task's progress, ms; a slower upstream is detected
+ * within twice this time.
+ */
 const TASK_DECAY_MS = 200;
 /**
  * Run time from which a running task counts, as a fraction of its estimate, as progress is reported in whole
@@ -76,7 +79,7 @@
 const RECENT_MS = 400;
 /** Minimum number of tasks for the median; if there are fewer, older ended tasks are included. */
 const MIN_TASKS = 3;
-/** Maximum number of ended tasks that are kept. */
+/** Maximum number of ended tasks that are kept; more than end within `RECENT_MS` hardly change the median. */
 const MAX_ENDED = 16;
 /** Speed below which a task counts as stalled. */
 const STALLED_SPEED = 0.05;
--- a/src/process/executor/UpstreamIncarnations.ts
+++ b/src/process/executor/UpstreamIncarnations.ts
@@ -1,5 +1,6 @@
 /**
- * Incarnations of the upstream beside an executor, each with its own session and state.
+ * Incarnations of the upstream beside an executor, each with its own session and state, so that nothing
+ * counted for one affects the next.
  *
  * An incarnation is identified by id and start time, as an upstream may restart with the same id. A report
  * opens a session, but may come from a foreign writer or be a delayed one of an earlier incarnation. Only
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -55,12 +55,13 @@
   readonly seeds: readonly string[];
   /**
    * Links of an executor to dispatchers, spread over failure domains, where there are more dispatchers than
-   * `smallFleet`; up to twice as many while some of them are unresponsive.
+   * `smallFleet`; up to twice as many while some of them are unresponsive. By default a link costs both sides
+   * 5.8 pings and pongs a second.
    */
   readonly maxLinks: number;
   /**
    * Largest number of dispatchers at which an executor links to all of them, so that each can use its
-   * capacity.
+   * capacity; so few links cost little.
    */
   readonly smallFleet: number;
   /** Address for callers, `host:port`; dispatcher only. */
@@ -106,15 +107,21 @@
   readonly sendWindow: SendWindowKind;
   /**
    * Most connections of callers; further ones are closed. Links, store and metrics need file descriptors as
-   * well.
+   * well: the default leaves them about a quarter of 4,100.
    */
   readonly maxConnections: number;
-  /** Most open jobs of a dispatcher; further ones are refused. */
+  /**
+   * Most open jobs of a dispatcher; further ones are refused. The default is about what arrives in 5 s at 840
+   * jobs/s.
+   */
   readonly maxOpenJobs: number;
-  /** Most memory of all open jobs, estimated, bytes; further jobs are refused. */
+  /**
+   * Most memory of all open jobs, estimated, bytes; further jobs are refused. The default is a fifth of a
+   * heap of 160 MB.
+   */
   readonly maxOpenBytes: number;
-  /** Most tasks of a job. */
+  /** Most tasks of a job; the largest expected jobs have 1,800. */
   readonly maxJobTasks: number;
-  /** Most steps of a job. */
+  /** Most steps of a job; jobs usually have a few. */
   readonly maxJobSteps: number;
 }
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -57,7 +57,7 @@
 /** Share of the deadline within which the predicted finish must fall; the rest covers prediction errors. */
 const DEADLINE_SHARE = 0.9;
 
-/** Shortest predicted wait at which fair shares are enforced, ms. */
+/** Shortest predicted wait at which fair shares are enforced, ms; below it there is capacity for everyone. */
 const SHARE_CHECK_MIN_WAIT_MS = 1_000;
 /** Multiple of an even share up to which one caller or team may use the entry. */
 const MAX_EVEN_SHARES = 2;
--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -9,7 +9,11 @@
 import { PlatformBench } from './fakes/PlatformBench.js';
 
 const TASK_MS = 100_000;
-/** Many times a task, so that slow progress reports do not make the dispatcher give up a job. */
+/**
+ * Many times a task, so that slow progress reports do not make the dispatcher give up a job: progress is
+ * reported in whole percent, a second each here, and until the first report an upstream seems to work at a
+ * fifth of its speed.
+ */
 const PATIENCE_MS = 2_000_000;
 const TARGET_LATENCY_MS = 2_000_000;
 /** Longer than the timeout of a call and all its retries. */
