--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -209,9 +209,9 @@
   }
 
   /**
-   * Handles the first message on a link of an executor, unless it is late. Attempts that the executor neither holds nor reports
-   * are lost; so are all of them if it was linked to another incarnation of this dispatcher. The link must be
-   * open, as stop orders may be sent to the executor.
+   * Handles the first message on a link of an executor, unless it is late. Attempts that the executor neither
+   * holds nor reports are lost; so are all of them if it was linked to another incarnation of this dispatcher.
+   * The link must be open, as stop orders may be sent to the executor.
    *
    * @returns the id of this incarnation of the executor
    */
