Stand-in of an upstream: cut leases to the longest that it grants

The upstream had restarted; a call for its earlier incarnation, on that one's clock, reached it, and the stand-in granted a lease of thousands of seconds. The platform cuts any lease to 1 s. Change: the stand-in cuts leases as the platform does (longestLeaseMs, from the setting maxLeaseMs of the test).

--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -78,6 +78,11 @@
 
   constructor(private readonly initialClockMs: number) {}
 
+  /** Extends the lease; a longer one, such as one on the clock of an earlier incarnation, is cut to the longest. */
+  extendLease(untilMs: number, longestMs: number): void {
+    this.leaseUntil = Math.max(this.leaseUntil, Math.min(untilMs, this.clockMs + longestMs));
+  }
+
   /** Monotonic clock of this incarnation, ms. */
   get clockMs(): number {
     return Math.floor(performance.now() - this.startedAt) + this.initialClockMs;
@@ -102,6 +107,8 @@
   reportedCpu: number | undefined;
   /** Whether every run fails at its start. */
   fails = false;
+  /** Longest lease that it grants, ms. */
+  longestLeaseMs = 1_000;
   private incarnation = new RunnerIncarnation(INITIAL_CLOCK_MS);
   private heartbeatTimer: NodeJS.Timeout | undefined;
   private runTimer: NodeJS.Timeout | undefined;
@@ -208,7 +215,7 @@
   private handleStart(order: OrderBody, response: ServerResponse | undefined): void {
     const { task = '', run = 0, spec = '', deadline_ms: deadlineMs = 0 } = order;
     if (deadlineMs < this.incarnation.clockMs) return this.sendConflict(response, 'late');
-    this.incarnation.leaseUntil = Math.max(this.incarnation.leaseUntil, deadlineMs);
+    this.incarnation.extendLease(deadlineMs, this.longestLeaseMs);
     if (this.incarnation.running.get(task)?.run === run) return this.sendAccepted(response);
     if (run <= (this.incarnation.highestRun.get(task) ?? 0)) return this.sendConflict(response, 'old');
     this.startRun(task, run, spec);
@@ -224,7 +231,7 @@
     const { task = '', run = 0, spec = '', deadline_ms: deadlineMs = 0, fencing_token: token = 0 } = order;
     await sleep(this.lateMs);
     if (token < this.incarnation.token || run <= (this.incarnation.highestRun.get(task) ?? 0)) return;
-    this.incarnation.leaseUntil = Math.max(this.incarnation.leaseUntil, deadlineMs + this.lateMs);
+    this.incarnation.extendLease(deadlineMs + this.lateMs, this.longestLeaseMs);
     this.startRun(task, run, spec);
   }
 
@@ -239,7 +246,7 @@
   }
 
   private async handleHold(order: OrderBody, response: ServerResponse | undefined): Promise<void> {
-    this.incarnation.leaseUntil = Math.max(this.incarnation.leaseUntil, order.deadline_ms ?? 0);
+    this.incarnation.extendLease(order.deadline_ms ?? 0, this.longestLeaseMs);
     while (this.incarnation.ended[0] && this.incarnation.ended[0][0] <= (order.last_seen ?? 0))
       this.incarnation.ended.shift();
     const until = performance.now() + (order.wait_ms ?? 0);
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -325,6 +325,7 @@
         },
       },
     );
+    runner.longestLeaseMs = Number(this.extraSettings['maxLeaseMs'] ?? runner.longestLeaseMs);
     this.runners.push(runner);
     await runner.start(ip, 0);
   }
