Log orders to an upstream in one place

Cause: answered and unanswered orders were logged by two pieces of code; the lines without an answer carried a raw monotonic time (sentAt) in place of the duration. Change: logOrder serves the four events; unanswered ones have tookMs as the answered ones do.

--- a/src/process/executor/RunOrders.ts
+++ b/src/process/executor/RunOrders.ts
@@ -75,14 +75,14 @@
         const call = this.calls.start(buildRunName(task), task.order.spec);
         sent.leaseUntilMs = this.calls.leaseUntilMs;
         const verdict = await call;
-        this.logAnswer('run-start', sent, verdict);
+        this.logOrder('run-start', sent, { answer: verdict });
         if (task.phase !== 'starting' || this.callbacks.isOver()) return;
         if (verdict === 'superseded' && sends > 0) await this.waitForRenewal();
         if (task.phase !== 'starting' || this.callbacks.isOver()) return;
         if (this.settleStart(task, verdict)) return;
       } catch (error) {
         if (error instanceof ConnectionRefusedError) task.openSends -= 1;
-        this.callbacks.log('start-unanswered', { ...sent, error: String(error) });
+        this.logOrder('start-unanswered', sent, { error: String(error) });
       }
       await this.clock.sleep(REPEAT_PAUSE_MS);
       this.callbacks.revalidate(task);
@@ -146,11 +146,11 @@
       sends += 1;
       try {
         const verdict = await this.calls.stop(buildRunName(task));
-        this.logAnswer('run-stop', sent, verdict);
+        this.logOrder('run-stop', sent, { answer: verdict });
         if (verdict === 'accepted') task.stopAcceptedAt ??= this.clock.now();
         if (verdict === 'other-life') return this.callbacks.handleOtherIncarnation();
       } catch (error) {
-        this.callbacks.log('stop-unanswered', { ...sent, error: String(error) });
+        this.logOrder('stop-unanswered', sent, { error: String(error) });
       }
       await this.clock.sleep(task.stopAcceptedAt === undefined ? REPEAT_PAUSE_MS : STOP_REPEAT_PAUSE_MS);
     }
@@ -173,9 +173,14 @@
     return { task: key, run, attempt, entryLife: owner, sends, token, leaseUntilMs, sentAt };
   }
 
-  private logAnswer(event: 'run-start' | 'run-stop', { sentAt, ...sent }: SentOrder, answer: string): void {
+  /** Logs an order with its answer, or the error that it ended with. */
+  private logOrder(
+    event: string,
+    { sentAt, ...sent }: SentOrder,
+    outcome: Readonly<Record<string, unknown>>,
+  ): void {
     const tookMs = Math.round(this.clock.now() - sentAt);
-    this.callbacks.log(event, { ...sent, answer, tookMs });
+    this.callbacks.log(event, { ...sent, ...outcome, tookMs });
   }
 }
 
