--- a/review/lib/Deployment.ts
+++ b/review/lib/Deployment.ts
@@ -55,7 +55,10 @@
   private storeAddress = '';
   private names: readonly string[] = [];
 
-  constructor(readonly recorder: Recorder) {}
+  constructor(readonly recorder: Recorder) {
+    process.on('exit', () => this.killProcesses());
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => process.exit(2));
+  }
 
   /** Starts the store, the dispatchers and the executors, and waits for none of them. */
   async start(dispatchers: number, executors: number): Promise<void> {
@@ -230,15 +233,17 @@
 
   /** Ends all processes, the store and the runners. */
   async stop(): Promise<void> {
-    for (const child of this.processes.values()) {
-      child.kill('SIGCONT');
-      child.kill('SIGKILL');
-    }
+    this.killProcesses();
     for (const runner of this.runners) runner.crash();
     await this.store.stop();
     rmSync(this.directory, { recursive: true, force: true });
   }
 
+  /** Ends all processes; those that are stopped end too. */
+  private killProcesses(): void {
+    for (const child of this.processes.values()) child.kill('SIGKILL');
+  }
+
   private findIp(name: string): string {
     const [role, number] = name.split('-');
     return `127.${role === 'edge' ? 60 : 61}.${this.net}.${number}`;
--- a/review/lib/Recorder.ts
+++ b/review/lib/Recorder.ts
@@ -12,11 +12,18 @@
   until: number | undefined;
 }
 
+/** Start of a task at a runner. */
+export interface Start {
+  readonly task: string;
+  readonly at: number;
+}
+
 /** Writes lines with times, and watches which tasks run twice at the same time. */
 export class Recorder {
   readonly overlaps: Overlap[] = [];
   /** Tasks that were started at a runner that lacks the label they require. */
   readonly misplaced: string[] = [];
+  private readonly starts: Start[] = [];
   private readonly lines: string[] = [];
   private readonly startedAt = performance.now();
   /** Places at which each task is running. */
@@ -44,10 +51,22 @@
       this.note(`TWICE task ${task} begins at ${place} while it runs at ${other}`);
     }
     places.add(place);
+    this.starts.push({ task, at: this.now });
     this.running.set(task, places);
     this.note(`begin task ${task} at ${place}`);
   }
 
+  /** Lists the starts of a job's tasks. */
+  listStarts(job: string): Start[] {
+    return this.starts.filter(({ task }) => task.startsWith(`${job}.`));
+  }
+
+  /** Counts the running tasks of a job. */
+  countRunning(job: string): number {
+    const tasks = [...this.running].filter(([task, places]) => task.startsWith(`${job}.`) && places.size > 0);
+    return tasks.length;
+  }
+
   /** Records that a run has ended. */
   recordEnd(task: string, place: string, how: string): void {
     this.running.get(task)?.delete(place);
--- a/review/lib/Runner.ts
+++ b/review/lib/Runner.ts
@@ -162,7 +162,10 @@
     if (order.deadline_ms !== undefined) this.extendLease(order.deadline_ms);
     const seen = order.last_seen ?? 0;
     while (this.ended[0] && this.ended[0][0] <= seen) this.ended.shift();
+    let isAnswered = false;
     const answer = (): void => {
+      if (isAnswered) return;
+      isAnswered = true;
       clearTimeout(timer);
       this.waiting = this.waiting.filter((waiter) => waiter !== answer);
       this.update();
