--- a/review/lib/Deployment.ts
+++ b/review/lib/Deployment.ts
@@ -21,6 +21,10 @@
 export const HOST = 'tender.example';
 const POLL_MS = 20;
 const WAIT_MS = 20_000;
+/** Time after which a case ends in any case, ms; 120 s are allowed. */
+const LONGEST_RUN_MS = 115_000;
+/** Exit status of a case that could not run. */
+const COULD_NOT_RUN = 2;
 /** The commands of the deploy file. */
 const COMMANDS = {
   dispatcher: ['--max-old-space-size=160', 'target/serve.cjs', 'serve', 'dispatcher'],
@@ -57,7 +61,14 @@
 
   constructor(readonly recorder: Recorder) {
     process.on('exit', () => this.killProcesses());
-    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => process.exit(2));
+    for (const signal of ['SIGINT', 'SIGTERM'] as const)
+      process.on(signal, () => process.exit(COULD_NOT_RUN));
+    for (const event of ['uncaughtException', 'unhandledRejection'] as const)
+      process.on(event, (error: unknown) => {
+        process.stderr.write(`${String(error)}\n`);
+        process.exit(COULD_NOT_RUN);
+      });
+    setTimeout(() => process.exit(COULD_NOT_RUN), LONGEST_RUN_MS).unref();
   }
 
   /** Starts the store, the dispatchers and the executors, and waits for none of them. */
