Dispatcher: log each cancelling, and each submission that is held after a pause

The logs named neither the cancelling nor the wait of the submission, so three explanations could not be told apart: the cancelling is read first; the submission is put off while the process catches up (3 turns); it is held as its caller may have left (6 turns). Change: 'cancel' with whether the job was open, 'submission-held' with the number of turns; both count in dispatcher_decisions.

--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -255,7 +255,9 @@
       return caller.answer({ kind: 'refused', reason: 'leaving', retryAfterMs: LEAVING_RETRY_MS });
     }
     this.heldCallers.add(caller);
-    this.submitHeld(submission, caller, now, this.pauseGuard.findStaleTurns(now));
+    const turns = this.pauseGuard.findStaleTurns(now);
+    if (turns > 0) this.logDecision('submission-held', { job: submission.id, turns });
+    this.submitHeld(submission, caller, now, turns);
   }
 
   /** Submits a job after some turns of the event loop, unless its caller has left by then. */
@@ -315,7 +317,9 @@
   cancel(jobId: string): boolean {
     const now = this.clock.now();
     this.pauseGuard.update(now);
-    return this.dispatcher.cancel(jobId, now);
+    const isOpen = this.dispatcher.cancel(jobId, now);
+    this.logDecision('cancel', { job: jobId, isOpen });
+    return isOpen;
   }
 
   countPending(routeName: string): number {
