Dispatcher: remember cancelled jobs, so that none of their submissions is run

Cause: a cancelling acted on the table of jobs only. What was not there yet had no cancelling at all: a submission that is held after a pause, one that is read later from another connection or from the listen queue, one that is sent again. A record is kept for the time that the platform names for the state of a job (status_s, 120 s; cancelledSeconds), 50,000 ids and 2,000,000 characters at most; the oldest go first, logged as cancelled-forgotten. By PROTOCOL.md the same ID "remains one job", so a later job under a cancelled id is the cancelled one for as long. Why it works: it does not matter where or how long an input waits, as the check is made when it reaches the table of jobs. Ruled out: cancel waiting as submissions do, which leaves what is read later; a check of the held submissions alone, likewise.

--- /dev/null
+++ b/src/process/dispatcher/CancelledJobs.ts
@@ -0,0 +1,81 @@
+/**
+ * Jobs that callers have cancelled. A submission may be handled after the cancelling of its job: it was held, was read
+ * from another connection, or is sent again. So each cancelled job is remembered for a time, and none of its
+ * submissions is run meanwhile.
+ */
+
+/** How long a cancelled job is remembered by default, ms. */
+const RETENTION_MS = 120_000;
+/** Most cancelled jobs that are remembered, and most characters of their ids; the oldest are forgotten first. */
+const LIMITS = { maxJobs: 50_000, maxCharacters: 2_000_000 };
+
+/** Cancelled jobs of one dispatcher. Points in time are monotonic ms. */
+export class CancelledJobs {
+  /** Times of the cancellings by job id, in the order in which they were recorded. */
+  private readonly cancelledAt = new Map<string, number>();
+  private characters = 0;
+
+  /**
+   * @param log - logs a decision
+   * @param retentionMs - how long a cancelled job is remembered, ms
+   * @param limits - bounds of the memory; only tests set others
+   */
+  constructor(
+    private readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void,
+    private readonly retentionMs = RETENTION_MS,
+    private readonly limits = LIMITS,
+  ) {}
+
+  /** Number of remembered jobs. */
+  get size(): number {
+    return this.cancelledAt.size;
+  }
+
+  /** Whether a job is cancelled. */
+  has(job: string): boolean {
+    return this.cancelledAt.has(job);
+  }
+
+  /**
+   * Records that a job is cancelled, unless that is known.
+   *
+   * @param job - id of the job
+   * @param at - when it was cancelled
+   * @returns whether it was not known
+   */
+  record(job: string, at: number): boolean {
+    if (this.cancelledAt.has(job)) return false;
+    this.cancelledAt.set(job, at);
+    this.characters += job.length;
+    this.forgetOldest();
+    return true;
+  }
+
+  /** Forgets the jobs whose time is over. */
+  tick(now: number): void {
+    for (const [job, at] of this.cancelledAt) {
+      if (now - at < this.retentionMs) return;
+      this.forget(job);
+    }
+  }
+
+  private forgetOldest(): void {
+    let jobs = 0;
+    for (const job of this.cancelledAt.keys()) {
+      if (!this.isBeyondLimits) break;
+      this.forget(job);
+      jobs += 1;
+    }
+    if (jobs > 0) this.log('cancelled-forgotten', { jobs });
+  }
+
+  private forget(job: string): void {
+    this.cancelledAt.delete(job);
+    this.characters -= job.length;
+  }
+
+  private get isBeyondLimits(): boolean {
+    const { maxJobs, maxCharacters } = this.limits;
+    return this.cancelledAt.size > maxJobs || this.characters > maxCharacters;
+  }
+}
--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -132,6 +132,32 @@
     expect(fixture.starts[2]?.order.name).to.include({ step: 1, index: 0 });
   });
 
+  // Guards against a job that runs although it was cancelled before its submission was handled.
+  it('refuses a submission that is handled after the cancelling of its job', () => {
+    expect(fixture.dispatcher.cancel('job', 10)).to.equal(false);
+    fixture.submit(20);
+    expect(fixture.starts).to.deep.equal([]);
+    expect(fixture.caller.answers).to.deep.equal([
+      { kind: 'refused', reason: 'cancelled', retryAfterMs: undefined },
+    ]);
+  });
+
+  // Guards against a cancelled job that runs anew when its caller, which was answered 504, submits it again.
+  it('refuses a cancelled job that is submitted again', () => {
+    fixture.submit(10);
+    expect(fixture.dispatcher.cancel('job', 20)).to.equal(true);
+    fixture.submit(30);
+    fixture.end(0, 'stopped', 40);
+    fixture.end(1, 'stopped', 40);
+    fixture.submit(1_340);
+    expect(fixture.starts.length).to.equal(2);
+    expect(fixture.caller.answers.map(({ kind }) => kind)).to.deep.equal([
+      'interrupted',
+      'refused',
+      'refused',
+    ]);
+  });
+
   it('interrupts a job that runs past its deadline instead of failing it', () => {
     fixture.submit(10);
     fixture.ping('a@1', 1_950);
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -13,14 +13,12 @@
   AttemptProgress,
   AttemptResult,
   CrashedTask,
-  DispatcherMessage,
   Ping,
   CapacityChange,
   SuspectTask,
 } from '../../connection/peer/peerMessages.js';
 import { UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
-import type { JobBounds } from '../../request/dispatch/JobBounds.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
 import { CallerTimeoutAdmission, RETRY_AFTER_MS } from './Admission.js';
 import type { Admission } from './Admission.js';
@@ -29,18 +27,18 @@
 import { buildExecutorId } from './ExecutorView.js';
 import type { ExecutorView } from './ExecutorView.js';
 import { Backlog } from './Backlog.js';
+import { CancelledJobs } from './CancelledJobs.js';
 import { buildAttemptName, createDispatchJob, isOutstanding, transitionTask } from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
+import type { DispatchEffects, DispatchOptions } from './dispatchOptions.js';
 import { describeAttemptOver, describePlacedAgain, describePlacement } from './attemptLog.js';
-import { ANSWER_MARGIN_MS } from './findGiveUpReason.js';
 import { JobTable } from './JobTable.js';
-import type { Submission } from './JobTable.js';
 import { needsMove } from './needsMove.js';
 import type { Placement, PlacementContext } from './Placement.js';
 import type { CapacityView } from './CapacityForecast.js';
-import type { SendWindow } from './SendWindow.js';
+import { SUPERSEDED } from './Successors.js';
+import type { Submission } from './Successors.js';
 import { Suspects } from './Suspects.js';
-import type { TaskOrder } from './TaskOrder.js';
 
 /** Time since the last message of an executor, in ping intervals, after which it is sent no new tasks. */
 const STALE_PING_INTERVALS = 2;
@@ -65,38 +63,13 @@
 const START_BYTES = 250;
 const BATCHED_START_BYTES = 110;
 
-/** Side effects of the dispatcher, implemented by its process. */
-export interface DispatchEffects {
-  readonly send: (executorId: string, message: DispatcherMessage) => void;
-  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
-  /** Records the answer to a job. */
-  readonly recordOutcome: (job: DispatchJob, outcome: JobOutcome, now: number) => void;
-}
-
-/** Options of a dispatcher. */
-export interface DispatchOptions {
-  readonly pingMs: number;
-  readonly placement: Placement;
-  readonly window: SendWindow;
-  /** Decides when jobs are given up; `CallerTimeoutAdmission` by default. */
-  readonly admission?: Admission;
-  /** Order in which tasks are placed; `DeadlineOrder` by default. */
-  readonly order?: TaskOrder;
-  /** Limits on the size of each job, and on the number and total size of open jobs. */
-  readonly bounds: JobBounds;
-  /** Crashes of upstreams under one task after which its job fails; 0 or undefined for no limit. */
-  readonly crashLimit?: number;
-  /** Finds how long ago input may have arrived that is handled now, ms; 0 if undefined. */
-  readonly findInputLag?: (now: number) => number;
-  readonly nextRandom: () => number;
-}
-
 /** Dispatches the jobs of one entry VM. */
 export class Dispatcher {
   private readonly executors: ExecutorTable;
   private readonly jobs = new JobTable();
   private readonly admission: Admission;
   private readonly backlog: Backlog;
+  private readonly cancelled: CancelledJobs;
   /** Tasks under which upstreams have crashed recently. */
   readonly suspects: Suspects;
   /** Moving average of the time from sending a start to its return as not run, ms. */
@@ -113,6 +86,7 @@
     this.suspects = new Suspects(crashLimit, placement, this.executors, effects.log);
     this.admission = options.admission ?? new CallerTimeoutAdmission();
     this.backlog = new Backlog(options.order);
+    this.cancelled = new CancelledJobs(effects.log, options.cancelledMs);
   }
 
   /** Typical speed of the upstreams, ms of estimated work per ms. */
@@ -140,6 +114,11 @@
     return this.backlog.countBy(describe);
   }
 
+  /** Number of cancelled jobs that are remembered. */
+  get cancelledJobs(): number {
+    return this.cancelled.size;
+  }
+
   /** Latest forecast of the service rate, in cores of estimated work; 0 while there is no forecast. */
   get forecastCores(): number {
     return this.admission.forecastCores;
@@ -155,33 +134,37 @@
     this.executors.setEmptied(domains);
   }
 
-  /** Accepts a job, which is answered through `caller`. */
+  /** Accepts a job, which is answered through `caller`. Refuses a job that has been cancelled. */
   submit(submission: JobSubmission, caller: Caller, now: number): void {
+    if (this.cancelled.has(submission.id)) {
+      this.effects.log('refuse', { job: submission.id, reason: CANCELLED.reason });
+      return caller.answer(CANCELLED);
+    }
     const findings = this.options.bounds.findExcess(submission);
     if (findings.length > 0) {
       this.effects.log('reject', { job: submission.id, findings });
       return caller.answer({ kind: 'rejected', reason: 'too-large', findings });
     }
     const known = this.jobs.find(submission.id);
-    if (!known) return this.admit({ submission, caller, deadlineAt: now + submission.patienceMs }, now);
+    const waiting = { submission, caller, deadlineAt: now + submission.patienceMs };
+    if (!known) return this.admit(waiting, now);
     this.effects.log('job-again', { job: submission.id, answered: known.answered });
-    this.jobs.successors.get(submission.id)?.caller.answer(SUPERSEDED);
-    this.jobs.successors.set(submission.id, { submission, caller, deadlineAt: now + submission.patienceMs });
+    this.jobs.successors.add(waiting);
     this.endJob(known, SUPERSEDED, now);
   }
 
   /** Drops the waiting tasks and stops the running tasks of a job whose caller has disconnected. */
   abandon(jobId: string, caller: Caller, now: number): void {
-    const { successors } = this.jobs;
-    if (successors.get(jobId)?.caller === caller) successors.delete(jobId);
+    this.jobs.successors.abandon(jobId, caller);
     const job = this.jobs.findOpen(jobId);
     if (!job || job.caller !== caller) return;
     this.effects.log('job-abandoned', { job: jobId, ageMs: Math.round(now - job.arrivedAt) });
     this.endJob(job, { kind: 'interrupted', reason: 'caller-gone' }, now);
   }
 
-  /** Cancels a job. Returns false if there is no such open job. */
+  /** Cancels a job, also one that is submitted later. Returns false if there is no such open job. */
   cancel(jobId: string, now: number): boolean {
+    this.cancelled.record(jobId, now);
     const job = this.jobs.findOpen(jobId);
     if (!job) return false;
     this.endJob(job, { kind: 'interrupted', reason: 'cancelled' }, now);
@@ -313,14 +296,11 @@
   tick(now: number): void {
     this.executors.updateSpeed();
     this.suspects.tick(now);
+    this.cancelled.tick(now);
     for (const executor of this.executors.list()) this.expireExecutor(executor, now);
     const view = this.buildCapacityView(now);
     for (const job of this.jobs.list()) this.reviewJob(job, view);
-    for (const [id, { deadlineAt, caller }] of [...this.jobs.successors]) {
-      if (now < deadlineAt - ANSWER_MARGIN_MS) continue;
-      this.jobs.successors.delete(id);
-      caller.answer({ kind: 'refused', reason: 'deadline', retryAfterMs: RETRY_AFTER_MS });
-    }
+    this.jobs.successors.tick(now);
   }
 
   /**
@@ -576,7 +556,8 @@
   }
 }
 
-const SUPERSEDED: JobOutcome = { kind: 'interrupted', reason: 'submitted-again' };
+/** Answer to a submission of a job that has been cancelled. */
+const CANCELLED = { kind: 'refused', reason: 'cancelled', retryAfterMs: undefined } as const;
 
 function buildAttemptKey({ job, step, index, attempt }: AttemptResult['name']): string {
   return `${job}/${step}/${index}/${attempt}`;
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -76,6 +76,8 @@
  */
 const MIN_REPORTED_LAG_MS = 50;
 
+const SECOND_MS = 1_000;
+
 /** Limit on log lines about placements, per second; other decisions are not limited. */
 const PLACE_LINES_PER_S = 400;
 
@@ -131,6 +133,7 @@
         pingMs,
         bounds,
         crashLimit: settings.crashLimit,
+        cancelledMs: settings.cancelledSeconds * SECOND_MS,
         placement: createPlacement(settings),
         window: createSendWindow(settings),
         order: createTaskOrder(settings),
@@ -148,6 +151,7 @@
       readOpenJobs: () => this.dispatcher.openJobs,
       readWaitingTasks: () => this.dispatcher.waitingTasks,
       readSuspects: () => this.dispatcher.suspects.size,
+      readCancelledJobs: () => this.dispatcher.cancelledJobs,
       readWaitingByPriority: () =>
         this.dispatcher.countWaitingBy(({ priority }) => describePriority(priority)),
       readForecastCores: () => this.dispatcher.forecastCores,
--- a/src/process/dispatcher/JobTable.ts
+++ b/src/process/dispatcher/JobTable.ts
@@ -1,23 +1,14 @@
 /** Jobs of a dispatcher, and resubmitted jobs of which tasks of an earlier submission may still run. */
 import type { AttemptName } from '../../connection/peer/peerMessages.js';
-import type { Caller } from '../../ports/CallerGateway.js';
-import type { JobSubmission } from '../../request/dispatch/submission.js';
 import { findTask, isOutstanding } from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
-
-/** A submission that waits to be admitted. */
-export interface Submission {
-  readonly submission: JobSubmission;
-  readonly caller: Caller;
-  /** When its caller stops waiting, ms. */
-  readonly deadlineAt: number;
-}
+import { Successors } from './Successors.js';
+import type { Submission } from './Successors.js';
 
 /** Jobs of one dispatcher, by id. */
 export class JobTable {
   private readonly jobs = new Map<string, DispatchJob>();
-  /** Latest submission of each job of which an earlier submission may still run, by job id. */
-  readonly successors = new Map<string, Submission>();
+  readonly successors = new Successors();
 
   /** Counts the jobs whose caller waits. */
   countOpen(): number {
@@ -73,8 +64,6 @@
   /** Removes a job, and returns the submission that replaces it. */
   delete(id: string): Submission | undefined {
     this.jobs.delete(id);
-    const successor = this.successors.get(id);
-    this.successors.delete(id);
-    return successor;
+    return this.successors.take(id);
   }
 }
--- a/src/process/dispatcher/dispatcherMetrics.ts
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -11,6 +11,7 @@
   readonly readForecastCores: () => number;
   readonly readExecutors: () => number;
   readonly readSuspects: () => number;
+  readonly readCancelledJobs: () => number;
   readonly readConfigurationVersion: () => number;
   readonly readEmptiedDomains: () => number;
   readonly readEmptiedRevision: () => number;
@@ -64,6 +65,11 @@
       help: 'Tasks under which upstreams have crashed of late',
       read: gauges.readSuspects,
     },
+    dispatcher_cancelled_jobs: {
+      kind: 'gauge',
+      help: 'Cancelled jobs that are remembered, so that no submission of them is run',
+      read: gauges.readCancelledJobs,
+    },
     dispatcher_configuration_version: {
       kind: 'gauge',
       help: 'Version of the configuration in force',
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -48,6 +48,7 @@
     placement: { type: 'string', enum: ['spread', 'grouped', 'home'], default: 'home' },
     sendWindow: { type: 'string', enum: ['open', 'loss', 'delay'], default: 'delay' },
     resubmitMs: { type: 'number', minimum: 1, default: 1_300 },
+    cancelledSeconds: { type: 'number', minimum: 1, default: 120 },
     maxConnections: { type: 'integer', minimum: 1, default: 3_000 },
     maxOpenJobs: { type: 'integer', minimum: 1, default: 4_000 },
     maxOpenBytes: { type: 'integer', minimum: 1, default: 33_554_432 },
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -87,6 +87,8 @@
   readonly stopMs: number;
   /** Shortest time after which a disconnected caller resubmits its job elsewhere, ms. */
   readonly resubmitMs: number;
+  /** How long a cancelled job is remembered, so that no submission of it is run, s. */
+  readonly cancelledSeconds: number;
   /** Factor by which a task takes longer outside the rack that holds its data; 1 for no difference. */
   readonly farFactor: number;
   /** Bandwidth of the VM's link, Mbit/s. */
--- a/src/request/dispatch/submission.ts
+++ b/src/request/dispatch/submission.ts
@@ -47,5 +47,8 @@
    * The job exceeds the limits of a single job; none of its tasks has run, and it should not be resubmitted.
    */
   | { readonly kind: 'rejected'; readonly reason: string; readonly findings: readonly Finding[] }
-  /** None of the job's tasks has run, or will run under this submission. */
-  | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number };
+  /**
+   * None of the job's tasks has run, or will run under this submission. `retryAfterMs` is when the caller should
+   * submit it again; undefined for never.
+   */
+  | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number | undefined };
--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -94,3 +94,36 @@
     });
   }
 });
+
+describe('a job that is cancelled before its submission is handled', function () {
+  this.timeout(60_000);
+  const FREEZE_MS = 1_000;
+  const bench = new PlatformBench(2, 3, TARGET_LATENCY_MS);
+
+  before(() => bench.start());
+  after(() => bench.stop());
+
+  // Guards against a cancelling that overtakes a submission which is held after a pause of the dispatcher.
+  it('is not run when both arrive during a pause of their dispatcher', async () => {
+    bench.signal('entry-1', 'SIGSTOP');
+    await sleep(100);
+    const open = bench.submit('entry-1', 'paused', 2, TASK_MS, PATIENCE_MS);
+    await sleep(200);
+    const cancelled = bench.cancel('entry-1', 'paused');
+    await sleep(FREEZE_MS);
+    bench.signal('entry-1', 'SIGCONT');
+    expect([200, 410]).to.include((await cancelled).status);
+    await sleep(SETTLE_MS);
+    expect(bench.starts.size).to.equal(0);
+    expect(await open).to.include({ status: 503, retryAfter: undefined });
+  });
+
+  // Guards against a cancelling that has no effect, as it is read before the submission on another connection.
+  it('is not run when its submission is read after its cancelling', async () => {
+    expect([200, 410]).to.include((await bench.cancel('entry-1', 'late')).status);
+    const open = bench.submit('entry-1', 'late', 2, TASK_MS, PATIENCE_MS);
+    await sleep(SETTLE_MS);
+    expect(bench.starts.size).to.equal(0);
+    expect(await open).to.include({ status: 503, retryAfter: undefined });
+  });
+});
--- a/test/fakes/dispatchFixtures.ts
+++ b/test/fakes/dispatchFixtures.ts
@@ -1,6 +1,6 @@
 /** Default queue, step and limits for tests of the dispatcher. */
 import { SpeedPlacement } from '../../src/process/dispatcher/Placement.js';
-import type { DispatchOptions } from '../../src/process/dispatcher/Dispatcher.js';
+import type { DispatchOptions } from '../../src/process/dispatcher/dispatchOptions.js';
 import { DelayWindow } from '../../src/process/dispatcher/SendWindow.js';
 import { JobBounds } from '../../src/request/dispatch/JobBounds.js';
 import type { JobLimits } from '../../src/request/dispatch/JobBounds.js';
