Dispatcher: a cancelling ends also the submission that waits for an earlier one's tasks

What callers see: a caller submits its job again at the same dispatcher, and cancels it before the tasks of its first submission are over: 410, and then the job runs, as the waiting submission is admitted. Cause: cancel looked at the table of jobs, not at the resubmissions beside it. Evidence, on the code before: "cancels a job whose latest submission waits for the end of earlier tasks" fails with expected false to equal true Change: the waiting submission is refused (503, cancelled) at the cancelling, which counts as found.

--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -158,6 +158,21 @@
     ]);
   });
 
+  // Guards against a cancelled job that runs, as its latest submission waited for the end of an earlier one's tasks.
+  it('cancels a job whose latest submission waits for the end of earlier tasks', () => {
+    fixture.submit(10);
+    fixture.submit(20);
+    expect(fixture.dispatcher.cancel('job', 30)).to.equal(true);
+    fixture.end(0, 'stopped', 40);
+    fixture.end(1, 'stopped', 40);
+    expect(fixture.starts.length).to.equal(2);
+    expect(fixture.caller.answers).to.deep.equal([
+      { kind: 'interrupted', reason: 'submitted-again' },
+      { kind: 'refused', reason: 'cancelled', retryAfterMs: undefined },
+    ]);
+    expect(fixture.dispatcher.openJobs).to.equal(0);
+  });
+
   it('interrupts a job that runs past its deadline instead of failing it', () => {
     fixture.submit(10);
     fixture.ping('a@1', 1_950);
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -162,11 +162,12 @@
     this.endJob(job, { kind: 'interrupted', reason: 'caller-gone' }, now);
   }
 
-  /** Cancels a job, also one that is submitted later. Returns false if there is no such open job. */
+  /** Cancels a job, also one that is submitted later. Returns false if no caller waits for it. */
   cancel(jobId: string, now: number): boolean {
     this.cancelled.record(jobId, now);
+    const wasWaiting = this.jobs.successors.end(jobId, CANCELLED);
     const job = this.jobs.findOpen(jobId);
-    if (!job) return false;
+    if (!job) return wasWaiting;
     this.endJob(job, { kind: 'interrupted', reason: 'cancelled' }, now);
     return true;
   }
--- a/src/process/dispatcher/Successors.ts
+++ b/src/process/dispatcher/Successors.ts
@@ -45,12 +45,22 @@
     if (this.submissions.get(jobId)?.caller === caller) this.submissions.delete(jobId);
   }
 
+  /**
+   * Answers and removes the submission of a job.
+   *
+   * @returns false if none waits
+   */
+  end(jobId: string, outcome: JobOutcome): boolean {
+    const successor = this.take(jobId);
+    successor?.caller.answer(outcome);
+    return successor !== undefined;
+  }
+
   /** Refuses the submissions whose callers are about to stop waiting. */
   tick(now: number): void {
-    for (const [id, { deadlineAt, caller }] of [...this.submissions]) {
+    for (const [id, { deadlineAt }] of [...this.submissions]) {
       if (now < deadlineAt - ANSWER_MARGIN_MS) continue;
-      this.submissions.delete(id);
-      caller.answer({ kind: 'refused', reason: 'deadline', retryAfterMs: RETRY_AFTER_MS });
+      this.end(id, { kind: 'refused', reason: 'deadline', retryAfterMs: RETRY_AFTER_MS });
     }
   }
 }
