Dispatchers tell each other of cancelled jobs

What callers see: a balancer sends a cancelling to another dispatcher than the job's. Cause: a cancelling acted on the one dispatcher that it reached, and 410 ("the job does not exist") was said from the jobs of that one. What is new to a dispatcher ends the job there, is remembered and passed on over all links but the one that it came from; a new link gets all that is remembered, newest first, so that a restarted dispatcher knows it. At most 1,000 jobs a second and link, so that hostile cancellings cannot fill thin links. Earlier versions ignore the message. DELETE answers 410 only where the dispatcher knows of no other; else 200, as the job will not run at any. Dispatchers dial the seeds only; where fewer than two of these are linked, they now dial the next members in the order of addresses, so that they stay connected without seeds. While seeds work no link is added. Moved: suspect tasks and cancelled jobs are in DispatcherNotices, with one set of links for both directions. Weighed: executors as relays (no memory there for those that link later); a full mesh (pings grow with the square, and all links carry configurations); asking all others before the answer (a caller would wait for the slowest).

--- a/src/connection/peer/parsePeerMessage.ts
+++ b/src/connection/peer/parsePeerMessage.ts
@@ -25,6 +25,7 @@
   result: validators.validateResult,
   crashes: validators.validateCrashes,
   suspects: validators.validateSuspects,
+  cancelled: validators.validateCancelled,
   'configuration-request': validators.validateConfigurationRequest,
   configuration: validators.validateConfiguration,
   'configuration-summary': validators.validateConfigurationSummary,
--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -266,6 +266,22 @@
   readonly tasks: readonly SuspectTask[];
 }
 
+/** A job that a caller has cancelled. */
+export interface CancelledJob {
+  readonly job: string;
+  /** Time since it was cancelled, ms. */
+  readonly ageMs: number;
+}
+
+/**
+ * Cancelled jobs, sent from one dispatcher to another. No submission of them is run, also one that arrives later.
+ * Earlier versions ignore it.
+ */
+export interface CancelNotice {
+  readonly type: 'cancelled';
+  readonly jobs: readonly CancelledJob[];
+}
+
 /**
  * Requests the peer's newest configuration, which is newer than the sender's: a piece of it when `version` is
  * set, its summary when only `position` is set. Earlier versions set neither, request the whole configuration
@@ -353,6 +369,7 @@
   | StartOrder
   | StopOrder
   | SuspectNotice
+  | CancelNotice
   | SharedMessage;
 
 /** Any message of a link. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -68,6 +68,7 @@
   blames: COUNT,
   proofs: COUNT,
 });
+const CANCELLED = buildObject({ job: TEXT, ageMs: COUNT });
 const START_TASK = buildObject({
   step: COUNT,
   index: COUNT,
@@ -152,6 +153,7 @@
   result: RESULT,
   crashes: buildObject({ tasks: buildList(CRASHED) }),
   suspects: buildObject({ tasks: buildList(SUSPECT) }),
+  cancelled: buildObject({ jobs: buildList(CANCELLED) }),
   'configuration-request': buildObject(
     {},
     { version: COUNT, position: COUNT, length: COUNT, isUrgent: { type: 'boolean' } },
--- a/src/connection/peer/peerValidators.generated.d.ts
+++ b/src/connection/peer/peerValidators.generated.d.ts
@@ -13,6 +13,7 @@
 export declare const validateResult: ValidateFunction;
 export declare const validateCrashes: ValidateFunction;
 export declare const validateSuspects: ValidateFunction;
+export declare const validateCancelled: ValidateFunction;
 export declare const validateConfigurationRequest: ValidateFunction;
 export declare const validateConfiguration: ValidateFunction;
 export declare const validateConfigurationSummary: ValidateFunction;
--- a/src/process/dispatcher/CancelledJobs.ts
+++ b/src/process/dispatcher/CancelledJobs.ts
@@ -36,6 +36,16 @@
     return this.cancelledAt.has(job);
   }
 
+  /** Finds when a job was cancelled; undefined if it was not, or is forgotten. */
+  findTime(job: string): number | undefined {
+    return this.cancelledAt.get(job);
+  }
+
+  /** Lists the ids of the remembered jobs, the newest last. */
+  list(): string[] {
+    return [...this.cancelledAt.keys()];
+  }
+
   /**
    * Records that a job is cancelled, unless that is known.
    *
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -69,7 +69,8 @@
   private readonly jobs = new JobTable();
   private readonly admission: Admission;
   private readonly backlog: Backlog;
-  private readonly cancelled: CancelledJobs;
+  /** Cancelled jobs, of which no submission is run. */
+  readonly cancelled: CancelledJobs;
   /** Tasks under which upstreams have crashed recently. */
   readonly suspects: Suspects;
   /** Moving average of the time from sending a start to its return as not run, ms. */
@@ -114,11 +115,6 @@
     return this.backlog.countBy(describe);
   }
 
-  /** Number of cancelled jobs that are remembered. */
-  get cancelledJobs(): number {
-    return this.cancelled.size;
-  }
-
   /** Latest forecast of the service rate, in cores of estimated work; 0 while there is no forecast. */
   get forecastCores(): number {
     return this.admission.forecastCores;
@@ -162,9 +158,16 @@
     this.endJob(job, { kind: 'interrupted', reason: 'caller-gone' }, now);
   }
 
-  /** Cancels a job, also one that is submitted later. Returns false if no caller waits for it. */
-  cancel(jobId: string, now: number): boolean {
-    this.cancelled.record(jobId, now);
+  /**
+   * Cancels a job, also one that is submitted later.
+   *
+   * @param jobId - id of the job
+   * @param now - current time
+   * @param ageMs - how long ago its caller cancelled it at another dispatcher, ms
+   * @returns false if no caller waits for it here
+   */
+  cancel(jobId: string, now: number, ageMs = 0): boolean {
+    this.cancelled.record(jobId, now - ageMs);
     const wasWaiting = this.jobs.successors.end(jobId, CANCELLED);
     const job = this.jobs.findOpen(jobId);
     if (!job) return wasWaiting;
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -5,12 +5,7 @@
 import { createRandom } from '../../_lib/createRandom.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
-import type {
-  AttemptResult,
-  DispatcherPlace,
-  PeerMessage,
-  SuspectTask,
-} from '../../connection/peer/peerMessages.js';
+import type { AttemptResult, DispatcherPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
 import type { Caller, CallerGateway, JobService, JobState } from '../../ports/CallerGateway.js';
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
@@ -42,6 +37,7 @@
 import { createPlacement } from './createPlacement.js';
 import { createSendWindow } from './createSendWindow.js';
 import { createTaskOrder } from './createTaskOrder.js';
+import { DispatcherNotices } from './DispatcherNotices.js';
 import { DispatcherPeers } from './DispatcherPeers.js';
 
 /** Interval between checks of deadlines and unresponsive executors, ms. */
@@ -99,6 +95,7 @@
   private readonly peers: DispatcherPeers;
   private readonly members = new MemberTable();
   private readonly exchange: OperatorExchange;
+  private readonly notices: DispatcherNotices;
   private readonly pauseGuard: PauseGuard;
   private readonly channels = new Map<string, LineChannel>();
   private readonly executorIds = new Map<LineChannel, string>();
@@ -147,11 +144,15 @@
         recordOutcome: (job, outcome, now) => this.logOutcome(job, outcome, now),
       },
     );
+    this.notices = new DispatcherNotices(this.dispatcher, new ClockTimeline(this.clock), {
+      applyInput: (input) => this.applyInput(input),
+      log: (event, fields) => this.logDecision(event, fields),
+    });
     const gauges = {
       readOpenJobs: () => this.dispatcher.openJobs,
       readWaitingTasks: () => this.dispatcher.waitingTasks,
       readSuspects: () => this.dispatcher.suspects.size,
-      readCancelledJobs: () => this.dispatcher.cancelledJobs,
+      readCancelledJobs: () => this.dispatcher.cancelled.size,
       readWaitingByPriority: () =>
         this.dispatcher.countWaitingBy(({ priority }) => describePriority(priority)),
       readForecastCores: () => this.dispatcher.forecastCores,
@@ -176,8 +177,9 @@
       this.clock,
       {
         recordMembers: (dispatchers) => this.recordMembers(dispatchers, this.clock.now()),
-        recordSuspects: (tasks) => this.adoptSuspects(tasks),
-        sendFirstMessages: (channel) => this.sendKnownSuspects(channel),
+        receiveNotice: (message, channel) => this.notices.receive(message, channel),
+        handleOpened: (channel) => this.notices.open(channel),
+        handleClosed: (channel) => this.notices.close(channel),
         log: (event, fields) => this.logger.info(event, fields),
       },
       nextRandom,
@@ -219,7 +221,10 @@
     this.peers.recordSeeds(this.settings.seeds);
     this.metrics.start();
     startTimer(this.logger, 'tick', TICK_MS, () => this.applyInput((now) => this.dispatcher.tick(now)));
-    startTimer(this.logger, 'peers', PEER_PING_MS, () => this.peers.ping());
+    startTimer(this.logger, 'peers', PEER_PING_MS, () => {
+      this.peers.updateMembers(this.members.list(this.clock.now()));
+      this.peers.ping();
+    });
     startTimer(this.logger, 'members', MEMBERS_INTERVAL_MS, () => this.sendSomeMembers());
   }
 
@@ -321,9 +326,12 @@
   cancel(jobId: string): boolean {
     const now = this.clock.now();
     this.pauseGuard.update(now);
+    const isNew = !this.dispatcher.cancelled.has(jobId);
     const isOpen = this.dispatcher.cancel(jobId, now);
-    this.logDecision('cancel', { job: jobId, isOpen });
-    return isOpen;
+    this.logDecision('cancel', { job: jobId, isOpen, isNew });
+    if (isNew) this.notices.sendCancelled(jobId);
+    // The job may be open at another dispatcher, which is told.
+    return isOpen || this.members.list(now).length > 0;
   }
 
   countPending(routeName: string): number {
@@ -349,7 +357,7 @@
       if (this.pauseGuard.isCatchingUp) return this.schedulePlacement();
       this.dispatcher.place(now);
       this.sendDemand(now);
-      this.sendSuspects(this.dispatcher.suspects.takeUpdates());
+      this.notices.sendSuspects(this.dispatcher.suspects.takeUpdates());
     });
   }
 
@@ -362,18 +370,6 @@
     for (const channel of this.channels.values()) channel.send({ type: 'demand', waitingCpuMilli });
   }
 
-  /** Sends crash counts of tasks to all dispatchers, since callers may resubmit a job at any of them. */
-  private sendSuspects(tasks: readonly SuspectTask[]): void {
-    if (tasks.length === 0) return;
-    const notice = { type: 'suspects', tasks } as const;
-    for (const channel of this.dispatcherChannels) channel.send(notice);
-    this.peers.sendNotice(notice);
-  }
-
-  private adoptSuspects(tasks: readonly SuspectTask[]): void {
-    this.applyInput((now) => this.sendSuspects(this.dispatcher.adoptSuspects(tasks, now)));
-  }
-
   private receive(channel: LineChannel, message: PeerMessage): void {
     const now = this.clock.now();
     this.pauseGuard.update(now);
@@ -397,7 +393,7 @@
     if (message.type === 'entry-hello') return this.handleDispatcherHello(channel, message.place, now);
     if (this.exchange.receive(message, channel)) return;
     if (message.type === 'members') return this.recordMembers(message.entries, now);
-    if (message.type === 'suspects') return this.adoptSuspects(message.tasks);
+    if (this.notices.receive(message, channel)) return;
     const executorId = this.executorIds.get(channel);
     if (executorId === undefined) return;
     if (message.type === 'ping') this.dispatcher.handlePing(executorId, message, now);
@@ -444,16 +440,12 @@
     this.dispatcherChannels.add(channel);
     this.recordMembers([place], now);
     this.exchange.sendVersions(channel);
-    this.sendKnownSuspects(channel);
-  }
-
-  private sendKnownSuspects(channel: LineChannel): void {
-    const tasks = this.dispatcher.suspects.list();
-    if (tasks.length > 0) channel.send({ type: 'suspects', tasks });
+    this.notices.open(channel);
   }
 
   private closeChannel(channel: LineChannel, reason: string): void {
     this.dispatcherChannels.delete(channel);
+    this.notices.close(channel);
     this.exchange.handleClosed(channel);
     const id = this.executorIds.get(channel);
     this.executorIds.delete(channel);
--- a/src/process/dispatcher/DispatcherPeers.test.ts
+++ b/src/process/dispatcher/DispatcherPeers.test.ts
@@ -54,8 +54,9 @@
     const place = { address: `${HOST}:1`, failureDomain: 'x' };
     const events = {
       recordMembers: () => undefined,
-      recordSuspects: () => undefined,
-      sendFirstMessages: () => undefined,
+      receiveNotice: () => false,
+      handleOpened: () => undefined,
+      handleClosed: () => undefined,
       log: (event: string) => void logged.push(event),
     };
     const options = { id: 'e1', place, linkPort };
@@ -84,6 +85,22 @@
     expect(logged).to.deep.equal(['peer-unlinked']);
   });
 
+  // Guards against dispatchers that hear nothing of each other once all seeds of the settings are gone.
+  it('links to a neighbour while it has too few links, as long as that is a member', async () => {
+    const other = new PeerListener({ receive: () => void (reached += 1), close: () => undefined });
+    let reached = 0;
+    const port = await other.start(HOST, 0);
+    const member = { address: `${HOST}:${port}`, failureDomain: 'x' };
+    const wait = async (): Promise<void> => {
+      while (reached === 0) await new Promise((resolve) => setTimeout(resolve, 5));
+    };
+    peers.updateMembers([member]);
+    await wait();
+    peers.updateMembers([]);
+    expect(logged).to.deep.equal(['peer-unlinked']);
+    await other.stop();
+  });
+
   it('requests the configuration of a dispatcher that reports a newer version', async () => {
     peers.ping();
     await waitFor('configuration-request');
--- a/src/process/dispatcher/DispatcherPeers.ts
+++ b/src/process/dispatcher/DispatcherPeers.ts
@@ -1,23 +1,24 @@
 /**
- * Links that a dispatcher dials to other dispatchers to announce itself and to exchange members, suspect
- * tasks and configurations. Pings check that a link works and compare the configuration versions of both
+ * Links that a dispatcher dials to other dispatchers to announce itself and to exchange members,
+ * notices and configurations. Pings check that a link works and compare the configuration versions of both
  * sides.
  */
 import type { Clock } from '../../_lib/Clock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
-import type {
-  DispatcherPlace,
-  PeerMessage,
-  SuspectNotice,
-  SuspectTask,
-} from '../../connection/peer/peerMessages.js';
+import type { DispatcherPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
 import type { LogFields } from '../logger.js';
 import type { OperatorExchange } from '../OperatorExchange.js';
+import { chooseNeighbours } from './chooseNeighbours.js';
 
 /** Timeout of the first pong of another dispatcher, ms: a ping interval of these links. */
 const FIRST_PONG_TIMEOUT_MS = 1_000;
+/**
+ * Number of working links that a dispatcher dials, if there are as many other dispatchers: where seeds are down,
+ * neighbours take their place, so that what one dispatcher tells reaches all.
+ */
+const MIN_LINKS = 2;
 
 /** Identity of the dispatcher that dials. */
 export interface DispatcherPeersOptions {
@@ -31,9 +32,11 @@
 /** Handlers of received messages and of events on the links. */
 export interface DispatcherPeersEvents {
   readonly recordMembers: (dispatchers: readonly DispatcherPlace[]) => void;
-  readonly recordSuspects: (tasks: readonly SuspectTask[]) => void;
-  /** Sends the first messages on a new link to another dispatcher. */
-  readonly sendFirstMessages: (channel: LineChannel) => void;
+  /** Handles a notice of another dispatcher; returns false for other messages. */
+  readonly receiveNotice: (message: PeerMessage, channel: LineChannel) => boolean;
+  /** Handles a new link to another dispatcher, on which this one has introduced itself. */
+  readonly handleOpened: (channel: LineChannel) => void;
+  readonly handleClosed: (channel: LineChannel) => void;
   readonly log: (event: string, fields: LogFields) => void;
 }
 
@@ -41,6 +44,7 @@
 export class DispatcherPeers {
   private readonly dialer: PeerDialer;
   private readonly channels = new Map<string, LineChannel>();
+  private readonly seeds = new Set<string>();
 
   constructor(
     private readonly options: DispatcherPeersOptions,
@@ -65,10 +69,24 @@
     const { linkPort, place } = this.options;
     for (const seed of seeds) {
       const address = `${splitAddress(seed).host}:${linkPort}`;
-      if (address !== place.address) this.dialer.add(address);
+      if (address === place.address) continue;
+      this.seeds.add(address);
+      this.dialer.add(address);
     }
   }
 
+  /** Links to neighbours while too few seeds are linked, and closes such links later. */
+  updateMembers(members: readonly DispatcherPlace[]): void {
+    const linkedSeeds = [...this.seeds].filter((address) => this.channels.has(address)).length;
+    const others = members.map(({ address }) => address).filter((address) => !this.seeds.has(address));
+    const isLinked = (address: string): boolean => this.channels.has(address);
+    const { address: own } = this.options.place;
+    const neighbours = chooseNeighbours(own, others, MIN_LINKS - linkedSeeds, isLinked);
+    for (const address of neighbours) this.dialer.add(address);
+    for (const address of this.dialer.addresses)
+      if (!this.seeds.has(address) && !neighbours.has(address)) this.dialer.remove(address);
+  }
+
   /** Pings all dispatchers, and redials those that are unresponsive. */
   ping(): void {
     this.dialer.checkPongs();
@@ -80,11 +98,6 @@
     }
   }
 
-  /** Sends suspect tasks to all dispatchers. */
-  sendNotice(notice: SuspectNotice): void {
-    for (const channel of this.channels.values()) channel.send(notice);
-  }
-
   /** Handles a pause of this process. */
   handlePause(): void {
     this.dialer.handlePause();
@@ -100,7 +113,7 @@
     this.channels.set(address, channel);
     channel.send({ type: 'entry-hello', entry: id, place });
     this.exchange.sendVersions(channel);
-    this.events.sendFirstMessages(channel);
+    this.events.handleOpened(channel);
   }
 
   private receive(address: string, message: PeerMessage): void {
@@ -108,7 +121,7 @@
     if (!channel) return;
     if (this.exchange.receive(message, channel)) return;
     if (message.type === 'members') return this.events.recordMembers(message.entries);
-    if (message.type === 'suspects') return this.events.recordSuspects(message.tasks);
+    if (this.events.receiveNotice(message, channel)) return;
     if (message.type !== 'pong') return;
     this.dialer.recordPong(address, message.at);
     this.exchange.compareVersions(message, channel, this.clock.now());
@@ -117,6 +130,7 @@
   private handleClosed(address: string, reason: string): void {
     const channel = this.channels.get(address);
     if (channel) this.exchange.handleClosed(channel);
+    if (channel) this.events.handleClosed(channel);
     this.channels.delete(address);
     this.events.log('peer-unlinked', { address, reason });
   }
--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -127,3 +127,48 @@
     expect(await open).to.include({ status: 503, retryAfter: undefined });
   });
 });
+
+describe('a job that is cancelled at another dispatcher than its own', function () {
+  this.timeout(60_000);
+  const PAUSE_MS = 450;
+  const bench = new PlatformBench(2, 3, TARGET_LATENCY_MS);
+
+  before(() => bench.start());
+  after(() => bench.stop());
+
+  // Guards against a job that runs to its end, as the dispatcher that its cancelling reached did not have it.
+  it('is stopped at its own', async () => {
+    const open = bench.submit('entry-1', 'elsewhere', 2, TASK_MS, PATIENCE_MS);
+    await bench.waitFor(() => bench.starts.size === 2);
+    expect((await bench.cancel('entry-2', 'elsewhere')).status).to.equal(200);
+    await sleep(SETTLE_MS);
+    expect([...bench.atWork.values()]).to.deep.equal([0, 0]);
+    expect((await open).status).to.equal(504);
+  });
+
+  // Guards against a cancelling that is lost, as the job's dispatcher stands still.
+  it('is stopped once its own has woken up', async () => {
+    const open = bench.submit('entry-1', 'frozen', 2, TASK_MS, PATIENCE_MS);
+    await bench.waitFor(() => bench.starts.size === 4);
+    bench.signal('entry-1', 'SIGSTOP');
+    expect((await bench.cancel('entry-2', 'frozen')).status).to.equal(200);
+    await sleep(PAUSE_MS);
+    bench.signal('entry-1', 'SIGCONT');
+    await sleep(SETTLE_MS);
+    expect([...bench.atWork.values()]).to.deep.equal([0, 0, 0, 0]);
+    expect((await open).status).to.equal(504);
+  });
+
+  // Guards against a cancelled job that runs anew, as its caller submits it again at another dispatcher.
+  it('is refused by all others, also by one that was restarted', async () => {
+    const before = bench.starts.size;
+    await bench.cancel('entry-1', 'refused');
+    expect((await bench.submit('entry-2', 'refused', 2, TASK_MS, PATIENCE_MS)).status).to.equal(503);
+    bench.signal('entry-2', 'SIGKILL');
+    await bench.waitForExit('entry-2');
+    await bench.startDaemon('entry-2');
+    await bench.waitUntilReady('entry-2');
+    expect((await bench.submit('entry-2', 'refused', 2, TASK_MS, PATIENCE_MS)).status).to.equal(503);
+    expect(bench.starts.size).to.equal(before);
+  });
+});
--- a/test/decoders.test.ts
+++ b/test/decoders.test.ts
@@ -141,6 +141,10 @@
       [],
     ]);
     expect(parsePeerMessage(JSON.stringify(START)).message).to.deep.equal(START);
+    const notice = { type: 'cancelled', jobs: [{ job: 'j', ageMs: 4 }] };
+    expect(parsePeerMessage(JSON.stringify(notice)).message).to.deep.equal(notice);
+    const invalid = { type: 'cancelled', jobs: [{ job: 'j', ageMs: -1 }] };
+    expect(parsePeerMessage(JSON.stringify(invalid)).problem).to.include('/jobs/0/ageMs');
   });
 
   it('keep the valid routes of a configuration and report the invalid one', () => {
@@ -154,7 +158,7 @@
     expect(parsePeerMessage('{"type":"later"}')).to.deep.equal({ message: undefined, problem: '' });
     expect(parsePeerMessage(JSON.stringify({ ...START, extra: 1 })).problem).to.equal('');
     expect(parsePeerMessage(JSON.stringify({ ...START, rank: 'x' })).problem).to.include('/rank');
-    expect(Object.keys(PEER_SCHEMAS)).to.have.length(20);
+    expect(Object.keys(PEER_SCHEMAS)).to.have.length(21);
   });
 
   it('report every finding in settings', () => {
