Dispatcher: submissions are handed over in the order in which they were read

What callers see: a caller's second submission of a job gets 504 "submitted-again" from its first; or a job is started for a caller that has left, in spite of the wait that is to rule that out. Cause: each submission counted its own turns of the event loop. One read at the end of the 2 s after a pause waits six turns, the next one none, and overtakes it. The first one read after a pause was looked at before the pause was noticed, and waited for the catching up alone (3 turns). A second pause did not count anew for those that were held already. Inputs that are put off while catching up (applyInput) keep their order as they are: each is queued behind the turn that ends the catching up, as a reading of the order of immediates shows. Also: a cancelled job is passed on at once if nothing was sent in the last 20 ms, where a timer had cost a turn.

--- a/src/process/dispatcher/CancellationExchange.ts
+++ b/src/process/dispatcher/CancellationExchange.ts
@@ -53,8 +53,9 @@
 
   private schedule(): void {
     if (this.isScheduled || ![...this.pending.values()].some((jobs) => jobs.length > 0)) return;
+    const waitMs = this.sentAt + SEND_INTERVAL_MS - this.timeline.now();
+    if (waitMs <= 0) return this.flush();
     this.isScheduled = true;
-    const waitMs = Math.max(0, this.sentAt + SEND_INTERVAL_MS - this.timeline.now());
     this.timeline.schedule(waitMs, () => this.flush());
   }
 
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -30,6 +30,7 @@
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildExecutorId } from './ExecutorView.js';
 import { Dispatcher } from './Dispatcher.js';
+import { HeldSubmissions } from './HeldSubmissions.js';
 import { computeCriticalPathMs, computeJobWork } from './dispatchJob.js';
 import type { DispatchJob } from './dispatchJob.js';
 import { buildDispatcherMetrics, describePriority } from './dispatcherMetrics.js';
@@ -104,8 +105,7 @@
   private leavingAt: number | undefined;
   private placementScheduled = false;
   private demandSentAt = -Infinity;
-  /** Callers whose jobs are not handled yet, since they may have left while the process was paused. */
-  private readonly heldCallers = new Set<Caller>();
+  private readonly held: HeldSubmissions;
   /** Links on which a pong has reported the demand; later pongs omit it while no task waits. */
   private readonly demandReportedTo = new WeakSet<LineChannel>();
   private readonly pingMs: number;
@@ -144,6 +144,13 @@
         recordOutcome: (job, outcome, now) => this.logOutcome(job, outcome, now),
       },
     );
+    this.held = new HeldSubmissions(
+      () => this.hasCaughtUp(),
+      ({ submission, caller, readAt }) => {
+        this.dispatcher.submit(submission, caller, readAt);
+        this.schedulePlacement();
+      },
+    );
     this.notices = new DispatcherNotices(this.dispatcher, new ClockTimeline(this.clock), {
       applyInput: (input) => this.applyInput(input),
       log: (event, fields) => this.logDecision(event, fields),
@@ -165,6 +172,7 @@
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs), openJobs: this.dispatcher.openJobs });
       this.peers.handlePause();
+      this.held.extend(this.pauseGuard.findStaleTurns(this.clock.now()));
       if (gapMs > orphanAfterMs) this.dispatcher.endAll('paused', this.clock.now());
     });
     this.listener = new PeerListener({
@@ -259,22 +267,14 @@
 
   submit(submission: JobSubmission, caller: Caller): void {
     const now = this.clock.now();
+    this.pauseGuard.update(now);
     if (!this.canAccept(submission, now)) {
       this.logger.info('refuse', { job: submission.id, reason: 'leaving' });
       return caller.answer({ kind: 'refused', reason: 'leaving', retryAfterMs: LEAVING_RETRY_MS });
     }
-    this.heldCallers.add(caller);
     const turns = this.pauseGuard.findStaleTurns(now);
     if (turns > 0) this.logDecision('submission-held', { job: submission.id, turns });
-    this.submitHeld(submission, caller, now, turns);
-  }
-
-  /** Submits a job after some turns of the event loop, unless its caller has left by then. */
-  private submitHeld(submission: JobSubmission, caller: Caller, now: number, turns: number): void {
-    if (!this.heldCallers.has(caller)) return;
-    if (turns > 0) return void setImmediate(() => this.submitHeld(submission, caller, now, turns - 1));
-    this.heldCallers.delete(caller);
-    this.applyInput(() => this.dispatcher.submit(submission, caller, now));
+    this.held.add({ submission, caller, readAt: now }, turns);
   }
 
   private createExchange(nextRandom: () => number): OperatorExchange {
@@ -315,7 +315,7 @@
   }
 
   abandon(jobId: string, caller: Caller): void {
-    if (this.heldCallers.delete(caller)) return this.logDecision('stale-submission', { job: jobId });
+    if (this.held.abandon(caller)) return this.logDecision('stale-submission', { job: jobId });
     this.applyInput((now) => this.dispatcher.abandon(jobId, caller, now));
   }
 
@@ -338,12 +338,16 @@
     return this.dispatcher.countPending(routeName);
   }
 
+  /** Whether all input has been read that arrived while the process was paused. */
+  private hasCaughtUp(): boolean {
+    this.pauseGuard.update(this.clock.now());
+    return !this.pauseGuard.isCatchingUp;
+  }
+
   /** Applies an input, and places tasks after all pending inputs are applied. */
   private applyInput(input: (now: number) => void): void {
-    const now = this.clock.now();
-    this.pauseGuard.update(now);
-    if (this.pauseGuard.isCatchingUp) setImmediate(() => this.applyInput(input));
-    else input(now);
+    if (!this.hasCaughtUp()) setImmediate(() => this.applyInput(input));
+    else input(this.clock.now());
     this.schedulePlacement();
   }
 
@@ -352,9 +356,8 @@
     this.placementScheduled = true;
     setImmediate(() => {
       this.placementScheduled = false;
+      if (!this.hasCaughtUp()) return this.schedulePlacement();
       const now = this.clock.now();
-      this.pauseGuard.update(now);
-      if (this.pauseGuard.isCatchingUp) return this.schedulePlacement();
       this.dispatcher.place(now);
       this.sendDemand(now);
       this.notices.sendSuspects(this.dispatcher.suspects.takeUpdates());
