Dispatcher: state, count and cancelling take in the submissions that wait

What callers see: GET answers 410 for a job whose submission has been read and is held after a pause, or waits for the end of an earlier one's tasks; GET of the queue counts neither; DELETE of a held one answers 410. Cause: the answers came from the table of jobs, a part of what the dispatcher has. Evidence, on the code before: knows a held submission when asked for its state, its queue and its cancelling: expected [ undefined, +0 ] to deeply equal [ 'pending', 1 ] knows a job whose latest submission waits for the end of earlier tasks: expected undefined to equal 'pending' Change: both places are asked. A held submission of a cancelled job is answered at once (503, cancelled). Left as it is: GET at another dispatcher than the job's answers 410, and counts are each dispatcher's own.

--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -158,6 +158,14 @@
     ]);
   });
 
+  // Guards against 410 for a job of which a submission waits, and a count of its queue without it.
+  it('knows a job whose latest submission waits for the end of earlier tasks', () => {
+    fixture.submit(10);
+    fixture.submit(20);
+    expect(fixture.dispatcher.findState('job')).to.equal('pending');
+    expect(fixture.dispatcher.countPending(ROUTE.name)).to.equal(1);
+  });
+
   // Guards against a cancelled job that runs, as its latest submission waited for the end of an earlier one's tasks.
   it('cancels a job whose latest submission waits for the end of earlier tasks', () => {
     fixture.submit(10);
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -177,6 +177,7 @@
 
   /** Finds the state of an open job. */
   findState(jobId: string): JobState | undefined {
+    if (this.jobs.successors.has(jobId)) return 'pending';
     const job = this.jobs.findOpen(jobId);
     if (!job) return undefined;
     return job.offered ? 'running' : 'pending';
@@ -561,7 +562,7 @@
 }
 
 /** Answer to a submission of a job that has been cancelled. */
-const CANCELLED = { kind: 'refused', reason: 'cancelled', retryAfterMs: undefined } as const;
+export const CANCELLED = { kind: 'refused', reason: 'cancelled', retryAfterMs: undefined } as const;
 
 function buildAttemptKey({ job, step, index, attempt }: AttemptResult['name']): string {
   return `${job}/${step}/${index}/${attempt}`;
--- a/src/process/dispatcher/DispatcherDaemon.test.ts
+++ b/src/process/dispatcher/DispatcherDaemon.test.ts
@@ -90,4 +90,15 @@
     // A job that had been admitted would be answered now.
     expect(caller.answers).to.deep.equal([]);
   });
+
+  // Guards against answers from the table of jobs alone: 410 for a job that is held, and a count without it.
+  it('knows a held submission when asked for its state, its queue and its cancelling', () => {
+    const caller = new FakeCaller();
+    notePause();
+    daemon.submit(buildSubmission('job'), caller);
+    expect([daemon.findState('job'), daemon.countPending(ROUTE.name)]).to.deep.equal(['pending', 1]);
+    expect(daemon.cancel('job')).to.equal(true);
+    expect(caller.answers).to.deep.equal([{ kind: 'refused', reason: 'cancelled', retryAfterMs: undefined }]);
+    expect([daemon.findState('job'), daemon.countPending(ROUTE.name)]).to.deep.equal([undefined, 0]);
+  });
 });
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -29,7 +29,7 @@
 import { roundSpeed } from '../roundSpeed.js';
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildExecutorId } from './ExecutorView.js';
-import { Dispatcher } from './Dispatcher.js';
+import { CANCELLED, Dispatcher } from './Dispatcher.js';
 import { HeldSubmissions } from './HeldSubmissions.js';
 import { computeCriticalPathMs, computeJobWork } from './dispatchJob.js';
 import type { DispatchJob } from './dispatchJob.js';
@@ -320,14 +320,15 @@
   }
 
   findState(jobId: string): JobState | undefined {
-    return this.dispatcher.findState(jobId);
+    return this.held.has(jobId) ? 'pending' : this.dispatcher.findState(jobId);
   }
 
   cancel(jobId: string): boolean {
     const now = this.clock.now();
     this.pauseGuard.update(now);
     const isNew = !this.dispatcher.cancelled.has(jobId);
-    const isOpen = this.dispatcher.cancel(jobId, now);
+    const wasHeld = this.held.end(jobId, CANCELLED);
+    const isOpen = this.dispatcher.cancel(jobId, now) || wasHeld;
     this.logDecision('cancel', { job: jobId, isOpen, isNew });
     if (isNew) this.notices.sendCancelled(jobId);
     // The job may be open at another dispatcher, which is told.
@@ -335,7 +336,7 @@
   }
 
   countPending(routeName: string): number {
-    return this.dispatcher.countPending(routeName);
+    return this.held.countPending(routeName) + this.dispatcher.countPending(routeName);
   }
 
   /** Whether all input has been read that arrived while the process was paused. */
--- a/src/process/dispatcher/HeldSubmissions.ts
+++ b/src/process/dispatcher/HeldSubmissions.ts
@@ -3,7 +3,7 @@
  * and what tells so is read later. They are handed over in the order in which they were read.
  */
 import type { Caller } from '../../ports/CallerGateway.js';
-import type { JobSubmission } from '../../request/dispatch/submission.js';
+import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
 
 /** A submission that has been read. */
 export interface ReadSubmission {
@@ -42,6 +42,29 @@
     this.handOverDue();
   }
 
+  /** Whether a submission of a job is held. */
+  has(jobId: string): boolean {
+    return this.find(jobId) !== undefined;
+  }
+
+  /** Counts the held submissions of a queue. */
+  countPending(routeName: string): number {
+    let count = 0;
+    for (const { submission } of this.held.values()) if (submission.route.name === routeName) count += 1;
+    return count;
+  }
+
+  /** Answers and drops the submissions of a job; returns false if there are none. */
+  end(jobId: string, outcome: JobOutcome): boolean {
+    let wasHeld = false;
+    for (let one = this.find(jobId); one; one = this.find(jobId)) {
+      this.held.delete(one.caller);
+      one.caller.answer(outcome);
+      wasHeld = true;
+    }
+    return wasHeld;
+  }
+
   /** Holds all for at least the given number of turns, as the process was paused again. */
   extend(turns: number): void {
     for (const one of this.held.values()) one.turns = Math.max(one.turns, turns);
@@ -52,6 +75,11 @@
     return this.held.delete(caller);
   }
 
+  private find(jobId: string): HeldSubmission | undefined {
+    for (const one of this.held.values()) if (one.submission.id === jobId) return one;
+    return undefined;
+  }
+
   private handOverDue(): void {
     for (const one of this.held.values()) {
       if (one.turns > 0 || !this.canHandOver()) break;
--- a/src/process/dispatcher/JobTable.ts
+++ b/src/process/dispatcher/JobTable.ts
@@ -17,9 +17,9 @@
     return open;
   }
 
-  /** Counts the open jobs of a queue of which no task was sent yet. */
+  /** Counts the open jobs of a queue of which no task was sent yet, with those that wait for an earlier submission. */
   countPending(routeName: string): number {
-    let count = 0;
+    let count = this.successors.countPending(routeName);
     for (const job of this.jobs.values()) {
       if (!job.answered && !job.offered && job.submission.route.name === routeName) count += 1;
     }
--- a/src/process/dispatcher/Successors.ts
+++ b/src/process/dispatcher/Successors.ts
@@ -26,6 +26,18 @@
     return this.submissions.size;
   }
 
+  has(jobId: string): boolean {
+    return this.submissions.has(jobId);
+  }
+
+  /** Counts the waiting submissions of a queue. */
+  countPending(routeName: string): number {
+    let count = 0;
+    for (const { submission } of this.submissions.values())
+      if (submission.route.name === routeName) count += 1;
+    return count;
+  }
+
   /** Adds a submission, and answers the one of the same job that it replaces. */
   add(successor: Submission): void {
     const { id } = successor.submission;
