Dispatcher: a submission that waits is answered when all jobs are ended

What callers see: a dispatcher stops, or was paused for longer than its executors wait. A submission that waits for an earlier one's tasks gets no answer, and its connection breaks at the end of the process; where the tasks are over first, its own are started by a process that ends 20 ms later. A held one likewise, in the turns after a pause. Cause: endAll looked at the table of jobs, and a stopping process waited for the jobs of that table only. Evidence, on the code before: "answers also a submission that waits for the end of earlier tasks when it ends all jobs" fails with expected 4 to equal 2 Change: both kinds of waiting submissions are refused (503, they have not run) at the end, counted as open jobs in logs, gauge and at a planned stop.

--- a/src/process/dispatcher/Dispatcher.test.ts
+++ b/src/process/dispatcher/Dispatcher.test.ts
@@ -158,6 +158,20 @@
     ]);
   });
 
+  // Guards against a caller without an answer, and tasks of a process that stops, as a submission waited beside the jobs.
+  it('answers also a submission that waits for the end of earlier tasks when it ends all jobs', () => {
+    fixture.submit(10);
+    fixture.submit(20);
+    fixture.dispatcher.endAll('entry-ends', 30);
+    fixture.end(0, 'stopped', 40);
+    fixture.end(1, 'stopped', 40);
+    expect(fixture.starts.length).to.equal(2);
+    expect(fixture.caller.answers).to.deep.equal([
+      { kind: 'interrupted', reason: 'submitted-again' },
+      { kind: 'refused', reason: 'entry-ends', retryAfterMs: 1_000 },
+    ]);
+  });
+
   // Guards against 410 for a job of which a submission waits, and a count of its queue without it.
   it('knows a job whose latest submission waits for the end of earlier tasks', () => {
     fixture.submit(10);
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -309,10 +309,11 @@
   }
 
   /**
-   * Answers every open job: the process stops, or was paused for so long that executors have stopped its
-   * tasks and callers may have submitted their jobs to other dispatchers.
+   * Answers every open job and every submission that waits: the process stops, or was paused for so long that
+   * executors have stopped its tasks and callers may have submitted their jobs to other dispatchers.
    */
   endAll(reason: string, now: number): void {
+    this.jobs.successors.endAll({ kind: 'refused', reason, retryAfterMs: RETRY_AFTER_MS });
     for (const job of this.jobs.list()) this.giveUp(job, reason, now);
   }
 
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -156,7 +156,7 @@
       log: (event, fields) => this.logDecision(event, fields),
     });
     const gauges = {
-      readOpenJobs: () => this.dispatcher.openJobs,
+      readOpenJobs: () => this.openJobs,
       readWaitingTasks: () => this.dispatcher.waitingTasks,
       readSuspects: () => this.dispatcher.suspects.size,
       readCancelledJobs: () => this.dispatcher.cancelled.size,
@@ -170,7 +170,7 @@
     };
     this.metrics = new MetricsServer(settings.metricsAddress, buildDispatcherMetrics(gauges));
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
-      this.logger.warn('paused', { gapMs: Math.round(gapMs), openJobs: this.dispatcher.openJobs });
+      this.logger.warn('paused', { gapMs: Math.round(gapMs), openJobs: this.openJobs });
       this.peers.handlePause();
       this.held.extend(this.pauseGuard.findStaleTurns(this.clock.now()));
       if (gapMs > orphanAfterMs) this.dispatcher.endAll('paused', this.clock.now());
@@ -185,9 +185,7 @@
       this.clock,
       {
         recordMembers: (dispatchers) => this.recordMembers(dispatchers, this.clock.now()),
-        receiveNotice: (message, channel) => this.notices.receive(message, channel),
-        handleOpened: (channel) => this.notices.open(channel),
-        handleClosed: (channel) => this.notices.close(channel),
+        notices: this.notices,
         log: (event, fields) => this.logger.info(event, fields),
       },
       nextRandom,
@@ -207,6 +205,11 @@
     return this.leavingAt !== undefined;
   }
 
+  /** Number of jobs whose caller waits, also of those that are not handled yet. */
+  private get openJobs(): number {
+    return this.dispatcher.openJobs + this.held.size;
+  }
+
   /** Starts to listen, to dial other dispatchers and to follow the configuration. */
   async start(): Promise<void> {
     this.logger.info('started', { ...this.place });
@@ -249,12 +252,13 @@
     const leavingAt = this.clock.now();
     this.leavingAt = leavingAt;
     const endAt = this.computeEndAt(leavingAt);
-    this.logger.info('leaving', { openJobs: this.dispatcher.openJobs });
+    this.logger.info('leaving', { openJobs: this.openJobs });
     while (this.clock.now() < endAt) {
-      if (this.dispatcher.openJobs === 0 && this.clock.now() > leavingAt + BALANCER_NOTICE_MS) break;
+      if (this.openJobs === 0 && this.clock.now() > leavingAt + BALANCER_NOTICE_MS) break;
       await sleep(TICK_MS / 2);
     }
-    const openJobs = this.dispatcher.openJobs;
+    const { openJobs } = this;
+    this.held.endAll({ kind: 'refused', reason: 'entry-ends', retryAfterMs: LEAVING_RETRY_MS });
     this.dispatcher.endAll('entry-ends', this.clock.now());
     await sleep(TICK_MS / 2);
     await this.ports.gateway.stop();
--- a/src/process/dispatcher/DispatcherPeers.test.ts
+++ b/src/process/dispatcher/DispatcherPeers.test.ts
@@ -54,9 +54,7 @@
     const place = { address: `${HOST}:1`, failureDomain: 'x' };
     const events = {
       recordMembers: () => undefined,
-      receiveNotice: () => false,
-      handleOpened: () => undefined,
-      handleClosed: () => undefined,
+      notices: { receive: () => false, open: () => undefined, close: () => undefined },
       log: (event: string) => void logged.push(event),
     };
     const options = { id: 'e1', place, linkPort };
--- a/src/process/dispatcher/DispatcherPeers.ts
+++ b/src/process/dispatcher/DispatcherPeers.ts
@@ -11,6 +11,7 @@
 import type { LogFields } from '../logger.js';
 import type { OperatorExchange } from '../OperatorExchange.js';
 import { chooseNeighbours } from './chooseNeighbours.js';
+import type { DispatcherNotices } from './DispatcherNotices.js';
 
 /** Timeout of the first pong of another dispatcher, ms: a ping interval of these links. */
 const FIRST_PONG_TIMEOUT_MS = 1_000;
@@ -32,11 +33,8 @@
 /** Handlers of received messages and of events on the links. */
 export interface DispatcherPeersEvents {
   readonly recordMembers: (dispatchers: readonly DispatcherPlace[]) => void;
-  /** Handles a notice of another dispatcher; returns false for other messages. */
-  readonly receiveNotice: (message: PeerMessage, channel: LineChannel) => boolean;
-  /** Handles a new link to another dispatcher, on which this one has introduced itself. */
-  readonly handleOpened: (channel: LineChannel) => void;
-  readonly handleClosed: (channel: LineChannel) => void;
+  /** What the dispatchers tell each other of their jobs. */
+  readonly notices: Pick<DispatcherNotices, 'open' | 'close' | 'receive'>;
   readonly log: (event: string, fields: LogFields) => void;
 }
 
@@ -113,7 +111,7 @@
     this.channels.set(address, channel);
     channel.send({ type: 'entry-hello', entry: id, place });
     this.exchange.sendVersions(channel);
-    this.events.handleOpened(channel);
+    this.events.notices.open(channel);
   }
 
   private receive(address: string, message: PeerMessage): void {
@@ -121,7 +119,7 @@
     if (!channel) return;
     if (this.exchange.receive(message, channel)) return;
     if (message.type === 'members') return this.events.recordMembers(message.entries);
-    if (this.events.receiveNotice(message, channel)) return;
+    if (this.events.notices.receive(message, channel)) return;
     if (message.type !== 'pong') return;
     this.dialer.recordPong(address, message.at);
     this.exchange.compareVersions(message, channel, this.clock.now());
@@ -130,7 +128,7 @@
   private handleClosed(address: string, reason: string): void {
     const channel = this.channels.get(address);
     if (channel) this.exchange.handleClosed(channel);
-    if (channel) this.events.handleClosed(channel);
+    if (channel) this.events.notices.close(channel);
     this.channels.delete(address);
     this.events.log('peer-unlinked', { address, reason });
   }
--- a/src/process/dispatcher/HeldSubmissions.test.ts
+++ b/src/process/dispatcher/HeldSubmissions.test.ts
@@ -57,6 +57,16 @@
     expect(handedOver).to.deep.equal(['a']);
   });
 
+  // Guards against a caller without an answer, as the process ends while its submission is held.
+  it('answers all at the end of the process', async () => {
+    const callers = [new FakeCaller(), new FakeCaller()];
+    for (const caller of callers) add('a', TURNS, caller);
+    held.endAll({ kind: 'refused', reason: 'entry-ends', retryAfterMs: 1 });
+    await waitTurns(TURNS + 1);
+    expect(callers.map(({ answers }) => answers.length)).to.deep.equal([1, 1]);
+    expect(handedOver).to.deep.equal([]);
+  });
+
   it('drops the submission of a caller that has left', async () => {
     const caller = new FakeCaller();
     add('a', TURNS, caller);
--- a/src/process/dispatcher/HeldSubmissions.ts
+++ b/src/process/dispatcher/HeldSubmissions.ts
@@ -65,6 +65,14 @@
     return wasHeld;
   }
 
+  /** Answers and drops all. */
+  endAll(outcome: JobOutcome): void {
+    for (const caller of [...this.held.keys()]) {
+      this.held.delete(caller);
+      caller.answer(outcome);
+    }
+  }
+
   /** Holds all for at least the given number of turns, as the process was paused again. */
   extend(turns: number): void {
     for (const one of this.held.values()) one.turns = Math.max(one.turns, turns);
--- a/src/process/dispatcher/Successors.ts
+++ b/src/process/dispatcher/Successors.ts
@@ -68,6 +68,11 @@
     return successor !== undefined;
   }
 
+  /** Answers and removes all. */
+  endAll(outcome: JobOutcome): void {
+    for (const id of [...this.submissions.keys()]) this.end(id, outcome);
+  }
+
   /** Refuses the submissions whose callers are about to stop waiting. */
   tick(now: number): void {
     for (const [id, { deadlineAt }] of [...this.submissions]) {
