A cancelling takes effect also where the operators have dropped the queue

What callers see: while a job runs, a configuration drops its queue. Cause: the id of a request is found by the routes of the newest configuration alone.

--- a/src/ports/CallerGateway.ts
+++ b/src/ports/CallerGateway.ts
@@ -1,5 +1,5 @@
 /** Port: how callers reach a dispatcher. */
-import type { Configuration } from '../version/configuration.js';
+import type { Configuration, QueueRoute } from '../version/configuration.js';
 import type { JobOutcome, JobSubmission } from '../request/dispatch/submission.js';
 
 /** State of an open job. */
@@ -28,6 +28,8 @@
   findState(jobId: string): JobState | undefined;
   /** Cancels a job; returns false if there is none. */
   cancel(jobId: string): boolean;
+  /** Finds the route of a request that the newest configuration has dropped, but under which jobs may run. */
+  findDroppedRoute(host: string, path: string): QueueRoute | undefined;
   /** Counts the jobs of a queue of which no task has started. */
   countPending(routeName: string): number;
 }
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -9,7 +9,8 @@
 import type { Caller, CallerGateway, JobService, JobState } from '../../ports/CallerGateway.js';
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
-import type { Configuration } from '../../version/configuration.js';
+import type { Configuration, QueueRoute } from '../../version/configuration.js';
+import { DroppedRoutes } from '../../version/DroppedRoutes.js';
 import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import { createDaemonClock } from '../createDaemonClock.js';
 import { createIncarnation } from '../createIncarnation.js';
@@ -29,6 +30,7 @@
 import { roundSpeed } from '../roundSpeed.js';
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildExecutorId } from './ExecutorView.js';
+import { describeAnswer } from './attemptLog.js';
 import { CANCELLED, Dispatcher } from './Dispatcher.js';
 import { HeldSubmissions } from './HeldSubmissions.js';
 import { computeCriticalPathMs, computeJobWork } from './dispatchJob.js';
@@ -106,6 +108,7 @@
   private placementScheduled = false;
   private demandSentAt = -Infinity;
   private readonly held: HeldSubmissions;
+  private readonly droppedRoutes: DroppedRoutes;
   /** Links on which a pong has reported the demand; later pongs omit it while no task waits. */
   private readonly demandReportedTo = new WeakSet<LineChannel>();
   private readonly pingMs: number;
@@ -144,6 +147,7 @@
         recordOutcome: (job, outcome, now) => this.logOutcome(job, outcome, now),
       },
     );
+    this.droppedRoutes = new DroppedRoutes(settings.cancelledSeconds * SECOND_MS);
     this.held = new HeldSubmissions(
       () => this.hasCaughtUp(),
       ({ submission, caller, readAt }) => {
@@ -339,6 +343,10 @@
     return isOpen || this.members.list(now).length > 0;
   }
 
+  findDroppedRoute(host: string, path: string): QueueRoute | undefined {
+    return this.droppedRoutes.find(host, path, this.clock.now());
+  }
+
   countPending(routeName: string): number {
     return this.held.countPending(routeName) + this.dispatcher.countPending(routeName);
   }
@@ -473,6 +481,7 @@
 
   private applyConfiguration(configuration: Configuration, before: number, from: UpdateSource): void {
     this.ports.gateway.applyConfiguration(configuration);
+    this.droppedRoutes.adopt(configuration, this.clock.now());
     this.logger.info('configuration', { version: configuration.version, before, from });
     this.sendVersions();
   }
@@ -516,22 +525,12 @@
   }
 
   private logOutcome(job: DispatchJob, outcome: JobOutcome, now: number): void {
-    const { submission, arrivedAt, objectiveAt, deadlineAt, tasks } = job;
     const reason = outcome.kind === 'completed' ? '' : outcome.reason;
     this.metrics.increment('dispatcher_answers', { outcome: outcome.kind, reason });
     const decision = outcome.kind === 'refused' ? 'refused' : 'admitted';
-    const priority = describePriority(submission.route.priority);
+    const priority = describePriority(job.submission.route.priority);
     this.metrics.increment('dispatcher_work', { priority, decision }, computeJobWork(job) / 1_000_000);
-    this.metrics.observe('dispatcher_answer_ms', now - arrivedAt);
-    this.logger.info('answer', {
-      job: job.id,
-      queue: submission.route.name,
-      version: this.exchange.versions.version,
-      ...outcome,
-      tasks: tasks.length,
-      tookMs: Math.round(now - arrivedAt),
-      objectiveMs: Math.round(objectiveAt - arrivedAt),
-      deadlineMs: Math.round(deadlineAt - arrivedAt),
-    });
+    this.metrics.observe('dispatcher_answer_ms', now - job.arrivedAt);
+    this.logger.info('answer', describeAnswer(job, outcome, this.exchange.versions.version, now));
   }
 }
--- a/src/process/dispatcher/attemptLog.ts
+++ b/src/process/dispatcher/attemptLog.ts
@@ -1,6 +1,10 @@
-/** Fields of the log lines about attempts: where a task was sent, how an attempt ended, what it replaces. */
+/**
+ * Fields of the log lines about attempts and answers: where a task was sent, how an attempt ended, what it replaces, what a
+ * caller was answered.
+ */
 import type { AttemptEnd } from '../../connection/peer/peerMessages.js';
-import type { DispatchTask, PreviousAttempt } from './dispatchJob.js';
+import type { JobOutcome } from '../../request/dispatch/submission.js';
+import type { DispatchJob, DispatchTask, PreviousAttempt } from './dispatchJob.js';
 import type { ExecutorTable } from './ExecutorTable.js';
 import type { ExecutorView } from './ExecutorView.js';
 
@@ -74,3 +78,30 @@
 function describeAttempt({ job, step, index, attempt, executorId }: DispatchTask): LogFields {
   return { job: job.id, task: `${step}/${index}`, attempt, agent: executorId };
 }
+
+/**
+ * Describes the answer to a job.
+ *
+ * @param job - the job
+ * @param outcome - what its caller is answered
+ * @param version - version of the configuration in force
+ * @param now - monotonic time, ms
+ * @returns fields of `answer`
+ */
+export function describeAnswer(
+  { id, submission, arrivedAt, objectiveAt, deadlineAt, tasks }: DispatchJob,
+  outcome: JobOutcome,
+  version: number,
+  now: number,
+): LogFields {
+  return {
+    job: id,
+    queue: submission.route.name,
+    version,
+    ...outcome,
+    tasks: tasks.length,
+    tookMs: Math.round(now - arrivedAt),
+    objectiveMs: Math.round(objectiveAt - arrivedAt),
+    deadlineMs: Math.round(deadlineAt - arrivedAt),
+  };
+}
--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -176,3 +176,25 @@
     expect(bench.starts.size).to.equal(before);
   });
 });
+
+describe('a job whose queue the operators have dropped', function () {
+  this.timeout(60_000);
+  const bench = new PlatformBench(2, 3, TARGET_LATENCY_MS);
+
+  before(() => bench.start());
+  after(() => bench.stop());
+
+  // Guards against a cancelling that is answered 404 without effect, as its queue is gone while the job runs.
+  it('is cancelled, also at another dispatcher', async () => {
+    const open = ['one', 'two'].map((job) => bench.submit('entry-1', job, 2, TASK_MS, PATIENCE_MS));
+    await bench.waitFor(() => bench.starts.size === 4);
+    bench.putConfiguration(['/other/']);
+    for (const id of ['entry-1', 'entry-2'])
+      await bench.waitFor(async () => (await bench.get(id, '/q/')).status === 404);
+    expect((await bench.cancel('entry-1', 'one')).status).to.equal(410);
+    expect((await bench.cancel('entry-2', 'two')).status).to.equal(410);
+    await sleep(SETTLE_MS);
+    expect([...bench.atWork.values()]).to.deep.equal([0, 0, 0, 0]);
+    expect((await Promise.all(open)).map(({ status }) => status)).to.deep.equal([504, 504]);
+  });
+});
