explain: why a cancelled job ran, and a submission that was refused before it was a job

A job that is started after its cancelling is explained by where it was cancelled, which dispatchers started it after that and whether they heard of it. A submission with a line `refuse` and no answer of a job was explained as a dispatcher that died; now by its reason.

--- a/src/process/explain/explainJob.test.ts
+++ b/src/process/explain/explainJob.test.ts
@@ -39,6 +39,24 @@
     expect(explainJob('j', [answer, waited]).cause).to.match(/waited 250 ms for free capacity/);
   });
 
+  // Guards against a cancelled job that runs without a line that says why.
+  it('names the starts of a job after its cancelling, and where they came from', () => {
+    const cancel: LogLine = { ...line(2, 'cancel', { job: 'j', isOpen: false }), process: 'entry-2' };
+    const lines = [
+      cancel,
+      line(1, 'place', { job: 'j', waitedMs: 0 }),
+      line(3, 'place', { job: 'j', waitedMs: 0 }),
+      line(9, 'answer', { job: 'j', kind: 'completed', tookMs: 1, objectiveMs: 2 }),
+    ];
+    expect(explainJob('j', lines).cause).to.equal(
+      'completed in time; cancelled at entry-2, and 1 starts were sent after that by entry-1, which had not heard of it',
+    );
+    const adopted = line(4, 'cancel-adopted', { job: 'j', ageMs: 2 });
+    expect(explainJob('j', [...lines, adopted]).cause).to.match(/by entry-1, which heard of it later$/);
+    const refused = line(3, 'refuse', { job: 'j', reason: 'cancelled' });
+    expect(explainJob('j', [cancel, refused]).cause).to.equal('refused: cancelled');
+  });
+
   it('explains a job without an answer, and a job without log lines', () => {
     expect(explainJob('j', [line(1, 'place', { job: 'j' })]).cause).to.match(/no answer is logged/);
     expect(explainJob('j', []).cause).to.match(/no log line names this job/);
--- a/src/process/explain/explainJob.ts
+++ b/src/process/explain/explainJob.ts
@@ -27,6 +27,7 @@
   paused: 'given up: the entry was paused for longer than the orphan timeout of agents',
   'entry-ends': 'given up: the entry shut down before the job was done',
   'caller-gone': 'given up: the caller closed its connection before the job was done',
+  cancelled: 'given up: its caller cancelled it',
   'submitted-again': 'given up: the caller submitted the job to the entry again',
   attempts: 'failed: a task failed as often as its queue allows',
   crashes: 'failed: upstreams crashed while running one of its tasks',
@@ -91,8 +92,28 @@
 }
 
 function findCause(lines: readonly LogLine[]): string {
+  const outcome = findOutcomeCause(lines);
+  const started = describeStartsAfterCancel(lines);
+  return started === undefined ? outcome : `${outcome}; ${started}`;
+}
+
+/** Describes the starts of a cancelled job after its first cancelling; undefined if there are none. */
+function describeStartsAfterCancel(lines: readonly LogLine[]): string | undefined {
+  const cancel = lines.find(({ event }) => event === 'cancel');
+  if (!cancel) return undefined;
+  const starts = lines.filter(({ event, time }) => event === 'place' && time > cancel.time);
+  const processes = [...new Set(starts.map(({ process }) => process))].join(', ');
+  if (starts.length === 0) return undefined;
+  const adopted = lines.some(({ event }) => event === 'cancel-adopted');
+  const heard = adopted ? 'heard of it later' : 'had not heard of it';
+  return `cancelled at ${cancel.process}, and ${starts.length} starts were sent after that by ${processes}, which ${heard}`;
+}
+
+function findOutcomeCause(lines: readonly LogLine[]): string {
   const answer = lines.filter(({ event }) => event === 'answer' || event === 'reject').at(-1);
   if (lines.length === 0) return 'no log line names this job: it reached none of these processes';
+  const refusal = lines.filter(({ event }) => event === 'refuse').at(-1);
+  if (!answer && refusal) return `refused: ${String(refusal.fields['reason'])}`;
   if (!answer) return 'no answer is logged: the entry died or was disconnected while the job was open';
   const { kind, reason, tookMs, objectiveMs } = answer.fields;
   if (answer.event === 'reject') return `rejected: ${String(reason)}`;
