Cancelled jobs are forgotten in time also where they were cancelled elsewhere before

Cause: jobs were forgotten in the order in which they were recorded, up to the first whose time is not over; one that comes with an age from another dispatcher stands behind newer ones, and was kept for up to twice its time. Change: all are looked at once a second, so a job is remembered for its time and a second more. Test: 'forgets a job in time that was recorded after a later one' (fails on the code before: [ true, true ]).

--- a/src/process/dispatcher/CancelledJobs.ts
+++ b/src/process/dispatcher/CancelledJobs.ts
@@ -6,6 +6,8 @@
 
 /** How long a cancelled job is remembered by default, ms. */
 const RETENTION_MS = 120_000;
+/** Interval between searches for jobs whose time is over, ms. */
+const SWEEP_INTERVAL_MS = 1_000;
 /** Most cancelled jobs that are remembered, and most characters of their ids; the oldest are forgotten first. */
 const LIMITS = { maxJobs: 50_000, maxCharacters: 2_000_000 };
 
@@ -14,6 +16,7 @@
   /** Times of the cancellings by job id, in the order in which they were recorded. */
   private readonly cancelledAt = new Map<string, number>();
   private characters = 0;
+  private sweptAt = -Infinity;
 
   /**
    * @param log - logs a decision
@@ -61,12 +64,11 @@
     return true;
   }
 
-  /** Forgets the jobs whose time is over. */
+  /** Forgets the jobs whose time is over. They are in no order: others may have been cancelled elsewhere before. */
   tick(now: number): void {
-    for (const [job, at] of this.cancelledAt) {
-      if (now - at < this.retentionMs) return;
-      this.forget(job);
-    }
+    if (now - this.sweptAt < SWEEP_INTERVAL_MS) return;
+    this.sweptAt = now;
+    for (const [job, at] of this.cancelledAt) if (now - at >= this.retentionMs) this.forget(job);
   }
 
   private forgetOldest(): void {
