Soak of processes: jobs that are cancelled at any dispatcher, with the rule on them checked

Seeds from 5000 on: half of the jobs are cancelled up to 1.5 s after their submission, at any dispatcher and again elsewhere after no answer, while callers stay or come again; after the faults this goes on for 6 s.

--- a/bench/runProcessSoak.ts
+++ b/bench/runProcessSoak.ts
@@ -8,7 +8,8 @@
   LOSSY_KINDS,
   RESTART_KINDS,
 } from '../test/fakes/soakFaults.js';
-import { createLongTasks, SHORT_TASKS } from '../test/fakes/soakLoads.js';
+import { createCancelledJobs, createLongTasks, SHORT_TASKS } from '../test/fakes/soakLoads.js';
+import type { SoakLoad } from '../test/fakes/soakLoads.js';
 
 /** One run in this many has the largest cluster. */
 const LARGE_RUN_INTERVAL = 10;
@@ -29,6 +30,8 @@
 const FIRST_SEED_OF_CALLS = 4_000;
 /** Seeds from here on also pause dispatchers and silence links while stops are lost. */
 const FIRST_SEED_OF_LOSSY_PAUSES = 4_500;
+/** Seeds from here on have the earlier kinds and unresponsive connections, while many jobs are cancelled. */
+const FIRST_SEED_OF_CANCELLED_JOBS = 5_000;
 
 /**
  * Builds the options of the soak test run of a seed.
@@ -41,8 +44,12 @@
 export function buildSoakOptions(seed: number): SoakOptions {
   const rest = { faultMs: FAULT_MS, recoveryMs: RECOVERY_MS, kinds: selectKinds(seed) };
   const sizes = selectSizes(seed);
-  const load = seed >= FIRST_SEED_OF_CALLS ? createLongTasks(sizes.agents) : SHORT_TASKS;
-  return { seed, ...sizes, ...rest, load };
+  return { seed, ...sizes, ...rest, load: selectLoad(seed, sizes.agents) };
+}
+
+function selectLoad(seed: number, executors: number): SoakLoad {
+  if (seed >= FIRST_SEED_OF_CANCELLED_JOBS) return createCancelledJobs(executors);
+  return seed >= FIRST_SEED_OF_CALLS ? createLongTasks(executors) : SHORT_TASKS;
 }
 
 function selectSizes(seed: number): typeof LARGE_RUN {
@@ -53,6 +60,7 @@
 }
 
 function selectKinds(seed: number): readonly string[] {
+  if (seed >= FIRST_SEED_OF_CANCELLED_JOBS) return ALL_KINDS;
   if (seed >= FIRST_SEED_OF_LOSSY_PAUSES) return LOSSY_KINDS;
   if (seed >= FIRST_SEED_OF_CALLS) return CALL_KINDS;
   if (seed >= FIRST_SEED_OF_RESTARTS) return RESTART_KINDS;
--- a/test/fakes/FaultSoak.ts
+++ b/test/fakes/FaultSoak.ts
@@ -7,6 +7,7 @@
 
 import { createRandom } from '../../src/_lib/createRandom.js';
 import { AbandonedRuns } from './AbandonedRuns.js';
+import { CancelledRuns } from './CancelledRuns.js';
 import { PlatformBench } from './PlatformBench.js';
 import type { CallerAnswer } from './PlatformBench.js';
 import { assignDomains, drawFault, SOAK_DOMAINS } from './soakFaults.js';
@@ -23,6 +24,11 @@
 const TARGET_LATENCY_MS = 1_500;
 /** Time after an evacuation from which no task may start in the domain, ms. */
 const EVACUATE_MS = 5_000;
+/** Time for which jobs are still submitted and cancelled after the last fault, ms. */
+const CALM_MS = 6_000;
+/** Longest time from a submission to its cancelling, and pause between two attempts to cancel, ms. */
+const CANCEL_WITHIN_MS = 1_500;
+const CANCEL_RETRY_MS = 200;
 /** Jobs that are submitted to each dispatcher after that. */
 const JOBS_AFTER = 4;
 
@@ -46,6 +52,7 @@
   readonly seed: number;
   readonly jobs: number;
   readonly completed: number;
+  readonly cancelled: number;
   readonly faults: readonly string[];
   /** Violated invariants; empty if the run passed. */
   readonly broken: readonly string[];
@@ -66,11 +73,13 @@
   private readonly pending: Promise<void>[] = [];
   private readonly load: SoakLoad;
   private readonly abandoned: AbandonedRuns;
+  private readonly cancelled: CancelledRuns;
 
   constructor(private readonly options: SoakOptions) {
     this.bench = new PlatformBench(options.entries, options.agents, TARGET_LATENCY_MS, true);
     this.load = options.load ?? SHORT_TASKS;
     this.abandoned = new AbandonedRuns(this.bench, RESUBMIT_DELAY_MS);
+    this.cancelled = new CancelledRuns(this.bench);
     if (this.load.keepsConnections) this.bench.callerAgent = new Agent({ keepAlive: true });
     this.nextRandom = createRandom(options.seed);
     if (this.hasDomains) this.bench.domains = assignDomains(options.agents);
@@ -80,13 +89,19 @@
     return this.options.kinds.includes('evacuate');
   }
 
+  private get cancelsJobs(): boolean {
+    return this.load.cancelShare > 0;
+  }
+
   /** Runs the test; stops only processes that it started. */
   async run(): Promise<SoakReport> {
     try {
       await this.bench.start();
       if (this.load.isWatched) this.abandoned.start();
+      if (this.cancelsJobs) this.cancelled.start();
       const until = performance.now() + this.options.faultMs;
-      await Promise.all([this.submitUntil(until), this.injectFaultsUntil(until)]);
+      const submitUntil = until + (this.cancelsJobs ? CALM_MS : 0);
+      await Promise.all([this.submitUntil(submitUntil), this.injectFaultsUntil(until)]);
       await Promise.all(this.pending);
       await this.checkRecovery();
       if (this.hasDomains) await this.checkEvacuation();
@@ -98,6 +113,7 @@
       throw new Error(`${String(cause)}; logs: ${logs}; ${this.faults.join(', ')}`, { cause });
     } finally {
       this.abandoned.stop();
+      this.cancelled.stop();
       await this.bench.stop();
     }
     this.checkRuns();
@@ -110,6 +126,7 @@
     const found = [
       ...doubled.map((task) => `${task} ran twice at the same time`),
       ...this.abandoned.found,
+      ...this.cancelled.found,
       ...beyondCapacity.map((task) => `${task} was started beyond the capacity`),
     ];
     for (const violation of found) if (!this.violations.includes(violation)) this.violations.push(violation);
@@ -130,6 +147,8 @@
     const tasks = 1 + Math.floor(this.nextRandom() * maxTasks);
     const taskMs = 20 + Math.floor(this.nextRandom() * maxTaskMs);
     let at = Math.floor(this.nextRandom() * this.options.entries);
+    if (this.cancelsJobs && this.nextRandom() < this.load.cancelShare)
+      this.pending.push(this.cancelUntilAnswered(job));
     for (let submission = 0; submission < SUBMISSIONS; submission += 1) {
       const leave = AbortSignal.timeout(this.drawStay());
       const dispatcher = `entry-${1 + (at % this.options.entries)}`;
@@ -145,6 +164,20 @@
     }
   }
 
+  /** Cancels a job some time after its submission, at any dispatcher, and at another one after no answer. */
+  private async cancelUntilAnswered({ id }: SoakJob): Promise<void> {
+    await sleep(this.nextRandom() * CANCEL_WITHIN_MS);
+    let at = Math.floor(this.nextRandom() * this.options.entries);
+    for (;;) {
+      const dispatcher = `entry-${1 + (at % this.options.entries)}`;
+      const { status } = await this.bench.cancel(dispatcher, id);
+      this.bench.note(`answer to the cancelling of ${id} from ${dispatcher}: ${status}`);
+      if (status === 200 || status === 410) return this.cancelled.record(id);
+      await sleep(CANCEL_RETRY_MS);
+      at += 1;
+    }
+  }
+
   /** Draws the time after which a caller closes its connection, ms. */
   private drawStay(): number {
     const { callerTimeoutMs, leaveShare, longestStayMs } = this.load;
@@ -162,6 +195,7 @@
       await sleep(this.nextRandom() * FAULT_GAP_MS);
     }
     await Promise.all(healed);
+    this.cancelled.setCalm();
   }
 
   /** Checks that after the last fault every dispatcher serves jobs and no abandoned task runs. */
@@ -221,6 +255,8 @@
   private report(): SoakReport {
     const completed = this.jobs.filter(({ answers }) => answers.at(-1)?.status === 200).length;
     const { seed } = this.options;
-    return { seed, jobs: this.jobs.length, completed, faults: this.faults, broken: this.violations };
+    const { size: cancelled } = this.cancelled;
+    const { faults, violations: broken } = this;
+    return { seed, jobs: this.jobs.length, completed, cancelled, faults, broken };
   }
 }
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -49,6 +49,8 @@
   readonly atWork = new Map<string, number>();
   /** Number of starts of each task. */
   readonly starts = new Map<string, number>();
+  /** When each task was last started, monotonic ms. */
+  readonly lastStartAt = new Map<string, number>();
   /** Tasks that ran twice at the same time. */
   readonly doubled: string[] = [];
   /** Tasks that were started beyond their runner's capacity. */
@@ -313,6 +315,7 @@
           this.startsByRunner.set(id, (this.startsByRunner.get(id) ?? 0) + 1);
           if (load > RUNNER_TASKS) this.beyondCapacity.push(task);
           this.starts.set(task, (this.starts.get(task) ?? 0) + 1);
+          this.lastStartAt.set(task, performance.now());
           const running = (this.atWork.get(task) ?? 0) + 1;
           this.atWork.set(task, running);
           if (running > 1) this.doubled.push(task);
--- a/test/fakes/soakLoads.ts
+++ b/test/fakes/soakLoads.ts
@@ -14,6 +14,8 @@
   readonly longestStayMs: number;
   /** Whether callers use their connections again for later jobs. */
   readonly keepsConnections: boolean;
+  /** Fraction of jobs that are cancelled, each at any dispatcher. */
+  readonly cancelShare: number;
   /** Whether runs are checked for a waiting caller all the time, not only after the faults. */
   readonly isWatched: boolean;
 }
@@ -27,6 +29,7 @@
   leaveShare: 0,
   longestStayMs: 0,
   keepsConnections: false,
+  cancelShare: 0,
   isWatched: false,
 };
 
@@ -50,6 +53,19 @@
     leaveShare: 0.4,
     longestStayMs: 2_000,
     keepsConnections: true,
+    cancelShare: 0,
     isWatched: true,
   };
 }
+
+/**
+ * Creates a load of such tasks of which many jobs are cancelled, while their callers stay or come again.
+ *
+ * @param executors - number of executors
+ * @returns the load
+ * @example
+ * createCancelledJobs(4).cancelShare; // 0.5
+ */
+export function createCancelledJobs(executors: number): SoakLoad {
+  return { ...createLongTasks(executors), leaveShare: 0.1, cancelShare: 0.5, isWatched: false };
+}
--- a/test/faultSoak.test.ts
+++ b/test/faultSoak.test.ts
@@ -4,13 +4,13 @@
 import { buildSoakOptions } from '../bench/runProcessSoak.js';
 import { FaultSoak } from './fakes/FaultSoak.js';
 import { ALL_KINDS, CALL_KINDS, DOMAIN_KINDS, EARLIER_KINDS, RESTART_KINDS } from './fakes/soakFaults.js';
-import { createLongTasks, SHORT_TASKS } from './fakes/soakLoads.js';
+import { createCancelledJobs, createLongTasks, SHORT_TASKS } from './fakes/soakLoads.js';
 
 const AGENTS = 3;
 
 /**
  * Runs with increasing sets of faults: basic, unresponsive connections, emptied domains, restarted upstreams, lost
- * and late calls to upstreams.
+ * and late calls to upstreams; and unresponsive connections while jobs are cancelled at any dispatcher.
  */
 const RUNS = [
   { seed: 1, kinds: EARLIER_KINDS, load: SHORT_TASKS },
@@ -18,6 +18,7 @@
   { seed: 2_001, kinds: DOMAIN_KINDS, load: SHORT_TASKS },
   { seed: 3_001, kinds: RESTART_KINDS, load: SHORT_TASKS },
   { seed: 4_001, kinds: CALL_KINDS, load: createLongTasks(AGENTS) },
+  { seed: 5_001, kinds: ALL_KINDS, load: createCancelledJobs(AGENTS) },
 ];
 /** Seeds of long runs that failed. */
 const FAILED_SEEDS = [4_506];
