Tests: inputs of callers in any order, with pauses; a submission in the listen queue behind its cancelling

Twelve seeded sequences of submissions, ends of connections and cancellings of two jobs with pauses in between, at a whole dispatcher process: who waits at the end must be who waits by the order of reading, each other caller has one answer.

--- a/src/process/dispatcher/DispatcherDaemon.test.ts
+++ b/src/process/dispatcher/DispatcherDaemon.test.ts
@@ -4,6 +4,7 @@
 
 import { ROUTE, STEP } from '../../../test/fakes/dispatchFixtures.js';
 import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
+import { createRandom } from '../../_lib/createRandom.js';
 import { CallerGateway } from '../../ports/CallerGateway.js';
 import { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobSubmission } from '../../request/dispatch/submission.js';
@@ -16,6 +17,10 @@
 const STALE_MS = 2_000;
 /** Shorter than that gap, ms. */
 const INPUT_MS = 50;
+/** Runs with random inputs, inputs of each, and kinds of input: a pause, turns, three calls of callers. */
+const SEEDS = 12;
+const STEPS = 14;
+const INPUT_KINDS = 8;
 const SUPERSEDED = { kind: 'interrupted', reason: 'submitted-again' };
 
 class SilentGateway extends CallerGateway {
@@ -45,6 +50,45 @@
   while (performance.now() < until);
 }
 
+/** A job by the inputs that have been read. */
+interface ReadJob {
+  readonly id: string;
+  readonly callers: { readonly caller: FakeCaller; hasLeft: boolean }[];
+  isCancelled: boolean;
+}
+
+function submit(daemon: DispatcherDaemon, job: ReadJob): void {
+  const caller = new FakeCaller();
+  job.callers.push({ caller, hasLeft: false });
+  daemon.submit(buildSubmission(job.id), caller);
+}
+
+function leave(daemon: DispatcherDaemon, job: ReadJob, at: number): void {
+  const one = job.callers[at];
+  if (!one || one.hasLeft) return;
+  one.hasLeft = true;
+  daemon.abandon(job.id, one.caller);
+}
+
+function cancel(daemon: DispatcherDaemon, job: ReadJob): void {
+  job.isCancelled = true;
+  daemon.cancel(job.id);
+}
+
+/**
+ * Checks that of a cancelled job no caller waits, and else the latest one, unless it has left: then an earlier one may wait,
+ * as a submission whose caller leaves while it is held replaces none.
+ */
+function checkOutcome(daemon: DispatcherDaemon, { id, callers, isCancelled }: ReadJob): void {
+  const waiting = callers.filter(({ caller, hasLeft }) => !hasLeft && caller.answers.length === 0);
+  const last = callers.at(-1);
+  expect(daemon.findState(id)).to.equal(waiting.length > 0 ? 'pending' : undefined);
+  expect(waiting.length).to.be.at.most(1);
+  if (isCancelled) expect(waiting).to.deep.equal([]);
+  else if (last && !last.hasLeft) expect(waiting).to.deep.equal([last]);
+  for (const { caller } of callers) expect(caller.answers.length).to.be.at.most(1);
+}
+
 async function waitTurns(count: number): Promise<void> {
   for (let turn = 0; turn < count; turn += 1) await new Promise(setImmediate);
 }
@@ -79,6 +123,31 @@
     expect([first.answers, second.answers]).to.deep.equal([[SUPERSEDED], []]);
   });
 
+  // Guards against inputs that overtake each other while they are put off: the outcome is that of the order of reading.
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    it(`handles submissions, ends of connections and cancellings in the order of reading, seed ${seed}`, async () => {
+      const nextRandom = createRandom(seed);
+      const pick = (count: number): number => Math.floor(nextRandom() * count);
+      const read: ReadJob[] = ['a', 'b'].map((id) => ({
+        id,
+        callers: [],
+        open: undefined,
+        isCancelled: false,
+      }));
+      for (let step = 0; step < STEPS; step += 1) {
+        const job = read[pick(read.length)] as ReadJob;
+        const input = pick(INPUT_KINDS);
+        if (input === 0) notePause();
+        if (input === 1) await waitTurns(1 + pick(3));
+        if (input === 2) cancel(daemon, job);
+        if (input === 3) leave(daemon, job, pick(job.callers.length));
+        if (input > 3) submit(daemon, job);
+      }
+      await waitTurns(20);
+      for (const job of read) checkOutcome(daemon, job);
+    });
+  }
+
   // Guards against a job that is started for a caller that has left, as it was the first input after a pause.
   it('holds also the first submission that it reads', async () => {
     const caller = new FakeCaller();
--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -118,6 +118,27 @@
     expect(await open).to.include({ status: 503, retryAfter: undefined });
   });
 
+  // Guards against a cancelling that has no effect, as its submission is taken from the listen queue after it.
+  it('is not run when its submission waits in the listen queue during a pause', async () => {
+    const before = bench.starts.size;
+    const open = bench.openCaller('entry-1', '');
+    await sleep(100);
+    bench.signal('entry-1', 'SIGSTOP');
+    const idle = Array.from({ length: 150 }, () => bench.openCaller('entry-1', ''));
+    await sleep(100);
+    const submitted = bench.submit('entry-1', 'queued', 2, TASK_MS, PATIENCE_MS);
+    await sleep(200);
+    open.write('DELETE /q/queued HTTP/1.1\r\nhost: a.example\r\n\r\n');
+    const answer = new Promise<string>((resolve) => open.once('data', (data) => resolve(String(data))));
+    await sleep(FREEZE_MS);
+    bench.signal('entry-1', 'SIGCONT');
+    expect(await answer).to.match(/^HTTP\/1.1 (200|410) /);
+    await sleep(SETTLE_MS);
+    expect(bench.starts.size).to.equal(before);
+    expect((await submitted).status).to.equal(503);
+    for (const socket of [open, ...idle]) socket.destroy();
+  });
+
   // Guards against a cancelling that has no effect, as it is read before the submission on another connection.
   it('is not run when its submission is read after its cancelling', async () => {
     expect([200, 410]).to.include((await bench.cancel('entry-1', 'late')).status);
