--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -274,8 +274,8 @@
 }
 
 /**
- * Cancelled jobs, sent from one dispatcher to another. No submission of them is run, also one that arrives later.
- * Earlier versions ignore it.
+ * Cancelled jobs, between dispatchers and between these and some executors. No submission of them is run, also one that
+ * arrives later. Earlier versions ignore it.
  */
 export interface CancelNotice {
   readonly type: 'cancelled';
@@ -354,7 +354,8 @@
   | ConfigurationPiece
   | EmptiedRequest
   | EmptiedNotice
-  | MembersNotice;
+  | MembersNotice
+  | CancelNotice;
 
 /** Messages of executors. */
 export type ExecutorMessage =
@@ -369,7 +370,6 @@
   | StartOrder
   | StopOrder
   | SuspectNotice
-  | CancelNotice
   | SharedMessage;
 
 /** Any message of a link. */
--- a/src/process/dispatcher/CancelledJobs.ts
+++ b/src/process/CancelledJobs.ts
@@ -11,7 +11,7 @@
 /** Most cancelled jobs that are remembered, and most characters of their ids; the oldest are forgotten first. */
 const LIMITS = { maxJobs: 50_000, maxCharacters: 2_000_000 };
 
-/** Cancelled jobs of one dispatcher. Points in time are monotonic ms. */
+/** Cancelled jobs known to one process. Points in time are monotonic ms. */
 export class CancelledJobs {
   /** Times of the cancellings by job id, in the order in which they were recorded. */
   private readonly cancelledAt = new Map<string, number>();
--- a/src/process/VersionExchange.ts
+++ b/src/process/VersionExchange.ts
@@ -13,6 +13,8 @@
 /** Sends messages to one peer. */
 export interface PeerChannel {
   send(message: PeerMessage): void;
+  /** Writes what was sent, which otherwise is written at the end of the turn. */
+  flush?(): void;
 }
 
 /** Holds the newest version of a value and exchanges it with peers. */
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -20,6 +20,7 @@
 import { UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
+import { CancelledJobs } from '../CancelledJobs.js';
 import { CallerTimeoutAdmission, RETRY_AFTER_MS } from './Admission.js';
 import type { Admission } from './Admission.js';
 import type { QueueRoute } from '../../version/configuration.js';
@@ -27,7 +28,6 @@
 import { buildExecutorId } from './ExecutorView.js';
 import type { ExecutorView } from './ExecutorView.js';
 import { Backlog } from './Backlog.js';
-import { CancelledJobs } from './CancelledJobs.js';
 import { buildAttemptName, createDispatchJob, isOutstanding, transitionTask } from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
 import type { DispatchEffects, DispatchOptions } from './dispatchOptions.js';
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -450,6 +450,7 @@
     channel.send({ type: 'entry-welcome', entry: this.settings.id, life: incarnation, place, lagMs });
     channel.send({ type: 'members', entries: [this.place, ...this.members.list(now)] });
     this.dispatcher.handleHello(hello, this.incarnation, now);
+    this.notices.openExecutor(channel);
   }
 
   private handleDispatcherHello(channel: LineChannel, place: DispatcherPlace, now: number): void {
--- a/src/process/dispatcher/DispatcherNotices.ts
+++ b/src/process/dispatcher/DispatcherNotices.ts
@@ -1,13 +1,17 @@
 /**
  * What a dispatcher tells the others of its jobs, on the links that it dials and on those that it accepts: suspect tasks,
  * since callers may submit a job again at any of them, and cancelled jobs, since callers may cancel a job at any of them.
+ * Some executors keep the cancelled jobs for dispatchers that restart.
  */
 import type { Timeline } from '../../_lib/Timeline.js';
 import type { CancelNotice, PeerMessage, SuspectTask } from '../../connection/peer/peerMessages.js';
 import type { PeerChannel } from '../VersionExchange.js';
-import { CancellationExchange } from './CancellationExchange.js';
+import { CancellationExchange } from '../CancellationExchange.js';
 import type { Dispatcher } from './Dispatcher.js';
 
+/** Executors that keep cancelled jobs. */
+const KEEPERS = 2;
+
 /** Handlers of a dispatcher process. */
 export interface NoticeEvents {
   /** Applies an input to the dispatcher once pending input has been read. */
@@ -18,6 +22,9 @@
 /** Notices of one dispatcher. */
 export class DispatcherNotices {
   private readonly channels = new Set<PeerChannel>();
+  /** Links to executors, and those that keep cancelled jobs. */
+  private readonly executors = new Set<PeerChannel>();
+  private readonly keepers = new Set<PeerChannel>();
   private readonly cancellations: CancellationExchange;
 
   constructor(
@@ -36,10 +43,18 @@
     this.cancellations.open(channel);
   }
 
+  /** Handles an opened link to an executor. */
+  openExecutor(channel: PeerChannel): void {
+    this.executors.add(channel);
+    this.chooseKeepers();
+  }
+
   /** Handles a closed link. */
   close(channel: PeerChannel): void {
     this.channels.delete(channel);
+    this.executors.delete(channel);
     this.cancellations.close(channel);
+    if (this.keepers.delete(channel)) this.chooseKeepers();
   }
 
   /** Handles a notice of another dispatcher; returns false for other messages. */
@@ -65,13 +80,19 @@
     this.events.applyInput((now) => this.sendSuspects(this.dispatcher.adoptSuspects(tasks, now)));
   }
 
-  /** Cancels jobs that are cancelled at other dispatchers, and passes on those that are new here. */
-  private adoptCancelled({ jobs }: CancelNotice, from: PeerChannel): void {
+  /** Cancels jobs that are cancelled at other dispatchers. */
+  private adoptCancelled(notice: CancelNotice, from: PeerChannel): void {
     const now = this.timeline.now();
-    for (const { job, ageMs } of jobs) {
-      if (this.dispatcher.cancelled.has(job)) continue;
+    for (const { job, ageMs } of this.cancellations.receive(notice, from))
       if (this.dispatcher.cancel(job, now, ageMs)) this.events.log('cancel-adopted', { job, ageMs });
-      this.cancellations.send(job, from);
+  }
+
+  private chooseKeepers(): void {
+    for (const channel of this.executors) {
+      if (this.keepers.size >= KEEPERS) return;
+      if (this.keepers.has(channel)) continue;
+      this.keepers.add(channel);
+      this.cancellations.open(channel);
     }
   }
 }
--- a/src/process/executor/DispatcherLinks.test.ts
+++ b/src/process/executor/DispatcherLinks.test.ts
@@ -97,6 +97,7 @@
       linkPort,
       pingMs: PING_MS,
       linkMbps: 1_000,
+      cancelledMs: 120_000,
     };
     const log = (event: string): number => logged.push(event);
     const executor = createExecutor(() => record('pong-received'));
--- a/src/process/executor/DispatcherLinks.ts
+++ b/src/process/executor/DispatcherLinks.ts
@@ -16,6 +16,8 @@
 } from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
 import type { LogFields } from '../logger.js';
+import { CancellationExchange } from '../CancellationExchange.js';
+import { CancelledJobs } from '../CancelledJobs.js';
 import { OperatorExchange } from '../OperatorExchange.js';
 import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import type { Executor } from './Executor.js';
@@ -61,6 +63,8 @@
   readonly pingMs: number;
   /** Bandwidth of the VM's link, Mbit/s. */
   readonly linkMbps: number;
+  /** How long a cancelled job is remembered, ms. */
+  readonly cancelledMs: number;
 }
 
 interface DispatcherLink {
@@ -88,6 +92,9 @@
   private readonly directory: DispatcherDirectory;
   private readonly dialer: PeerDialer;
   private readonly exchange: OperatorExchange;
+  /** Cancelled jobs, kept for dispatchers that restart. */
+  private readonly cancelled: CancelledJobs;
+  private readonly cancellations: CancellationExchange;
   private readonly links = new Map<string, DispatcherLink>();
   /** Last known incarnation of the dispatcher at each address. */
   private readonly incarnations = new Map<string, string>();
@@ -101,6 +108,8 @@
   ) {
     this.directory = new DispatcherDirectory(options.executor, options.maxLinks, options.smallFleet);
     const { linkMbps } = options;
+    this.cancelled = new CancelledJobs(log, options.cancelledMs);
+    this.cancellations = new CancellationExchange(this.cancelled, new ClockTimeline(clock), log);
     this.exchange = new OperatorExchange(
       {
         changeConfiguration: () => undefined,
@@ -146,6 +155,7 @@
   /** Dials wanted dispatchers, and closes links that are unwanted or unresponsive. */
   updateLinks(): void {
     const now = this.clock.now();
+    this.cancelled.tick(now);
     this.dialer.checkPongs();
     const wanted = this.directory.chooseLinks(now);
     for (const address of wanted) this.dialer.add(address);
@@ -276,6 +286,7 @@
     clearTimeout(link?.capacityTimer);
     this.links.delete(address);
     if (link) this.exchange.handleClosed(link.channel);
+    if (link) this.cancellations.close(link.channel);
     const incarnation = link?.incarnation ?? '';
     const unresponsiveMs = Math.round(this.directory.findUnresponsiveTime(address, this.clock.now()));
     this.log('entry-unlinked', {
@@ -293,6 +304,7 @@
     const now = this.clock.now();
     if (message.type === 'entry-welcome') return this.handleWelcome(link, message, now);
     if (message.type === 'members') return this.directory.recordMembers(message.entries, now);
+    if (message.type === 'cancelled') return void this.cancellations.receive(message, link.channel);
     if (this.exchange.receive(message, link.channel)) return;
     if (link.incarnation === '') return;
     if (message.type === 'start') return this.executor.handleStart(link.incarnation, message);
@@ -325,6 +337,7 @@
     if (link.retiringSince !== undefined) this.executor.setRetiring(incarnation, true);
     this.sendPing(link, now);
     this.sendMembers();
+    this.cancellations.open(link.channel);
   }
 
   private handleEmptied({ domains, revision }: EmptiedDomains): void {
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -31,6 +31,7 @@
 const LINK_UPDATE_TICKS = 2;
 /** Interval of messages that list the known dispatchers, ms. */
 const MEMBERS_INTERVAL_MS = 5_000;
+const SECOND_MS = 1_000;
 /**
  * Last part of the grace period, reserved for stopping the remaining tasks and sending their results, ms.
  */
@@ -106,7 +107,17 @@
     });
     const { id: executor, failureDomain, maxLinks, smallFleet, linkPort, linkMbps } = settings;
     const { pingMs } = times;
-    const options = { executor, failureDomain, maxLinks, smallFleet, linkPort, pingMs, linkMbps };
+    const cancelledMs = settings.cancelledSeconds * SECOND_MS;
+    const options = {
+      executor,
+      failureDomain,
+      maxLinks,
+      smallFleet,
+      linkPort,
+      pingMs,
+      linkMbps,
+      cancelledMs,
+    };
     const nextRandom = createRandom(Date.now() % 1_000_000);
     const log = (event: string, fields: LogFields): void => this.logDecision(event, fields);
     this.links = new DispatcherLinks(options, this.executor, this.clock, log, nextRandom);
--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -198,6 +198,30 @@
   });
 });
 
+describe('a job that is cancelled before all dispatchers restart at once', function () {
+  this.timeout(60_000);
+  const bench = new PlatformBench(2, 3, TARGET_LATENCY_MS);
+  const dispatchers = ['entry-1', 'entry-2'];
+
+  before(() => bench.start());
+  after(() => bench.stop());
+
+  // Guards against a cancelled job that runs anew, as no dispatcher remembers its cancelling.
+  it('is not run when its caller submits it again', async () => {
+    const first = bench.submit('entry-1', 'again', 2, TASK_MS, PATIENCE_MS);
+    await bench.waitFor(() => bench.starts.size === 2);
+    expect((await bench.cancel('entry-1', 'again')).status).to.equal(200);
+    for (const id of dispatchers) bench.signal(id, 'SIGKILL');
+    for (const id of dispatchers) await bench.waitForExit(id);
+    await first;
+    for (const id of dispatchers) await bench.startDaemon(id);
+    for (const id of dispatchers) await bench.waitUntilReady(id);
+    await sleep(SETTLE_MS);
+    expect((await bench.submit('entry-2', 'again', 2, TASK_MS, PATIENCE_MS)).status).to.equal(503);
+    expect([...bench.starts.values()]).to.deep.equal([1, 1]);
+  });
+});
+
 describe('a job whose queue the operators have dropped', function () {
   this.timeout(60_000);
   const bench = new PlatformBench(2, 3, TARGET_LATENCY_MS);
