Cancelled jobs: forgotten ones are logged once a second, and none is taken in whose time is over

Read-through of the changes. A flood of cancellings wrote a line for each job that was forgotten beyond the limits; now one line a second with their number. A process that had forgotten a job could take it in again from one that had not yet, and pass it on; now a job whose time is over is not new.

--- a/src/process/CancellationExchange.ts
+++ b/src/process/CancellationExchange.ts
@@ -48,7 +48,7 @@
    */
   receive({ jobs }: CancelNotice, from: PeerChannel): CancelledJob[] {
     const now = this.timeline.now();
-    const fresh = jobs.filter(({ job, ageMs }) => this.cancelled.record(job, now - ageMs));
+    const fresh = jobs.filter(({ job, ageMs }) => this.cancelled.record(job, now, ageMs));
     for (const { job } of fresh) this.send(job, from);
     return fresh;
   }
--- a/src/process/CancelledJobs.ts
+++ b/src/process/CancelledJobs.ts
@@ -17,6 +17,8 @@
   private readonly cancelledAt = new Map<string, number>();
   private characters = 0;
   private sweptAt = -Infinity;
+  /** Number of jobs that were forgotten before their time was over, since the last line about it. */
+  private forgottenEarly = 0;
 
   /**
    * @param log - logs a decision
@@ -50,15 +52,16 @@
   }
 
   /**
-   * Records that a job is cancelled, unless that is known.
+   * Records that a job is cancelled, unless that is known or its time is over.
    *
    * @param job - id of the job
-   * @param at - when it was cancelled
-   * @returns whether it was not known
+   * @param now - current time
+   * @param ageMs - how long ago it was cancelled, ms
+   * @returns whether it is new
    */
-  record(job: string, at: number): boolean {
-    if (this.cancelledAt.has(job)) return false;
-    this.cancelledAt.set(job, at);
+  record(job: string, now: number, ageMs = 0): boolean {
+    if (this.cancelledAt.has(job) || ageMs >= this.retentionMs) return false;
+    this.cancelledAt.set(job, now - ageMs);
     this.characters += job.length;
     this.forgetOldest();
     return true;
@@ -69,16 +72,16 @@
     if (now - this.sweptAt < SWEEP_INTERVAL_MS) return;
     this.sweptAt = now;
     for (const [job, at] of this.cancelledAt) if (now - at >= this.retentionMs) this.forget(job);
+    if (this.forgottenEarly > 0) this.log('cancelled-forgotten', { jobs: this.forgottenEarly });
+    this.forgottenEarly = 0;
   }
 
   private forgetOldest(): void {
-    let jobs = 0;
     for (const job of this.cancelledAt.keys()) {
-      if (!this.isBeyondLimits) break;
+      if (!this.isBeyondLimits) return;
       this.forget(job);
-      jobs += 1;
+      this.forgottenEarly += 1;
     }
-    if (jobs > 0) this.log('cancelled-forgotten', { jobs });
   }
 
   private forget(job: string): void {
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -167,7 +167,7 @@
    * @returns false if no caller waits for it here
    */
   cancel(jobId: string, now: number, ageMs = 0): boolean {
-    this.cancelled.record(jobId, now - ageMs);
+    this.cancelled.record(jobId, now, ageMs);
     const wasWaiting = this.jobs.successors.end(jobId, CANCELLED);
     const job = this.jobs.findOpen(jobId);
     if (!job) return wasWaiting;
