--- a/src/process/CancelledJobs.ts
+++ b/src/process/CancelledJobs.ts
@@ -63,7 +63,7 @@
     if (this.cancelledAt.has(job) || ageMs >= this.retentionMs) return false;
     this.cancelledAt.set(job, now - ageMs);
     this.characters += job.length;
-    this.forgetOldest();
+    this.removeOldest();
     return true;
   }
 
@@ -71,20 +71,20 @@
   tick(now: number): void {
     if (now - this.sweptAt < SWEEP_INTERVAL_MS) return;
     this.sweptAt = now;
-    for (const [job, at] of this.cancelledAt) if (now - at >= this.retentionMs) this.forget(job);
+    for (const [job, at] of this.cancelledAt) if (now - at >= this.retentionMs) this.remove(job);
     if (this.forgottenEarly > 0) this.log('cancelled-forgotten', { jobs: this.forgottenEarly });
     this.forgottenEarly = 0;
   }
 
-  private forgetOldest(): void {
+  private removeOldest(): void {
     for (const job of this.cancelledAt.keys()) {
       if (!this.isBeyondLimits) return;
-      this.forget(job);
+      this.remove(job);
       this.forgottenEarly += 1;
     }
   }
 
-  private forget(job: string): void {
+  private remove(job: string): void {
     this.cancelledAt.delete(job);
     this.characters -= job.length;
   }
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -176,7 +176,7 @@
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs), openJobs: this.openJobs });
       this.peers.handlePause();
-      this.held.extend(this.pauseGuard.findStaleTurns(this.clock.now()));
+      this.held.applyPause(this.pauseGuard.findStaleTurns(this.clock.now()));
       if (gapMs > orphanAfterMs) this.dispatcher.endAll('paused', this.clock.now());
     });
     this.listener = new PeerListener({
--- a/src/process/dispatcher/HeldSubmissions.test.ts
+++ b/src/process/dispatcher/HeldSubmissions.test.ts
@@ -47,7 +47,7 @@
   it('holds them until pending input has been read, and anew after another pause', async () => {
     add('a', 2);
     await waitTurns(1);
-    held.extend(TURNS);
+    held.applyPause(TURNS);
     await waitTurns(TURNS - 1);
     hasCaughtUp = false;
     await waitTurns(3);
--- a/src/process/dispatcher/HeldSubmissions.ts
+++ b/src/process/dispatcher/HeldSubmissions.ts
@@ -24,12 +24,12 @@
   private isTurnScheduled = false;
 
   /**
-   * @param canHandOver - whether pending input has been read
-   * @param handOver - hands a submission to the dispatcher
+   * @param canSubmit - whether pending input has been read
+   * @param submit - hands a submission to the dispatcher
    */
   constructor(
-    private readonly canHandOver: () => boolean,
-    private readonly handOver: (read: ReadSubmission) => void,
+    private readonly canSubmit: () => boolean,
+    private readonly submit: (read: ReadSubmission) => void,
   ) {}
 
   get size(): number {
@@ -39,7 +39,7 @@
   /** Adds a submission, and hands it over at once if neither it nor an earlier one is to be held. */
   add(read: ReadSubmission, turns: number): void {
     this.held.set(read.caller, { ...read, turns });
-    this.handOverDue();
+    this.submitDue();
   }
 
   /** Whether a submission of a job is held. */
@@ -74,7 +74,7 @@
   }
 
   /** Holds all for at least the given number of turns, as the process was paused again. */
-  extend(turns: number): void {
+  applyPause(turns: number): void {
     for (const one of this.held.values()) one.turns = Math.max(one.turns, turns);
   }
 
@@ -88,11 +88,11 @@
     return undefined;
   }
 
-  private handOverDue(): void {
+  private submitDue(): void {
     for (const one of this.held.values()) {
-      if (one.turns > 0 || !this.canHandOver()) break;
+      if (one.turns > 0 || !this.canSubmit()) break;
       this.held.delete(one.caller);
-      this.handOver(one);
+      this.submit(one);
     }
     this.scheduleTurn();
   }
@@ -103,7 +103,7 @@
     setImmediate(() => {
       this.isTurnScheduled = false;
       for (const one of this.held.values()) one.turns -= 1;
-      this.handOverDue();
+      this.submitDue();
     });
   }
 }
--- a/src/version/DroppedRoutes.ts
+++ b/src/version/DroppedRoutes.ts
@@ -33,7 +33,7 @@
       if (!kept.has(key)) this.dropped.set(key, { route, droppedAt: now });
     }
     this.current = configuration;
-    this.forget(now);
+    this.removeOld(now);
     this.index = undefined;
   }
 
@@ -46,14 +46,14 @@
    * @returns the route with the longest matching prefix, or undefined if none matches
    */
   find(host: string, path: string, now: number): QueueRoute | undefined {
-    if (this.forget(now)) this.index = undefined;
+    if (this.removeOld(now)) this.index = undefined;
     if (this.dropped.size === 0) return undefined;
     this.index ??= new RouteIndex([...this.dropped.values()].map(({ route }) => route));
     return this.index.find(host.toLowerCase(), path);
   }
 
   /** Forgets routes beyond the limits of time and number; returns whether there were any. */
-  private forget(now: number): boolean {
+  private removeOld(now: number): boolean {
     const before = this.dropped.size;
     for (const [key, { droppedAt }] of this.dropped) {
       if (now - droppedAt < this.retentionMs && this.dropped.size <= MAX_ROUTES) break;
