--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -16,14 +16,15 @@
 const KINDS = [REQUIRED, REQUIRED, REQUIRED, REQUIRED, REQUIRED, REQUIRED, OTHER];
 const CPU = 16_000;
 /** Two kinds of jobs of the sheet, and the rate of each at the dispatcher. */
-const SHORT = { tasks: 8, workMs: 86, clients: 24, jobsPerS: 16 };
-const LONG = { tasks: 2, workMs: 286, clients: 36, jobsPerS: 24 };
+const SHORT = { tasks: 8, workMs: 86, clients: 30, jobsPerS: 16 };
+const LONG = { tasks: 2, workMs: 286, clients: 66, jobsPerS: 24 };
 type JobKind = typeof SHORT | typeof LONG;
 const DEADLINE_MS = 1_500;
-const CUT_MS = 5_500;
-const CRASH_AFTER_MS = 1_000;
-const DOWN_MS = 2_000;
-const ROUNDS = 4;
+const CUT_MS = 10_300;
+const CRASH_AFTER_MS = 2_000;
+const DOWN_MS = 4_000;
+const CALM_MS = 6_000;
+const ROUNDS = 3;
 const CUT_MACHINE = 'edge-1';
 
 await runCase(({ recorder, hasTrouble }) => {
@@ -71,7 +72,7 @@
     await sleep(CUT_MS - CRASH_AFTER_MS - DOWN_MS);
     if (hasTrouble) deployment.network.heal(CUT_MACHINE);
     recorder.write('healed', { machine: CUT_MACHINE });
-    await sleep(6_000);
+    await sleep(CALM_MS);
   };
 
   const run = async (): Promise<number> => {
--- a/review/lib-2/PeerNetwork.ts
+++ b/review/lib-2/PeerNetwork.ts
@@ -1,12 +1,16 @@
 /**
  * Network between the daemons: each link to a dispatcher passes a proxy, which can be cut for single machines. A cut is
- * silent: nothing passes in either direction, not even a close, and new connections get no answer. When it heals, the
- * connections that it struck are gone, and new ones work.
+ * silent: nothing passes in either direction, not even a close, and new connections get no answer. When it heals, new
+ * connections work. Those that were dialed during the cut end, and are dialed again. Those that it struck stay silent until
+ * the next retransmission of what was sent on them, whose interval has grown to seconds by then, and are reset.
  *
  * The proxy learns the machine that dials from the name in the first line that it sends, which is read for that only.
  */
-import { connect, createServer } from 'node:net';
-import type { Server, Socket } from 'node:net';
+import { connect, createServer, Socket } from 'node:net';
+import type { Server } from 'node:net';
+
+/** Time after the end of a cut at which a connection that it struck is reset, ms. */
+const RETRANSMISSION_MS = 2_000;
 
 interface Link {
   readonly near: Socket;
@@ -52,7 +56,11 @@
   /** Heals the cut of a machine. */
   heal(name: string): void {
     this.cutMachines.delete(name);
-    for (const link of [...this.links]) if (link.isStruck && !this.isCut(link)) this.drop(link);
+    for (const link of [...this.links]) {
+      if (!link.isStruck || this.isCut(link)) continue;
+      if (link.from === '') this.drop(link);
+      else setTimeout(() => this.drop(link), RETRANSMISSION_MS);
+    }
   }
 
   /** Stops all proxies. */
@@ -66,7 +74,8 @@
   }
 
   private accept(near: Socket, to: string, host: string, port: number): void {
-    const far = connect({ host, port });
+    const isCutOff = this.cutMachines.has(to);
+    const far = isCutOff ? new Socket() : connect({ host, port });
     const link: Link = { near, far, to, from: '', head: Buffer.alloc(0), isStruck: false };
     this.links.add(link);
     for (const socket of [near, far]) {
