--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,6 +1,6 @@
 /**
  * The capacity of a runner shrinks while the platform's store is down, and stays so. Seconds after the store is back, the
- * process of the executor beside it is killed and started again.
+ * process of the executor beside it is stopped with SIGTERM and started again, as planned work does.
  */
 import { randomBytes } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -67,8 +67,7 @@
     deployment.store.fault = 'none';
     recorder.write('store', { fault: 'none' });
     await sleep(CALM_MS);
-    if (!hasTrouble) return sleep(4_000);
-    deployment.signal(machine, 'SIGKILL');
+    deployment.signal(machine, 'SIGTERM');
     await deployment.waitForEnd(machine);
     await sleep(RESTART_AFTER_MS);
     await deployment.startProcess(machine);
