--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -31,6 +31,8 @@
   const hasTrouble = process.env['TROUBLE'] !== '0';
   const { deployment, run } = create({ recorder, hasTrouble });
   let status = 2;
+  const end = (): void => void deployment.stop().then(() => process.exit(2));
+  process.once('SIGTERM', end).once('SIGINT', end);
   try {
     const work = deployment.start().then(run);
     const timeout = sleep(MAX_CASE_MS, undefined, { ref: false }).then(() => {
