Review: a case that meets an error of its own ends with status 2

An uncaught error or a failed end left status 1, which reads as a broken rule, and a run without any start passed.

--- a/review/lib-2/Deployment.ts
+++ b/review/lib-2/Deployment.ts
@@ -45,6 +45,8 @@
   readonly store = new StoreStandin();
   readonly network = new PeerNetwork();
   readonly runners: Runner[] = [];
+  /** Number of tasks that the runners have started. */
+  starts = 0;
   private readonly processes = new Map<string, ChildProcess>();
   private directory = '';
   private storeAddress = '';
@@ -154,7 +156,11 @@
     await this.startProcess(name);
     const ip = findIp(name);
     const control = `${ip}:${this.ports.control}`;
-    const runner = new Runner({ name, ip, service: SERVICE, zone: ZONE, control }, this.events);
+    const start: RunnerEvents['start'] = (started) => {
+      this.starts += 1;
+      this.events.start(started);
+    };
+    const runner = new Runner({ name, ip, service: SERVICE, zone: ZONE, control }, { ...this.events, start });
     this.runners.push(runner);
     await runner.start({ id: `i-${number}0`, labels, cpu: this.options.cpu });
   }
--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -1,12 +1,14 @@
 /** Runs a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
 import process from 'node:process';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setTimeout } from 'node:timers';
 
 import type { Deployment } from './Deployment.js';
 import { Recorder } from './Recorder.js';
 
 /** Longest duration of a case, ms. */
 const MAX_CASE_MS = 110_000;
+/** Exit status of a case that couldn't run. */
+const COULD_NOT_RUN = 2;
 
 /** What a case is given. */
 export interface CaseContext {
@@ -30,20 +32,27 @@
   const recorder = new Recorder(process.argv[2] ?? 'record.txt');
   const hasTrouble = process.env['TROUBLE'] !== '0';
   const { deployment, run } = create({ recorder, hasTrouble });
-  let status = 2;
-  const end = (): void => void deployment.stop().then(() => process.exit(2));
-  process.once('SIGTERM', end).once('SIGINT', end);
+  const end = async (status: number): Promise<void> => {
+    const hasStopped = await deployment.stop().then(
+      () => true,
+      () => false,
+    );
+    process.exit(hasStopped ? status : COULD_NOT_RUN);
+  };
+  const abort = (error: unknown): void => {
+    recorder.write('could-not-run', { error: String(error) });
+    void end(COULD_NOT_RUN);
+  };
+  process.once('SIGTERM', abort).once('SIGINT', abort).once('SIGHUP', abort);
+  process.once('uncaughtException', abort).once('unhandledRejection', abort);
+  setTimeout(() => abort('the case takes too long'), MAX_CASE_MS).unref();
   try {
-    const work = deployment.start().then(run);
-    const timeout = sleep(MAX_CASE_MS, undefined, { ref: false }).then(() => {
-      throw new Error('the case takes too long');
-    });
-    const breaks = await Promise.race([work, timeout]);
-    recorder.write('result', { hasTrouble, breaks });
-    status = breaks > 0 ? 1 : 0;
+    await deployment.start();
+    const breaks = await run();
+    if (deployment.starts === 0) throw new Error('no task was started');
+    recorder.write('result', { hasTrouble, breaks, starts: deployment.starts });
+    await end(breaks > 0 ? 1 : 0);
   } catch (error) {
-    recorder.write('could-not-run', { error: String(error) });
+    abort(error);
   }
-  await deployment.stop();
-  process.exit(status);
 }
