--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -14,6 +14,10 @@
 import { HEARTBEAT_PREFIX, DEADLINE_HEADER, READY_PATH } from '../../platform/names.js';
 import { splitAddress } from '../../src/connection/splitAddress.js';
 import { LoopbackProxy } from './LoopbackProxy.js';
+import { readDeployment } from './readDeployment.js';
+import type { Deployment, MachineLimits } from './readDeployment.js';
+import { readProcess } from './readProcess.js';
+import type { ProcessFigures } from './readProcess.js';
 import { RunnerStandin } from '../../standins/protocol/RunnerStandin.js';
 import { StoreStandin } from '../../standins/protocol/StoreStandin.js';
 
@@ -41,6 +45,12 @@
   readonly earlierOutput: string;
 }
 
+/** Address of a listener. */
+export interface Listener {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Small deployment of real processes. */
 export class PlatformBench {
   readonly store = new StoreStandin();
@@ -61,6 +71,8 @@
   maxRunning = 0;
   /** Additional settings of the daemons; to be set before the start. */
   extraSettings: Readonly<Record<string, unknown>> = {};
+  /** Limits of the VMs by role, where the daemons run as `deploy/system.toml` says; to be set before the start. */
+  machines: Readonly<Record<string, MachineLimits>> | undefined;
   /** Failure domains of daemons outside the default one; to be set before the start. */
   domains: Readonly<Record<string, string>> = {};
   /** Connections of callers, which are kept open; false for a new one for each call. */
@@ -79,7 +91,8 @@
   private readonly breakSignals = new Map<string, AbortController>();
   private directory = '';
   private storeAddress = '';
-  private ports = { link: 0, front: 0, ready: 0, control: 0 };
+  private ports = { link: 0, front: 0, ready: 0, control: 0, metrics: 0 };
+  private deployment: Deployment | undefined;
 
   constructor(
     private readonly dispatchers: number,
@@ -95,8 +108,9 @@
     this.directory = await mkdtemp(path.join(tmpdir(), 'marblehall-'));
     this.storeAddress = (await this.store.start('127.0.0.1', 0)).slice('http://'.length);
     if (this.isProxied) this.storeAddress = await this.addProxy('store', this.storeAddress, 0);
-    const [link = 0, front = 0, ready = 0, control = 0] = await findPorts(4);
-    this.ports = { link, front, ready, control };
+    const [link = 0, front = 0, ready = 0, control = 0, metrics = 0] = await findPorts(5);
+    this.ports = { link, front, ready, control, metrics };
+    if (this.machines) this.deployment = await readDeployment();
     this.putConfiguration(['/q/']);
     for (let number = 1; number <= this.dispatchers; number += 1) {
       const id = `entry-${number}`;
@@ -141,6 +155,7 @@
   async startDaemon(id: string): Promise<void> {
     const ip = findIp(id);
     const { link, front, ready, control } = this.ports;
+    const role = id.startsWith('entry') ? 'dispatcher' : 'executor';
     const settings = path.join(this.directory, `${id}.json`);
     const findSeed = (name: string): string => (this.isProxied ? findProxyIp(name) : findIp(name));
     const seeds = Array.from(
@@ -158,11 +173,11 @@
       readyAddress: `${ip}:${ready}`,
       controlAddress: `${ip}:${control}`,
       storeAddress: this.storeAddress,
+      ...this.buildMachineSettings(role, ip),
       ...this.extraSettings,
     };
     await writeFile(settings, JSON.stringify(value));
-    const role = id.startsWith('entry') ? 'dispatcher' : 'executor';
-    const args = [BINARY, 'serve', role, '--settings', settings];
+    const args = [...(this.deployment?.nodeArgs[role] ?? []), BINARY, 'serve', role, '--settings', settings];
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
     const before = this.daemons.get(id);
     const earlierOutput = before ? `${before.earlierOutput}${before.output}` : '';
@@ -172,6 +187,21 @@
     this.daemons.set(id, daemon);
   }
 
+  /** Returns the loopback address of one of a daemon's listeners. */
+  findListener(id: string, listener: 'link' | 'front' | 'ready' | 'control' | 'metrics'): Listener {
+    return { host: findIp(id), port: this.ports[listener] };
+  }
+
+  /** Reads the metrics of a daemon; empty while they are not served. */
+  async readMetrics(id: string): Promise<string> {
+    return (await send(findIp(id), this.ports.metrics, 'GET', '/metrics', '', {})).body;
+  }
+
+  /** Reads the memory and the descriptors of a daemon; undefined when it has exited. */
+  readProcess(id: string): Promise<ProcessFigures | undefined> {
+    return readProcess(this.findDaemon(id).child.pid ?? 0);
+  }
+
   /** Silences all open connections that pass proxies; new ones work. */
   silenceConnections(): void {
     for (const proxy of this.proxies.values()) proxy.silenceConnections();
@@ -300,6 +330,12 @@
     throw new Error(`${what} did not hold in time`);
   }
 
+  private buildMachineSettings(role: string, ip: string): object {
+    const limits = this.machines?.[role];
+    if (!limits || !this.deployment) return {};
+    return { metricsAddress: `${ip}:${this.ports.metrics}`, ...this.deployment.fillLimits(limits) };
+  }
+
   private async startRunner(number: number): Promise<void> {
     const ip = findIp(`agent-${number}`);
     const control = `${ip}:${this.ports.control}`;
