Input budget: what clients make a process keep before they are admitted is bounded, at all its addresses

What callers saw: a crowd of clients that do not behave ended the process, and everyone else's jobs with it.

Cause: limits held for one request; nothing bounded their sum over connections. collectBody kept an object of some 350 bytes for each chunk, links a text for each read; headers, pipelined requests, unread answers and idle connections were not counted anywhere, and the addresses for readiness, metrics, reports and links had no limit of connections at all. Node parses all that a socket has received in one go: 2,300 small requests or 10,900 one-byte chunks.

Change: src/connection/input is the one module for callers, readiness, links, reports, metrics and the own interface. InputBudget holds an account for each accepted connection; over an eighth of the VM's memory, or two thirds of its sockets, the connections that hold most and move least are closed, an incomplete body with a 503 first (its job has not run). InputTurns passes input on in pieces of 1 KiB, in turn, for 4 ms in a turn of the loop. ByteCollector keeps bodies and lines in blocks. Settings memoryMb, maxDescriptors, maxInputBytes (the template fills the first two from the VM's limits), metrics, a log line of 5 a second at most.

What is counted against what is kept is in docs/design/client-input.md. PeerListener.test.ts says hello first now, and has a test that this is needed.

Ruled out: a sum in collectBody alone (headers, requests and unread answers are kept elsewhere); pausing the socket from the request handler (what was read is parsed to its end); refusing new connections at the limit (idle ones keep all out).

--- a/src/connection/LinkHub.ts
+++ b/src/connection/LinkHub.ts
@@ -1,10 +1,16 @@
 /** The dialed and accepted links of a process, with one outgoing batch per link and event loop turn. */
+import { createServer } from 'node:net';
+import type { AddressInfo, Server as SocketServer, Socket } from 'node:net';
+
 import { Client, Server, ServerCredentials, credentials } from '@grpc/grpc-js';
-import type { ClientDuplexStream, ServerDuplexStream } from '@grpc/grpc-js';
+import type { ClientDuplexStream, ConnectionInjector, ServerDuplexStream } from '@grpc/grpc-js';
 import { createActor } from 'xstate';
 import type { ActorRefFrom } from 'xstate';
 
 import { equalSecrets } from '../_lib/equalSecrets.js';
+import type { InputAccount } from './input/InputAccount.js';
+import { LINK_LISTENER } from './input/InputBudget.js';
+import type { InputGuard } from './input/InputGuard.js';
 import { linkMachine } from './linkMachine.js';
 import {
   buildLinkMetadata,
@@ -50,14 +56,22 @@
 
 /** Maximum number of accepted links, which bounds the resources that peers can use up. */
 const MAX_ACCEPTED_LINKS = 4_096;
-/** Timeout for the hello message of an accepted stream, ms. */
+/** Concurrent streams of an accepted connection; a peer uses one. */
+const MAX_STREAMS = 4;
+/** Timeout for the hello message of an accepted connection or stream, ms. */
 const HELLO_TIMEOUT_MS = 5_000;
 
 /** Opens, accepts and closes the links of one process. */
 export class LinkHub {
   readonly counts: LinkCounts = { messages: new Map(), batches: 0, bytes: 0 };
   private readonly method = buildLinkMethod((bytes) => (this.counts.bytes += bytes));
-  private readonly server = new Server(LINK_OPTIONS);
+  private readonly server = new Server({ ...LINK_OPTIONS, 'grpc.max_concurrent_streams': MAX_STREAMS });
+  private readonly listener: SocketServer;
+  /** Accepted connections with their accounts, by the peer's address as gRPC names it. */
+  private readonly connections = new Map<
+    string,
+    { readonly socket: Socket; readonly account: InputAccount }
+  >();
   private readonly streams = new Map<string, Stream>();
   private readonly dialed = new Map<string, DialedLink>();
   private readonly outgoing = new Map<string, Message[]>();
@@ -66,8 +80,12 @@
 
   constructor(
     private readonly secret: string,
+    private readonly guard: InputGuard,
     private readonly events: LinkEvents,
-  ) {}
+  ) {
+    const injector = this.server.createConnectionInjector(ServerCredentials.createInsecure());
+    this.listener = createServer((socket) => this.acceptConnection(socket, injector));
+  }
 
   /** Starts accepting links and returns the bound port. */
   async listen(host: string, port: number): Promise<number> {
@@ -75,12 +93,11 @@
     this.server.addService(definition as never, {
       link: (stream: ServerDuplexStream<Message[], readonly Message[]>) => this.accept(stream),
     });
-    return new Promise((resolve, reject) => {
-      this.server.bindAsync(`${host}:${port}`, ServerCredentials.createInsecure(), (error, bound) => {
-        if (error) reject(error);
-        else resolve(bound);
-      });
+    await new Promise<void>((resolve, reject) => {
+      this.listener.once('error', reject);
+      this.listener.listen(port, host, resolve);
     });
+    return (this.listener.address() as AddressInfo).port;
   }
 
   /** Opens a link to an address and reopens it until `hangUp`. */
@@ -133,7 +150,27 @@
   stop(): void {
     this.stopping = true;
     for (const address of [...this.dialed.keys()]) this.hangUp(address);
+    this.listener.close();
     this.server.forceShutdown();
+    for (const { socket } of this.connections.values()) socket.destroy();
+  }
+
+  /** Hands an accepted connection to gRPC; it is closed if its peer does not say hello in time. */
+  private acceptConnection(socket: Socket, injector: ConnectionInjector): void {
+    const { budget, limits } = this.guard;
+    const account = budget.open(LINK_LISTENER, limits.maxLinks, () => socket.destroy());
+    if (!account) return;
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+    this.connections.set(peer, { socket, account });
+    const timer = setTimeout(() => account.isAdmitted || socket.destroy(), HELLO_TIMEOUT_MS);
+    socket.on('error', () => undefined);
+    socket.once('close', () => {
+      clearTimeout(timer);
+      this.connections.delete(peer);
+      account.remove();
+    });
+    socket.setNoDelay(true);
+    injector.injectConnection(socket);
   }
 
   private countBatch(batch: readonly Message[]): void {
@@ -174,6 +211,7 @@
     this.readStream(stream, {
       onHello: () => {
         clearTimeout(timer);
+        this.connections.get(stream.getPeer())?.account.setAdmitted(true);
         stream.write([this.events.buildHello()]);
       },
       onEnd: () => {
--- /dev/null
+++ b/src/connection/input/GatedConnection.ts
@@ -0,0 +1,250 @@
+/**
+ * An accepted connection whose input is passed on in pieces, under the input budget of the process. It stands
+ * between the socket and the HTTP server, which would parse all that a socket has received in one go.
+ */
+import { Duplex } from 'node:stream';
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { InputAccount } from './InputAccount.js';
+import type { InputSource, InputTurns } from './InputTurns.js';
+
+/** Largest input that is passed on as it was read while the turn has time, bytes; most requests fit in it. */
+const DIRECT_BYTES = 4_096;
+/** Pieces in which other input is passed on, bytes; each may hold dozens of requests. */
+const PIECE_BYTES = 1_024;
+/** Unread input above which the socket is read no further, bytes. */
+const MAX_PENDING_BYTES = 65_536;
+/** Input that a socket may have read already when it is told to read no further, bytes. */
+const READ_AHEAD_BYTES = 65_536;
+/** Requests of a connection that are handled at the same time; the input of further ones waits. */
+const MAX_OPEN_REQUESTS = 1;
+/** Memory of a request that waits for its turn to be answered, bytes. */
+const REQUEST_BYTES = 4_096;
+/** Memory of each byte of an incomplete header, in which each short line is kept as texts of its own. */
+const HEADER_FACTOR = 10;
+/** Seconds after which a client that was refused may come back. */
+const RETRY_AFTER_S = 1;
+
+const REFUSAL_BODY = '{"error":"too much unfinished input"}';
+const REFUSAL = [
+  'HTTP/1.1 503 Service Unavailable',
+  'content-type: application/json',
+  `content-length: ${REFUSAL_BODY.length}`,
+  `retry-after: ${RETRY_AFTER_S}`,
+  'connection: close',
+  '',
+  REFUSAL_BODY,
+].join('\r\n');
+
+/** Connection of a client of an HTTP server. */
+export class GatedConnection extends Duplex implements InputSource {
+  private readonly pending: Buffer[] = [];
+  private pendingBytes = 0;
+  /** Part of the first pending chunk that has been passed on, bytes. */
+  private passedBytes = 0;
+  private openRequests = 0;
+  private admittedRequests = 0;
+  /** Answer to the only open request; undefined if there is none. */
+  private response: ServerResponse | undefined;
+  /** Bytes passed on since the last request or body part was complete. */
+  private unparsedBytes = 0;
+  private unsentBytes = 0;
+  private isRefused = false;
+  private isReadingStopped = false;
+
+  constructor(
+    private readonly socket: Socket,
+    readonly account: InputAccount,
+    private readonly turns: InputTurns,
+    private readonly now: () => number,
+  ) {
+    super({ decodeStrings: false });
+    socket.on('data', (chunk: Buffer) => this.receive(chunk));
+    socket.on('end', () => this.endInput());
+    socket.on('error', (error) => this.destroy(error));
+    socket.on('close', () => this.destroy());
+    socket.on('timeout', () => this.emit('timeout'));
+  }
+
+  /** Address of the client, for the HTTP server. */
+  get remoteAddress(): string | undefined {
+    return this.socket.remoteAddress;
+  }
+
+  /** Sets the time without traffic after which the HTTP server closes the connection, ms. */
+  setTimeout(timeoutMs: number): this {
+    this.socket.setTimeout(timeoutMs);
+    return this;
+  }
+
+  /** Closes the connection once all answers are sent, as the HTTP server asks for. */
+  destroySoon(): void {
+    if (this.writable) this.end();
+    if (this.writableFinished) this.destroy();
+    else this.once('finish', () => this.destroy());
+  }
+
+  /** Refuses what has not been answered yet, and closes the connection. */
+  refuse(): void {
+    this.isRefused =
+      this.openRequests === 1 && this.response?.headersSent === false && this.unsentBytes === 0;
+    this.destroy();
+  }
+
+  /** Records a request of this connection until it is answered. */
+  trackRequest(response: ServerResponse): void {
+    this.openRequests += 1;
+    this.setUnparsed(0);
+    if (this.openRequests === 1) this.response = response;
+    else this.account.hold(REQUEST_BYTES);
+    response.once('close', () => this.endRequest());
+  }
+
+  /** Marks a request as admitted until it is answered, so that the limits of jobs count it. */
+  admit(response: ServerResponse): void {
+    this.admittedRequests += 1;
+    this.account.setAdmitted(true);
+    response.once('close', () => {
+      this.admittedRequests -= 1;
+      if (this.admittedRequests === 0) this.account.setAdmitted(false);
+    });
+  }
+
+  /** Records that a part of a body has been read. */
+  recordBodyPart(): void {
+    if (this.unparsedBytes > 0) this.setUnparsed(0);
+  }
+
+  deliverNext(): boolean {
+    const [chunk] = this.pending;
+    if (!chunk || !this.canDeliver) return false;
+    const piece = chunk.subarray(this.passedBytes, this.passedBytes + PIECE_BYTES);
+    this.passedBytes += piece.length;
+    this.pendingBytes -= piece.length;
+    if (this.passedBytes >= chunk.length) this.dropFirstChunk(chunk);
+    this.deliver(piece);
+    return this.pending.length > 0 && this.canDeliver;
+  }
+
+  override resume(): this {
+    super.resume();
+    if (this.pending.length > 0) this.turns.add(this);
+    return this;
+  }
+
+  // Input is passed on as it comes.
+  override _read(): void {}
+
+  override _write(
+    chunk: Buffer | string,
+    encoding: BufferEncoding,
+    done: (error?: Error | null) => void,
+  ): void {
+    this.socket.write(chunk, encoding, (error) => this.endWrite(done, error));
+    this.updateUnsent();
+  }
+
+  override _writev(
+    chunks: { chunk: Buffer | string; encoding: BufferEncoding }[],
+    done: (error?: Error | null) => void,
+  ): void {
+    this.socket.cork();
+    const last = chunks.length - 1;
+    chunks.forEach(({ chunk, encoding }, index) => {
+      if (index < last) this.socket.write(chunk, encoding);
+      else this.socket.write(chunk, encoding, (error) => this.endWrite(done, error));
+    });
+    this.socket.uncork();
+    this.updateUnsent();
+  }
+
+  override _final(done: (error?: Error | null) => void): void {
+    this.socket.end(() => done());
+  }
+
+  override _destroy(error: Error | null, done: (error?: Error | null) => void): void {
+    this.account.remove();
+    this.turns.remove(this);
+    this.pending.length = 0;
+    if (this.isRefused && this.socket.writable) {
+      this.socket.write(REFUSAL);
+      this.socket.destroySoon();
+    } else this.socket.destroy();
+    done(error);
+  }
+
+  private get canDeliver(): boolean {
+    return !this.destroyed && !this.isPaused() && this.openRequests <= MAX_OPEN_REQUESTS;
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.destroyed) return;
+    this.account.recordInput(chunk.length, this.now());
+    const isShort = this.pending.length === 0 && chunk.length <= DIRECT_BYTES;
+    if (isShort && this.canDeliver && this.turns.take()) return this.deliver(chunk);
+    this.pending.push(chunk);
+    this.pendingBytes += chunk.length;
+    this.turns.add(this);
+    this.account.hold(chunk.length);
+    if (this.pendingBytes >= MAX_PENDING_BYTES) this.stopReading();
+  }
+
+  private stopReading(): void {
+    if (this.destroyed || this.isReadingStopped) return;
+    // An unread end of the connection would keep the tasks of its job running.
+    if (this.account.isAdmitted) return this.account.close('pipelined');
+    this.isReadingStopped = true;
+    this.socket.pause();
+    this.account.hold(READ_AHEAD_BYTES);
+  }
+
+  private continueReading(): void {
+    if (!this.isReadingStopped) return;
+    this.isReadingStopped = false;
+    this.account.hold(-READ_AHEAD_BYTES);
+    this.socket.resume();
+  }
+
+  private deliver(piece: Buffer): void {
+    this.setUnparsed(this.unparsedBytes + piece.length);
+    if (!this.destroyed) this.push(piece);
+  }
+
+  private dropFirstChunk(chunk: Buffer): void {
+    this.pending.shift();
+    this.passedBytes = 0;
+    this.account.hold(-chunk.length);
+    if (this.pendingBytes < MAX_PENDING_BYTES) this.continueReading();
+  }
+
+  /** The client sends no more: input that is still pending can no longer be answered, since its request is dropped. */
+  private endInput(): void {
+    if (this.pending.length > 0) this.destroy();
+    else this.push(null);
+  }
+
+  private endRequest(): void {
+    this.openRequests -= 1;
+    if (this.openRequests === 0) this.response = undefined;
+    else this.account.hold(-REQUEST_BYTES);
+    if (this.pending.length > 0) this.turns.add(this);
+  }
+
+  private endWrite(done: (error?: Error | null) => void, error: Error | null | undefined): void {
+    this.updateUnsent();
+    done(error);
+  }
+
+  private updateUnsent(): void {
+    const unsentBytes = this.socket.writableLength;
+    if (unsentBytes === this.unsentBytes) return;
+    this.account.hold(unsentBytes - this.unsentBytes);
+    this.unsentBytes = unsentBytes;
+  }
+
+  private setUnparsed(bytes: number): void {
+    this.account.hold((bytes - this.unparsedBytes) * HEADER_FACTOR);
+    this.unparsedBytes = bytes;
+  }
+}
--- a/src/connection/peer/LineChannel.ts
+++ b/src/connection/peer/LineChannel.ts
@@ -2,12 +2,15 @@
 import type { Socket } from 'node:net';
 
 import { InvariantError } from '../../_lib/errors.js';
+import { ByteCollector } from '../input/ByteCollector.js';
+import type { InputAccount } from '../input/InputAccount.js';
 import { listStarts, mergeStarts } from './mergeStarts.js';
 import { parsePeerMessage } from './parsePeerMessage.js';
 import type { PeerMessage } from './peerMessages.js';
 
-/** Longest incomplete line that is buffered, characters. */
-const MAX_LINE_LENGTH = 4 * 1024 * 1024;
+/** Longest incomplete line that is buffered, bytes. */
+const MAX_LINE_BYTES = 4 * 1024 * 1024;
+const LINE_BREAK = 0x0a;
 /** Maximum number of bytes buffered for a peer that does not read. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
@@ -21,18 +24,24 @@
 
 /** Sends and receives messages on a connection to a peer. */
 export class LineChannel {
-  private incompleteLine = '';
+  private readonly incompleteLine: ByteCollector;
   private outgoing: PeerMessage[] = [];
   private closed = false;
   private sendsBatches = false;
 
+  /**
+   * @param socket - connection to the peer
+   * @param events - callbacks to the owner
+   * @param account - account of an accepted connection in the input budget
+   */
   constructor(
     private readonly socket: Socket,
     private readonly events: ChannelEvents,
+    private readonly account?: InputAccount,
   ) {
+    this.incompleteLine = new ByteCollector(account);
     socket.setNoDelay(true);
-    socket.setEncoding('utf8');
-    socket.on('data', (text: string) => this.read(text));
+    socket.on('data', (chunk: Buffer) => this.read(chunk));
     socket.on('error', (error: NodeJS.ErrnoException) => this.close(error.code ?? error.message));
     socket.on('end', () => this.close('ended'));
     socket.on('close', () => this.close('closed'));
@@ -70,15 +79,20 @@
   close(reason: string): void {
     if (this.closed) return;
     this.closed = true;
+    this.incompleteLine.clear();
+    this.account?.remove();
     this.socket.destroy();
     this.events.close(reason);
   }
 
-  private read(text: string): void {
+  private read(chunk: Buffer): void {
+    if (this.closed) return;
     this.events.receiveBytes?.();
-    const lines = (this.incompleteLine + text).split('\n');
-    this.incompleteLine = lines.pop() ?? '';
-    if (this.incompleteLine.length > MAX_LINE_LENGTH) return this.close('line too long');
+    this.account?.recordInput(chunk.length, performance.now());
+    const end = chunk.lastIndexOf(LINE_BREAK);
+    if (end < 0) return this.keepIncomplete(chunk);
+    const lines = this.takeText(chunk.subarray(0, end)).split('\n');
+    this.keepIncomplete(chunk.subarray(end + 1));
     for (const line of lines) {
       if (this.closed) return;
       const { message, problem } = parsePeerMessage(line);
@@ -88,6 +102,18 @@
     }
   }
 
+  /** Takes the text of the incomplete line and what completes it. */
+  private takeText(rest: Buffer): string {
+    if (this.incompleteLine.length === 0) return rest.toString('utf8');
+    this.incompleteLine.add(rest);
+    return this.incompleteLine.take().toString('utf8');
+  }
+
+  private keepIncomplete(chunk: Buffer): void {
+    this.incompleteLine.add(chunk);
+    if (this.incompleteLine.length > MAX_LINE_BYTES) this.close('line too long');
+  }
+
   /** Closes the channel when handling a message fails; only an InvariantError ends the process. */
   private deliver(message: PeerMessage): void {
     if (this.closed) return;
--- a/src/connection/peer/PeerListener.ts
+++ b/src/connection/peer/PeerListener.ts
@@ -2,6 +2,8 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 
+import { LINK_LISTENER } from '../input/InputBudget.js';
+import type { InputGuard } from '../input/InputGuard.js';
 import { LineChannel } from './LineChannel.js';
 import type { PeerMessage } from './peerMessages.js';
 
@@ -33,10 +35,12 @@
 
   /**
    * @param events - callbacks to the owner
+   * @param guard - bounds what clients make the process keep
    * @param checkIntervalMs - interval of the checks for idle channels, ms
    */
   constructor(
     private readonly events: ListenerEvents,
+    private readonly guard: InputGuard,
     private readonly checkIntervalMs = IDLE_CHECK_INTERVAL_MS,
   ) {
     this.server = createServer((socket) => this.accept(socket));
@@ -61,18 +65,31 @@
   }
 
   private accept(socket: Socket): void {
-    const channel: LineChannel = new LineChannel(socket, {
-      receive: (message) => {
-        clearTimeout(timer);
-        this.idleChecks.set(channel, 0);
-        this.events.receive(channel, message);
+    const { budget, limits } = this.guard;
+    const account = budget.open(LINK_LISTENER, limits.maxLinks, () => socket.destroy());
+    if (!account) return;
+    let isAdmitted = false;
+    const channel: LineChannel = new LineChannel(
+      socket,
+      {
+        receive: (message) => {
+          clearTimeout(timer);
+          if (!isAdmitted && !isHello(message)) return channel.close('no hello');
+          if (!isAdmitted) account.setAdmitted(true);
+          if (!channel.isOpen) return;
+          isAdmitted = true;
+          this.idleChecks.set(channel, 0);
+          this.events.receive(channel, message);
+        },
+        close: (reason) => {
+          clearTimeout(timer);
+          this.idleChecks.delete(channel);
+          this.events.close(channel, reason);
+        },
       },
-      close: (reason) => {
-        clearTimeout(timer);
-        this.idleChecks.delete(channel);
-        this.events.close(channel, reason);
-      },
-    });
+      account,
+    );
+    account.closeWith((reason) => channel.close(`input limit: ${reason}`));
     const timer = setTimeout(() => channel.close('no hello'), HELLO_TIMEOUT_MS);
     this.idleChecks.set(channel, 0);
   }
@@ -84,3 +101,8 @@
     }
   }
 }
+
+/** Whether a message announces its sender, as the first message on a link must. */
+function isHello({ type }: PeerMessage): boolean {
+  return type === 'agent-hello' || type === 'entry-hello';
+}
--- a/src/process/DaemonBase.ts
+++ b/src/process/DaemonBase.ts
@@ -12,6 +12,8 @@
 
 import { adjustClock, readClock } from '../_lib/readClock.js';
 import { writeJson } from '../connection/http/writeJson.js';
+import { guardHttpServer } from '../connection/input/guardHttpServer.js';
+import { InputGuard } from '../connection/input/InputGuard.js';
 import { LinkHub } from '../connection/LinkHub.js';
 import type { Hello, Message } from '../connection/messages.js';
 import { PlatformClient } from '../connection/PlatformClient.js';
@@ -24,6 +26,7 @@
 import { createMetrics } from './metrics.js';
 import type { ProcessMetrics } from './metrics.js';
 import { processMachine } from './processMachine.js';
+import { reportClosedInput } from './reportClosedInput.js';
 import type { CommonSettings } from './settings/settings.js';
 import { TurnLoop } from './TurnLoop.js';
 
@@ -55,6 +58,7 @@
   protected readonly metrics: ProcessMetrics;
   protected readonly platform: PlatformClient;
   protected readonly turns: TurnLoop;
+  protected readonly guard: InputGuard;
   protected readonly lifecycle: ActorRefFrom<typeof processMachine>;
   protected address = '';
   private readonly follower: LogFollower;
@@ -71,7 +75,9 @@
     this.logger = createLogger(this.peer, settings.logLevel, options.sink);
     this.metrics = createMetrics(settings.metrics, this.peer);
     this.platform = new PlatformClient(settings.platformUrl);
-    this.hub = new LinkHub(settings.secret, {
+    this.guard = new InputGuard(settings);
+    reportClosedInput(this.guard, this.logger, (closed) => this.metrics.increment('input_closed', closed));
+    this.hub = new LinkHub(settings.secret, this.guard, {
       buildHello: () => this.buildHello(),
       open: (hello) => this.turns.run((now) => this.openLink(hello, now)),
       close: (peer) => this.turns.run((now) => this.closeLink(peer, now)),
@@ -92,6 +98,7 @@
       pollMs: options.pollMs ?? LEASED_POLL_MS,
     });
     this.server = createServer((request, response) => this.handleHttp(request, response));
+    guardHttpServer(this.server, this.guard, 'callers', this.guard.limits.maxConnections);
   }
 
   /** Port of the HTTP server; 0 until it listens. */
@@ -210,6 +217,8 @@
     this.metrics.gauge('clock_ahead_ms', skewMs);
     this.metrics.gauge('rss_bytes', process.memoryUsage.rss());
     this.metrics.gauge('config_offset', this.configOffset);
+    this.metrics.gauge('input_bytes', this.guard.budget.heldBytes);
+    this.metrics.gauge('input_connections', this.guard.budget.connections);
     this.metrics.gauge('sent_batches', this.hub.counts.batches);
     for (const [type, count] of this.hub.counts.messages)
       this.metrics.gauge('sent_messages', count, { type });
--- a/src/process/MetricsServer.ts
+++ b/src/process/MetricsServer.ts
@@ -8,6 +8,9 @@
 import type * as MetricsLibrary from 'prom-client';
 import type { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import { guardHttpServer } from '../connection/input/guardHttpServer.js';
+import { MAX_SERVICE_CONNECTIONS } from '../connection/input/InputGuard.js';
+import type { InputGuard } from '../connection/input/InputGuard.js';
 import { splitAddress } from '../connection/splitAddress.js';
 
 /** Definition of a metric. */
@@ -43,10 +46,12 @@
   /**
    * @param address - `host:port` to serve on; empty to disable the metrics
    * @param definitions - metrics by name
+   * @param guard - bounds what clients make the process keep
    */
   constructor(
     private readonly address: string,
     private readonly definitions: Readonly<Record<string, MetricDefinition>>,
+    private readonly guard: InputGuard,
   ) {
     if (address === '') this.pending = undefined;
   }
@@ -116,6 +121,7 @@
         response.writeHead(200, { 'content-type': registry.contentType }).end(text);
       });
     });
+    guardHttpServer(this.server, this.guard, 'metrics', MAX_SERVICE_CONNECTIONS);
     // Metrics are optional: the process must keep running if the port is in use.
     this.server.on('error', () => undefined);
     this.server.listen(port, host);
--- a/src/process/dispatcher/DispatcherDaemon.test.ts
+++ b/src/process/dispatcher/DispatcherDaemon.test.ts
@@ -10,6 +10,7 @@
 import type { JobSubmission } from '../../request/dispatch/submission.js';
 import { checkDispatchSettings } from '../settings/readDispatchSettings.js';
 import { DispatcherDaemon } from './DispatcherDaemon.js';
+import { createInputGuard } from '../../../test/fakes/createInputGuard.js';
 
 /** Longer than the gap from which a process counts as paused, ms. */
 const PAUSE_MS = 300;
@@ -39,7 +40,11 @@
 function createDaemon(): DispatcherDaemon {
   const check = checkDispatchSettings({ id: 'a', address: '127.0.0.1', linkPort: 1, logLevel: 'silent' });
   if (!check.ok) throw new Error('invalid settings');
-  return new DispatcherDaemon(check.settings, { gateway: new SilentGateway(), source: new SilentSource() });
+  return new DispatcherDaemon(check.settings, {
+    gateway: new SilentGateway(),
+    source: new SilentSource(),
+    guard: createInputGuard(),
+  });
 }
 
 function buildSubmission(id: string): JobSubmission {
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -3,12 +3,13 @@
 
 import { ClockTimeline } from '../../_lib/Timeline.js';
 import { createRandom } from '../../_lib/createRandom.js';
+import type { InputGuard } from '../../connection/input/InputGuard.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
 import type { AttemptResult, DispatcherPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
 import type { Caller, CallerGateway, JobService, JobState } from '../../ports/CallerGateway.js';
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
-import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
+import type { JobSubmission } from '../../request/dispatch/submission.js';
 import type { Configuration, QueueRoute } from '../../version/configuration.js';
 import { DroppedRoutes } from '../../version/DroppedRoutes.js';
 import type { EmptiedDomains } from '../../version/emptiedDomains.js';
@@ -22,19 +23,18 @@
 import { MemberTable } from '../MemberTable.js';
 import { OperatorExchange } from '../OperatorExchange.js';
 import type { UpdateSource } from '../OperatorExchange.js';
-import { logFailure } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import { MetricsServer } from '../MetricsServer.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { reportClosedInput } from '../reportClosedInput.js';
 import { startTimer } from '../startTimer.js';
 import { roundSpeed } from '../roundSpeed.js';
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildExecutorId } from './ExecutorView.js';
-import { describeAnswer } from './attemptLog.js';
+import { AnswerLog } from './AnswerLog.js';
 import { CANCELLED, Dispatcher } from './Dispatcher.js';
 import { HeldSubmissions } from './HeldSubmissions.js';
-import { computeCriticalPathMs, computeJobWork } from './dispatchJob.js';
-import type { DispatchJob } from './dispatchJob.js';
+import { computeCriticalPathMs } from './dispatchJob.js';
 import { buildDispatcherMetrics, describePriority } from './dispatcherMetrics.js';
 import { createAdmission } from './createAdmission.js';
 import { createPlacement } from './createPlacement.js';
@@ -84,6 +84,8 @@
 export interface DispatcherPorts {
   readonly gateway: CallerGateway;
   readonly source: ConfigurationSource;
+  /** Bounds what clients make the process keep, at all its listeners. */
+  readonly guard: InputGuard;
 }
 
 /** A dispatcher process. */
@@ -93,6 +95,7 @@
   private readonly place: DispatcherPlace;
   private readonly logger: ProcessLogger;
   private readonly metrics: MetricsServer;
+  private readonly answers: AnswerLog;
   private readonly dispatcher: Dispatcher;
   private readonly listener: PeerListener;
   private readonly peers: DispatcherPeers;
@@ -144,7 +147,7 @@
       {
         send: (executorId, message) => this.channels.get(executorId)?.send(message),
         log: (event, fields) => this.logDecision(event, fields),
-        recordOutcome: (job, outcome, now) => this.logOutcome(job, outcome, now),
+        recordOutcome: (job, outcome, now) => this.answers.recordOutcome(job, outcome, now),
       },
     );
     this.droppedRoutes = new DroppedRoutes(settings.cancelledSeconds * SECOND_MS);
@@ -172,17 +175,27 @@
       readEmptiedDomains: () => this.exchange.emptied?.domains.length ?? 0,
       readEmptiedRevision: () => this.exchange.versions.emptiedRevision,
     };
-    this.metrics = new MetricsServer(settings.metricsAddress, buildDispatcherMetrics(gauges));
+    const { guard } = ports;
+    this.metrics = new MetricsServer(
+      settings.metricsAddress,
+      buildDispatcherMetrics(gauges, guard.budget),
+      guard,
+    );
+    this.answers = new AnswerLog(this.logger, this.metrics, () => this.exchange.versions.version);
+    reportClosedInput(guard, this.logger, (labels) =>
+      this.metrics.increment('dispatcher_input_closed', labels),
+    );
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs), openJobs: this.openJobs });
       this.peers.handlePause();
       this.held.applyPause(this.pauseGuard.findStaleTurns(this.clock.now()));
       if (gapMs > orphanAfterMs) this.dispatcher.endAll('paused', this.clock.now());
     });
-    this.listener = new PeerListener({
-      receive: (channel, message) => this.receive(channel, message),
-      close: (channel, reason) => this.closeChannel(channel, reason),
-    });
+    const events = {
+      receive: (channel: LineChannel, message: PeerMessage) => this.receive(channel, message),
+      close: (channel: LineChannel, reason: string) => this.closeChannel(channel, reason),
+    };
+    this.listener = new PeerListener(events, guard);
     this.peers = new DispatcherPeers(
       { id: settings.id, place: this.place, linkPort },
       this.exchange,
@@ -312,14 +325,11 @@
   }
 
   recordRejected(jobId: string, status: number, reason: string): void {
-    this.metrics.increment('dispatcher_answers', { outcome: 'rejected', reason });
-    const { version } = this.exchange.versions;
-    this.logger.info('reject', { job: jobId, status, reason, version });
+    this.answers.recordRejected(jobId, status, reason);
   }
 
   recordFailure(call: string, error: unknown): void {
-    this.metrics.increment('dispatcher_answers', { outcome: 'failed', reason: 'error' });
-    logFailure(this.logger, 'call-failed', { call }, error);
+    this.answers.recordFailure(call, error);
   }
 
   abandon(jobId: string, caller: Caller): void {
@@ -524,14 +534,4 @@
     const { write, skipped } = this.placeLogLimiter.take(this.clock.now());
     if (write) this.logger.info(event, skipped === 0 ? fields : { ...fields, skipped });
   }
-
-  private logOutcome(job: DispatchJob, outcome: JobOutcome, now: number): void {
-    const reason = outcome.kind === 'completed' ? '' : outcome.reason;
-    this.metrics.increment('dispatcher_answers', { outcome: outcome.kind, reason });
-    const decision = outcome.kind === 'refused' ? 'refused' : 'admitted';
-    const priority = describePriority(job.submission.route.priority);
-    this.metrics.increment('dispatcher_work', { priority, decision }, computeJobWork(job) / 1_000_000);
-    this.metrics.observe('dispatcher_answer_ms', now - job.arrivedAt);
-    this.logger.info('answer', describeAnswer(job, outcome, this.exchange.versions.version, now));
-  }
 }
--- a/src/process/dispatcher/DispatcherPeers.test.ts
+++ b/src/process/dispatcher/DispatcherPeers.test.ts
@@ -7,6 +7,7 @@
 import type { PeerMessage, Ping } from '../../connection/peer/peerMessages.js';
 import { OperatorExchange } from '../OperatorExchange.js';
 import { DispatcherPeers } from './DispatcherPeers.js';
+import { createInputGuard } from '../../../test/fakes/createInputGuard.js';
 
 const HOST = '127.0.0.1';
 const VERSION = 7;
@@ -43,7 +44,7 @@
       if (message.type === 'ping' && repliesToPings) sendPong(channel, message);
       resolveWait();
     };
-    listener = new PeerListener({ receive, close: () => undefined });
+    listener = new PeerListener({ receive, close: () => undefined }, createInputGuard());
     const linkPort = await listener.start(HOST, 0);
     const steady = new SteadyClock();
     const clock: Clock = {
@@ -85,7 +86,10 @@
 
   // Guards against dispatchers that hear nothing of each other once all seeds of the settings are gone.
   it('links to a neighbour while it has too few links, as long as that is a member', async () => {
-    const other = new PeerListener({ receive: () => void (reached += 1), close: () => undefined });
+    const other = new PeerListener(
+      { receive: () => void (reached += 1), close: () => undefined },
+      createInputGuard(),
+    );
     let reached = 0;
     const port = await other.start(HOST, 0);
     const member = { address: `${HOST}:${port}`, failureDomain: 'x' };
--- a/src/process/dispatcher/dispatcherMetrics.ts
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of a dispatcher. */
+import type { InputFigures } from '../../connection/input/InputBudget.js';
 import type { MetricDefinition } from '../MetricsServer.js';
 
 const DURATION_BUCKETS_MS = [10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
@@ -21,9 +22,13 @@
  * Defines the metrics of a dispatcher.
  *
  * @param gauges - sources of the gauges
+ * @param input - budget of unadmitted input
  * @returns definitions by name
  */
-export function buildDispatcherMetrics(gauges: DispatcherGauges): Readonly<Record<string, MetricDefinition>> {
+export function buildDispatcherMetrics(
+  gauges: DispatcherGauges,
+  input: InputFigures,
+): Readonly<Record<string, MetricDefinition>> {
   return {
     dispatcher_answers: { kind: 'counter', help: 'Answers to callers', labels: ['outcome', 'reason'] },
     dispatcher_answer_ms: {
@@ -85,6 +90,21 @@
       help: "Records of the operators that the list of emptied failure domains takes into account; -1 before it's known",
       read: gauges.readEmptiedRevision,
     },
+    dispatcher_input_bytes: {
+      kind: 'gauge',
+      help: 'Memory held by input that is not admitted, bytes',
+      read: () => input.heldBytes,
+    },
+    dispatcher_input_connections: {
+      kind: 'gauge',
+      help: 'Accepted connections, without links',
+      read: () => input.connections,
+    },
+    dispatcher_input_closed: {
+      kind: 'counter',
+      help: 'Connections closed because of a limit on input that is not admitted',
+      labels: ['listener', 'reason'],
+    },
   };
 }
 
--- a/src/process/executor/DispatcherLinks.test.ts
+++ b/src/process/executor/DispatcherLinks.test.ts
@@ -10,6 +10,7 @@
 import { NO_RESOURCES } from '../../request/dispatch/resources.js';
 import type { Executor } from './Executor.js';
 import { DispatcherLinks } from './DispatcherLinks.js';
+import { createInputGuard } from '../../../test/fakes/createInputGuard.js';
 
 const HOST = '127.0.0.1';
 /** Long enough that only the first ping of a link is due during a test. */
@@ -87,7 +88,7 @@
     logged = [];
     skippedMs = 0;
     wake = () => undefined;
-    listener = new PeerListener({ receive, close: () => undefined });
+    listener = new PeerListener({ receive, close: () => undefined }, createInputGuard());
     const linkPort = await listener.start(HOST, 0);
     const options = {
       executor: 'a1',
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { createRandom } from '../../_lib/createRandom.js';
+import type { InputGuard } from '../../connection/input/InputGuard.js';
 import type { UpstreamReportStore } from '../../ports/UpstreamReportStore.js';
 import type { UpstreamRegistry, UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import { createDaemonClock } from '../createDaemonClock.js';
@@ -15,6 +16,7 @@
 import { fitResources } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
+import { reportClosedInput } from '../reportClosedInput.js';
 import { startTimer } from '../startTimer.js';
 import { MetricsServer } from '../MetricsServer.js';
 import { Executor } from './Executor.js';
@@ -41,6 +43,8 @@
 export interface ExecutorPorts {
   readonly registry: UpstreamRegistry;
   readonly reportStore: UpstreamReportStore;
+  /** Bounds what clients make the process keep, at all its listeners. */
+  readonly guard: InputGuard;
 }
 
 /** An executor process. */
@@ -94,12 +98,19 @@
     );
     this.metrics = new MetricsServer(
       settings.metricsAddress,
-      buildExecutorMetrics({
-        readLoad: () => this.executor.load,
-        readKeptVersion: () => this.links.keptVersion,
-        readWaitingDispatchers: () => this.executor.demand.dispatchers,
-        readDemand: () => this.executor.demand.cpuMilli,
-      }),
+      buildExecutorMetrics(
+        {
+          readLoad: () => this.executor.load,
+          readKeptVersion: () => this.links.keptVersion,
+          readWaitingDispatchers: () => this.executor.demand.dispatchers,
+          readDemand: () => this.executor.demand.cpuMilli,
+        },
+        ports.guard.budget,
+      ),
+      ports.guard,
+    );
+    reportClosedInput(ports.guard, this.logger, (labels) =>
+      this.metrics.increment('executor_input_closed', labels),
     );
     this.pauseGuard = new PauseGuard(this.clock.now(), (gapMs) => {
       this.logger.warn('paused', { gapMs: Math.round(gapMs) });
--- a/src/process/executor/executorMetrics.ts
+++ b/src/process/executor/executorMetrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of an executor. */
+import type { InputFigures } from '../../connection/input/InputBudget.js';
 import type { MetricDefinition } from '../MetricsServer.js';
 
 /** Sources of the gauges. */
@@ -17,14 +18,13 @@
  * Defines the metrics of an executor.
  *
  * @param gauges - sources of the gauges
+ * @param input - budget of unadmitted input
  * @returns definitions by name
  */
-export function buildExecutorMetrics({
-  readLoad,
-  readKeptVersion,
-  readWaitingDispatchers,
-  readDemand,
-}: ExecutorGauges): Readonly<Record<string, MetricDefinition>> {
+export function buildExecutorMetrics(
+  { readLoad, readKeptVersion, readWaitingDispatchers, readDemand }: ExecutorGauges,
+  input: InputFigures,
+): Readonly<Record<string, MetricDefinition>> {
   return {
     executor_task_ends: { kind: 'counter', help: 'Ends of attempts', labels: ['end'] },
     executor_decisions: { kind: 'counter', help: 'Decisions by kind', labels: ['decision'] },
@@ -51,5 +51,20 @@
       help: 'Version of the configuration that is kept whole for dispatchers; -1 for none',
       read: readKeptVersion,
     },
+    executor_input_bytes: {
+      kind: 'gauge',
+      help: 'Memory held by input that is not admitted, bytes',
+      read: () => input.heldBytes,
+    },
+    executor_input_connections: {
+      kind: 'gauge',
+      help: 'Accepted connections',
+      read: () => input.connections,
+    },
+    executor_input_closed: {
+      kind: 'counter',
+      help: 'Connections closed because of a limit on input that is not admitted',
+      labels: ['listener', 'reason'],
+    },
   };
 }
--- a/src/process/settings/dispatchSettings.ts
+++ b/src/process/settings/dispatchSettings.ts
@@ -91,6 +91,15 @@
   readonly cancelledSeconds: number;
   /** Factor by which a task takes longer outside the rack that holds its data; 1 for no difference. */
   readonly farFactor: number;
+  /** Memory of the VM, MiB; an eighth is for input of clients that are not admitted. */
+  readonly memoryMb: number;
+  /**
+   * Descriptors that the process may open. Of those that are left for sockets, two thirds are for clients and a
+   * quarter is for links; the store and upstreams keep the rest.
+   */
+  readonly maxDescriptors: number;
+  /** Most memory of input of clients that are not admitted, bytes; 0 for an eighth of the memory. */
+  readonly maxInputBytes: number;
   /** Bandwidth of the VM's link, Mbit/s. */
   readonly linkMbps: number;
   /** How a dispatcher orders waiting tasks. */
@@ -108,8 +117,8 @@
   /** How a dispatcher limits the starts in flight to executors. */
   readonly sendWindow: SendWindowKind;
   /**
-   * Most connections of callers; further ones are closed. Links, store and metrics need file descriptors as
-   * well: the default leaves them about a quarter of 4,100.
+   * Most connections of callers; for a further one an idle one is closed. All listeners together get two thirds
+   * of the descriptors for sockets.
    */
   readonly maxConnections: number;
   /**
--- a/src/process/settings/schema.ts
+++ b/src/process/settings/schema.ts
@@ -36,6 +36,12 @@
   drainTimeoutMs: { ...MS, default: 30_000 },
   /** Longest gap between turns; a longer one is a pause, after which leases are checked again. */
   pauseBoundMs: { ...MS, default: 1_000 },
+  /** Memory of the VM; an eighth is for input of clients that are not admitted. */
+  memoryMb: { type: 'integer', minimum: 64, default: 160 },
+  /** Descriptors that the process may open; two thirds of those for sockets are for clients. */
+  maxDescriptors: { type: 'integer', minimum: 300, default: 65_536 },
+  /** Most memory of input of clients that are not admitted; 0 for an eighth of the memory. */
+  maxInputBytes: { type: 'integer', minimum: 0, default: 0 },
   skewMs: { ...MS, default: 1_000 },
   leaseMs: { ...MS, default: 4_000 },
 } as const;
--- a/src/process/settings/settings.ts
+++ b/src/process/settings/settings.ts
@@ -25,6 +25,12 @@
   readonly metrics: MetricsSettings;
   readonly drainTimeoutMs: number;
   readonly pauseBoundMs: number;
+  /** Memory of the VM, MiB; an eighth is for input of clients that are not admitted. */
+  readonly memoryMb: number;
+  /** Descriptors that the process may open; two thirds of those for sockets are for clients. */
+  readonly maxDescriptors: number;
+  /** Most memory of input of clients that are not admitted, bytes; 0 for an eighth of the memory. */
+  readonly maxInputBytes: number;
   readonly skewMs: number;
   readonly leaseMs: number;
   readonly listen: ListenSettings;
--- a/test/configurationLinks.test.ts
+++ b/test/configurationLinks.test.ts
@@ -15,6 +15,7 @@
 import type { Configuration } from '../src/version/configuration.js';
 import { buildRoutes } from './fakes/buildRoutes.js';
 import { LoopbackProxy } from './fakes/LoopbackProxy.js';
+import { createInputGuard } from './fakes/createInputGuard.js';
 
 const HOST = '127.0.0.1';
 const POLL_MS = 20;
@@ -70,10 +71,13 @@
   /** Whether it sends the whole configuration at once, as the previous version does. */
   isOld = false;
   private readonly clock = new SteadyClock();
-  private readonly listener = new PeerListener({
-    receive: (channel, message) => this.receive(channel, message),
-    close: (channel) => this.exchange.handleClosed(channel),
-  });
+  private readonly listener = new PeerListener(
+    {
+      receive: (channel, message) => this.receive(channel, message),
+      close: (channel) => this.exchange.handleClosed(channel),
+    },
+    createInputGuard(),
+  );
 
   constructor(linkMbps: number) {
     const timeline = new ClockTimeline(this.clock);
--- a/test/foreignWriters.test.ts
+++ b/test/foreignWriters.test.ts
@@ -13,6 +13,7 @@
 import { PlatformBench } from './fakes/PlatformBench.js';
 import { HEARTBEAT } from './fakes/upstreamFixtures.js';
 import { StoreStandin } from '../standins/protocol/StoreStandin.js';
+import { createInputGuard } from './fakes/createInputGuard.js';
 
 /** Required fields of a heartbeat. */
 const REQUIRED_FIELDS = [
@@ -48,7 +49,7 @@
       reports = [];
       left = [];
       rejected = 0;
-      registry = new HttpUpstreamRegistry(CONTROL);
+      registry = new HttpUpstreamRegistry(CONTROL, createInputGuard());
       await registry.start({
         report: (report) => void reports.push(report),
         leave: (id) => void left.push(id),
