Own interface: a malformed path no longer ends an entry or an agent

What callers saw: one request for `//` ended an entry or an agent, one for `/v1/jobs/%` an entry, with exit code 1.

Cause: handlers of requests ran without a catch; new URL and decodeURIComponent throw for such texts, and an error in an async handler was an unhandled rejection.

Change: paths are parsed by functions that return undefined (400 to the caller); any other error in a request is logged as call-failed and answered 500, and only a broken invariant ends the process, as on the users' platform.

--- a/src/process/DaemonBase.ts
+++ b/src/process/DaemonBase.ts
@@ -11,6 +11,8 @@
 import type { ActorRefFrom } from 'xstate';
 
 import { adjustClock, readClock } from '../_lib/readClock.js';
+import { InvariantError } from '../_lib/errors.js';
+import { parsePath } from '../connection/http/parsePath.js';
 import { writeJson } from '../connection/http/writeJson.js';
 import { guardHttpServer } from '../connection/input/guardHttpServer.js';
 import { InputGuard } from '../connection/input/InputGuard.js';
@@ -20,6 +22,7 @@
 import type { LiveVm } from '../connection/PlatformClient.js';
 import type { LogEntry, LogRecord } from '../version/logRecord.js';
 import { createIncarnation } from './createIncarnation.js';
+import { logFailure } from './failures.js';
 import { LEASED_POLL_MS, LogFollower } from './LogFollower.js';
 import { createLogger } from './logger.js';
 import type { LineSink, ProcessLogger } from './logger.js';
@@ -253,8 +256,25 @@
     process.exit(EXIT_INVARIANT);
   }
 
+  /** Answers 500, so that an unexpected error in one request does not end the process. */
+  protected handleFailure(request: IncomingMessage, response: ServerResponse, error: unknown): void {
+    if (error instanceof InvariantError) return this.fail(error);
+    logFailure(this.logger, 'call-failed', { call: `${request.method} ${request.url}` }, error);
+    if (response.headersSent) return void response.destroy();
+    writeJson(response, 500, '{"error":"failed"}');
+  }
+
   private handleHttp(request: IncomingMessage, response: ServerResponse): void {
-    const path = new URL(request.url ?? '/', 'http://local').pathname;
+    try {
+      this.answerHttp(request, response);
+    } catch (error) {
+      this.handleFailure(request, response, error);
+    }
+  }
+
+  private answerHttp(request: IncomingMessage, response: ServerResponse): void {
+    const path = parsePath(request.url ?? '/');
+    if (path === undefined) return writeJson(response, 400, '{"error":"malformed path"}');
     if (path === '/healthz') return writeJson(response, 200, '{"healthy":true}');
     if (path === '/readyz') {
       const ready = this.lifecycle.getSnapshot().value !== 'leaving' && this.isReady();
--- a/src/process/entry/EntryDaemon.ts
+++ b/src/process/entry/EntryDaemon.ts
@@ -5,6 +5,7 @@
 import { createRandom } from '../../_lib/createRandom.js';
 import { readClock } from '../../_lib/readClock.js';
 import { findProcessId } from '../../connection/findProcessId.js';
+import { decodePart } from '../../connection/http/decodePart.js';
 import { readBody } from '../../connection/http/readBody.js';
 import { writeAnswer } from '../../connection/http/writeAnswer.js';
 import { writeJson } from '../../connection/http/writeJson.js';
@@ -37,6 +38,8 @@
 /** Retry hint for requests rejected before their body is read, ms. */
 const UNAVAILABLE_RETRY_MS = 1_000;
 
+const JOBS_PREFIX = '/v1/jobs/';
+
 /** Accepts jobs over HTTP and runs the entry's state machine. */
 export class EntryDaemon extends DaemonBase {
   protected override readonly role = 'entry';
@@ -162,19 +165,23 @@
   }
 
   protected override routeHttp(request: IncomingMessage, response: ServerResponse, path: string): boolean {
-    if (path === '/v1/jobs' && request.method === 'POST') {
-      void this.handleJobRequest(request, response);
-      return true;
-    }
-    if (path.startsWith('/v1/jobs/') && request.method === 'GET') {
-      void this.handleJobQuery(decodeURIComponent(path.slice('/v1/jobs/'.length)), response);
-      return true;
+    const handling = this.findHandling(request, response, path);
+    handling?.catch((error: unknown) => this.handleFailure(request, response, error));
+    return handling !== undefined;
+  }
+
+  private findHandling(
+    request: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+  ): Promise<void> | undefined {
+    const { method } = request;
+    if (path === '/v1/jobs' && method === 'POST') return this.handleJobRequest(request, response);
+    if (path.startsWith(JOBS_PREFIX) && method === 'GET') {
+      return this.handleJobQuery(decodePart(path.slice(JOBS_PREFIX.length)), response);
     }
-    if (path === '/v1/commands' && request.method === 'POST') {
-      void this.handleCommand(request, response);
-      return true;
-    }
-    return false;
+    if (path === '/v1/commands' && method === 'POST') return this.handleCommand(request, response);
+    return undefined;
   }
 
   private applyEffect(effect: EntryNodeEffect): void {
@@ -248,7 +255,8 @@
     writeJson(response, 413, text, { connection: 'close' });
   }
 
-  private async handleJobQuery(job: string, response: ServerResponse): Promise<void> {
+  private async handleJobQuery(job: string | undefined, response: ServerResponse): Promise<void> {
+    if (job === undefined) return writeJson(response, 400, '{"error":"malformed path"}');
     const row = await this.commandService.findJob(job, readClock());
     if (row) return writeJson(response, 200, JSON.stringify(row));
     writeJson(response, 404, JSON.stringify({ job, error: 'no such job' }));
