Pipelined jobs: when their caller leaves, all of them are abandoned

What callers saw: a caller that sent several jobs at once on one connection and left had only the first one stopped; the others ran on until their deadline, beside what the caller had submitted again elsewhere.

Cause: Node's HTTP server emits `close` for the response that is being sent, not for those that wait behind it.

Change: GatedConnection destroys and closes the responses that wait when the connection closes, so that every handler that listens for it (dispatcher and own interface) hears it; a body that was read after that is not submitted.

The job in the crowd "behind an open job" had a spec that the stand-in read as NaN, so that it was run again and again; it names its work now, crowd and bounds are as they were.

--- a/src/connection/input/GatedConnection.ts
+++ b/src/connection/input/GatedConnection.ts
@@ -43,10 +43,8 @@
   private pendingBytes = 0;
   /** Part of the first pending chunk that has been passed on, bytes. */
   private passedBytes = 0;
-  private openRequests = 0;
+  private readonly openResponses = new Set<ServerResponse>();
   private admittedRequests = 0;
-  /** Answer to the only open request; undefined if there is none. */
-  private response: ServerResponse | undefined;
   /** Bytes passed on since the last request or body part was complete. */
   private unparsedBytes = 0;
   private unsentBytes = 0;
@@ -87,18 +85,18 @@
 
   /** Refuses what has not been answered yet, and closes the connection. */
   refuse(): void {
-    this.isRefused =
-      this.openRequests === 1 && this.response?.headersSent === false && this.unsentBytes === 0;
+    const [response] = this.openResponses;
+    const isOnly = this.openResponses.size === 1 && response?.headersSent === false;
+    this.isRefused = isOnly && this.unsentBytes === 0;
     this.destroy();
   }
 
   /** Records a request of this connection until it is answered. */
   trackRequest(response: ServerResponse): void {
-    this.openRequests += 1;
+    this.openResponses.add(response);
     this.setUnparsed(0);
-    if (this.openRequests === 1) this.response = response;
-    else this.account.hold(REQUEST_BYTES);
-    response.once('close', () => this.endRequest());
+    if (this.openResponses.size > 1) this.account.hold(REQUEST_BYTES);
+    response.once('close', () => this.endRequest(response));
   }
 
   /** Marks a request as admitted until it is answered, so that the limits of jobs count it. */
@@ -171,11 +169,12 @@
       this.socket.write(REFUSAL);
       this.socket.destroySoon();
     } else this.socket.destroy();
+    this.closeQueuedResponses();
     done(error);
   }
 
   private get canDeliver(): boolean {
-    return !this.destroyed && !this.isPaused() && this.openRequests <= MAX_OPEN_REQUESTS;
+    return !this.destroyed && !this.isPaused() && this.openResponses.size <= MAX_OPEN_REQUESTS;
   }
 
   private receive(chunk: Buffer): void {
@@ -211,6 +210,15 @@
     if (!this.destroyed) this.push(piece);
   }
 
+  /** Closes the responses behind the one that is being sent, which the HTTP server does not close. */
+  private closeQueuedResponses(): void {
+    for (const response of [...this.openResponses]) {
+      if (response.socket !== null) continue;
+      response.destroy();
+      response.emit('close');
+    }
+  }
+
   private dropFirstChunk(chunk: Buffer): void {
     this.pending.shift();
     this.passedBytes = 0;
@@ -224,10 +232,9 @@
     else this.push(null);
   }
 
-  private endRequest(): void {
-    this.openRequests -= 1;
-    if (this.openRequests === 0) this.response = undefined;
-    else this.account.hold(-REQUEST_BYTES);
+  private endRequest(response: ServerResponse): void {
+    this.openResponses.delete(response);
+    if (this.openResponses.size > 0) this.account.hold(-REQUEST_BYTES);
     if (this.pending.length > 0) this.turns.add(this);
   }
 
--- a/src/connection/input/guardHttpServer.test.ts
+++ b/src/connection/input/guardHttpServer.test.ts
@@ -139,13 +139,13 @@
     await until(() => handled.length === 3);
     const third = open(head + 'x'.repeat(220_000));
     await until(() => closed.length > 0);
-    const refused = [...large, third];
-    await until(() => refused.filter((client) => client.isClosed()).length === closed.length);
-    refused.splice(0, refused.length, ...refused.filter((client) => client.isClosed()));
-    for (const client of refused) expect(client.read()).to.match(/^HTTP\/1\.1 503 [^]*retry-after: 1\r\n/);
+    const listRefused = (): typeof large => [...large, third].filter((client) => client.isClosed());
+    await until(() => listRefused().length === closed.length && left === closed.length);
+    for (const client of listRefused()) {
+      expect(client.read()).to.match(/^HTTP\/1\.1 503 [^]*retry-after: 1\r\n/);
+    }
     small.socket.write('xxx');
     await until(() => countAnswers(small.read()) === 1);
-    await until(() => left === refused.length);
     expect(guard.budget.heldBytes).to.be.at.most(MAX_INPUT_BYTES);
     expect(small.isClosed()).to.equal(false);
   });
@@ -159,6 +159,15 @@
     expect(guard.budget.heldBytes).to.equal(0);
   });
 
+  // The HTTP server closes the first response only: the tasks of the other jobs ran on though their caller had left.
+  it('notices that the client of several pipelined requests leaves', async () => {
+    const client = open('POST /job HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n'.repeat(3));
+    await until(() => waiting.length === 3);
+    client.socket.destroy();
+    await until(() => left === 3);
+    expect(waiting.every((response) => response.destroyed)).to.equal(true);
+  });
+
   it('closes the connection of an admitted request whose client sends on and on', async () => {
     const client = open('POST /job HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n');
     await until(() => waiting.length === 1);
--- a/test/fakes/clientCrowds.ts
+++ b/test/fakes/clientCrowds.ts
@@ -66,7 +66,7 @@
 /** Requests behind a job that stays open; answers are sent in order, so none leaves before that of the job. */
 function sendBehindJob(count: number): ClientInput {
   const steps = [{ count: 1, cpu: 1_000, mem_mb: 10, estimate_ms: OPEN_JOB_MS }];
-  const body = JSON.stringify({ best_effort: true, spec: JSON.stringify({ workMs: OPEN_JOB_MS }), steps });
+  const body = JSON.stringify({ best_effort: true, spec: String(OPEN_JOB_MS), steps });
   const job = buildPost(`content-length: ${body.length}`) + body;
   return { parts: joinParts([job], repeatText(buildHead('GET', '/q/', []), count)) };
 }
--- a/test/hostileCallers.test.ts
+++ b/test/hostileCallers.test.ts
@@ -3,6 +3,7 @@
 
 import { expect } from 'chai';
 
+import { DEADLINE_HEADER } from '../platform/names.js';
 import { PlatformBench } from './fakes/PlatformBench.js';
 
 const TARGET_LATENCY_MS = 20_000;
@@ -130,6 +131,43 @@
   });
 });
 
+/** Work of the jobs whose caller leaves, and its patience, ms; longer than a test waits. */
+const LEFT_JOB_MS = 50_000;
+const LEFT_PATIENCE_MS = 60_000;
+
+describe('a caller that sends several jobs at once', function () {
+  this.timeout(120_000);
+  let bench: PlatformBench;
+
+  before(async () => {
+    bench = new PlatformBench(1, 1, TARGET_LATENCY_MS);
+    await bench.start();
+  });
+
+  after(async () => {
+    await bench.stop();
+  });
+
+  // Only the first job was noticed to be abandoned, and the others ran on, beside what the caller submitted again.
+  it('leaves no task running when it leaves', async () => {
+    const spec = String(LEFT_JOB_MS);
+    const steps = [{ ...STEP, estimate_ms: LEFT_JOB_MS }];
+    const body = JSON.stringify({ best_effort: true, spec, steps });
+    const fields = `host: a.example\r\n${DEADLINE_HEADER}: ${LEFT_PATIENCE_MS}\r\ncontent-length: ${body.length}`;
+    const requests = ['one', 'two', 'three'].map(
+      (job) => `POST /q/${job} HTTP/1.1\r\n${fields}\r\n\r\n${body}`,
+    );
+    const caller = bench.openCaller('entry-1', requests.join(''));
+    caller.on('error', () => undefined);
+    await bench.waitFor(() => bench.starts.size === 3, 'that all jobs run');
+    caller.destroy();
+    await bench.waitUntilIdle();
+    for (const job of ['one', 'two', 'three']) {
+      expect((await bench.get('entry-1', `/q/${job}`)).status, job).to.equal(410);
+    }
+  });
+});
+
 describe('a dispatcher at its connection limit', function () {
   this.timeout(120_000);
   let bench: PlatformBench;
