Rejected jobs: what a client sends becomes no label, no flood of log lines, and counts in full

What was wrong, each found by seeking further ways to make a process keep things: the findings of a malformed body were the label of a metric, so that each new text was a time series for good; each rejected job or report and each closed link was a log line, of any length; 18,000 wrong steps were answered and logged with 18,000 findings, a megabyte; labels, racks, ids and lists of dependencies of an admitted job did not count in maxOpenBytes (a job of 262,000 bytes passed for 2 KB); ids could have 16 KB.

Change: `reason` is one of four words in the metric, with the text in the log; `reject`, `report-rejected` and `link-closed` have 100, 20 and 50 lines a second at most, with `skipped`; 20 findings; JobBounds counts all texts and dependencies; an id over 128 characters is no id (400 for a job, 410 otherwise; the protocol's have 16). DispatcherDaemon's logging moves to DecisionLog, and LogRateLimiter writes the limited lines of all of them.

--- a/src/_lib/finding.ts
+++ b/src/_lib/finding.ts
@@ -2,7 +2,7 @@
 import type { ErrorObject } from 'ajv';
 
 /** Maximum number of findings per input, which bounds the length of answers and log lines. */
-const MAX_FINDINGS = 20;
+export const MAX_FINDINGS = 20;
 
 /** One error in an input. */
 export interface Finding {
--- a/src/ports/CallerGateway.ts
+++ b/src/ports/CallerGateway.ts
@@ -5,6 +5,9 @@
 /** State of an open job. */
 export type JobState = 'pending' | 'running';
 
+/** Why a job is rejected before it is submitted. */
+export type RejectReason = 'too-large' | 'cut' | 'malformed' | 'not-served';
+
 /** A caller that waits for the outcome of its job. */
 export interface Caller {
   /** Sends the outcome; further calls are ignored. */
@@ -19,8 +22,12 @@
   /** Whether the process is shutting down; connections are then closed after their answer. */
   readonly isLeaving: boolean;
   submit(submission: JobSubmission, caller: Caller): void;
-  /** Records a job that the gateway rejected, in log and metrics. */
-  recordRejected(jobId: string, status: number, reason: string): void;
+  /**
+   * Records a job that the gateway rejected, in log and metrics.
+   *
+   * @param detail - what was wrong, in the words of the answer; empty if the reason says it
+   */
+  recordRejected(jobId: string, status: number, reason: RejectReason, detail: string): void;
   /** Records a call that failed unexpectedly and was answered with an error. */
   recordFailure(call: string, error: unknown): void;
   /** Handles the loss of the caller's connection. */
--- a/src/process/LogRateLimiter.ts
+++ b/src/process/LogRateLimiter.ts
@@ -1,4 +1,5 @@
 /** Limits how many log lines of one kind are written each second, and counts the skipped ones. */
+import type { LogFields } from './logger.js';
 
 const SECOND_MS = 1_000;
 
@@ -11,6 +12,18 @@
   /** @param perSecond - most lines written each second */
   constructor(private readonly perSecond: number) {}
 
+  /**
+   * Writes a line unless there have been too many, with the number of skipped ones.
+   *
+   * @param now - monotonic time, ms
+   * @param fields - fields of the line
+   * @param write - writes the line
+   */
+  writeLine(now: number, fields: LogFields, write: (fields: LogFields) => void): void {
+    const { write: isAllowed, skipped } = this.take(now);
+    if (isAllowed) write(skipped === 0 ? fields : { ...fields, skipped });
+  }
+
   /**
    * Requests permission to write one line.
    *
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -7,7 +7,7 @@
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
 import { PeerListener } from '../../connection/peer/PeerListener.js';
 import type { AttemptResult, DispatcherPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
-import type { Caller, CallerGateway, JobService, JobState } from '../../ports/CallerGateway.js';
+import type { Caller, CallerGateway, JobService, JobState, RejectReason } from '../../ports/CallerGateway.js';
 import type { ConfigurationSource } from '../../ports/ConfigurationSource.js';
 import type { JobSubmission } from '../../request/dispatch/submission.js';
 import type { Configuration, QueueRoute } from '../../version/configuration.js';
@@ -16,7 +16,6 @@
 import { createDaemonClock } from '../createDaemonClock.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
-import { LogRateLimiter } from '../LogRateLimiter.js';
 import { createLogSink } from '../createLogSink.js';
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
@@ -32,6 +31,7 @@
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildExecutorId } from './ExecutorView.js';
 import { AnswerLog } from './AnswerLog.js';
+import { DecisionLog } from './DecisionLog.js';
 import { CANCELLED, Dispatcher } from './Dispatcher.js';
 import { HeldSubmissions } from './HeldSubmissions.js';
 import { computeCriticalPathMs } from './dispatchJob.js';
@@ -77,9 +77,6 @@
 
 const SECOND_MS = 1_000;
 
-/** Limit on log lines about placements, per second; other decisions are not limited. */
-const PLACE_LINES_PER_S = 400;
-
 /** Adapters of a dispatcher process. */
 export interface DispatcherPorts {
   readonly gateway: CallerGateway;
@@ -96,6 +93,7 @@
   private readonly logger: ProcessLogger;
   private readonly metrics: MetricsServer;
   private readonly answers: AnswerLog;
+  private readonly decisions: DecisionLog;
   private readonly dispatcher: Dispatcher;
   private readonly listener: PeerListener;
   private readonly peers: DispatcherPeers;
@@ -106,7 +104,6 @@
   private readonly channels = new Map<string, LineChannel>();
   private readonly executorIds = new Map<LineChannel, string>();
   private readonly dispatcherChannels = new Set<LineChannel>();
-  private readonly placeLogLimiter = new LogRateLimiter(PLACE_LINES_PER_S);
   private leavingAt: number | undefined;
   private placementScheduled = false;
   private demandSentAt = -Infinity;
@@ -181,6 +178,9 @@
       buildDispatcherMetrics(gauges, guard.budget),
       guard,
     );
+    const readNow = (): number => this.clock.now();
+    const logsPlacements = (): boolean => this.settings.decisionLog;
+    this.decisions = new DecisionLog(this.logger, this.metrics, readNow, logsPlacements);
     this.answers = new AnswerLog(this.logger, this.metrics, () => this.exchange.versions.version);
     reportClosedInput(guard, this.logger, (labels) =>
       this.metrics.increment('dispatcher_input_closed', labels),
@@ -324,8 +324,8 @@
     return leavingAt + this.settings.graceSeconds * 1_000 - END_MARGIN_MS;
   }
 
-  recordRejected(jobId: string, status: number, reason: string): void {
-    this.answers.recordRejected(jobId, status, reason);
+  recordRejected(jobId: string, status: number, reason: RejectReason, detail: string): void {
+    this.answers.recordRejected({ jobId, status, reason, detail }, this.clock.now());
   }
 
   recordFailure(call: string, error: unknown): void {
@@ -476,7 +476,7 @@
     this.exchange.handleClosed(channel);
     const id = this.executorIds.get(channel);
     this.executorIds.delete(channel);
-    if (id === undefined) this.logger.info('link-closed', { reason });
+    if (id === undefined) this.decisions.recordLinkClosed(reason);
     if (id === undefined || this.channels.get(id) !== channel) return;
     this.channels.delete(id);
     this.dispatcher.handleClose(id, reason, this.clock.now());
@@ -528,10 +528,6 @@
   }
 
   private logDecision(event: string, fields: LogFields): void {
-    this.metrics.increment('dispatcher_decisions', { decision: event });
-    if (event !== 'place') return this.logger.info(event, fields);
-    if (!this.settings.decisionLog) return;
-    const { write, skipped } = this.placeLogLimiter.take(this.clock.now());
-    if (write) this.logger.info(event, skipped === 0 ? fields : { ...fields, skipped });
+    this.decisions.record(event, fields);
   }
 }
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -9,6 +9,7 @@
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
 import { createLogSink } from '../createLogSink.js';
+import { LogRateLimiter } from '../LogRateLimiter.js';
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
 import { describeError, logFailure } from '../failures.js';
@@ -34,6 +35,8 @@
 /** Interval of messages that list the known dispatchers, ms. */
 const MEMBERS_INTERVAL_MS = 5_000;
 const SECOND_MS = 1_000;
+/** Limit on log lines about rejected reports, per second. */
+const REJECT_LINES_PER_S = 20;
 /**
  * Last part of the grace period, reserved for stopping the remaining tasks and sending their results, ms.
  */
@@ -55,6 +58,7 @@
   private readonly executor: Executor;
   private readonly links: DispatcherLinks;
   private readonly pauseGuard: PauseGuard;
+  private readonly rejectLogLimiter = new LogRateLimiter(REJECT_LINES_PER_S);
   /** Whether an upstream has sent a report since this process started. */
   private hasReport = false;
   /** Incarnation and capacity of the upstream as last saved, for the next start of this process. */
@@ -140,7 +144,10 @@
     await this.ports.registry.start({
       report: (report) => this.handleReport(report),
       leave: (upstreamId, bornAt) => this.executor.handleLeave(upstreamId, bornAt),
-      recordRejected: (call, reason) => this.logger.warn('report-rejected', { call, reason }),
+      recordRejected: (call, reason) =>
+        this.rejectLogLimiter.writeLine(this.clock.now(), { call, reason }, (fields) =>
+          this.logger.warn('report-rejected', fields),
+        ),
       recordFailure: (call, error) => logFailure(this.logger, 'call-failed', { call }, error),
     });
     this.links.recordSeeds(this.settings.seeds);
--- a/src/process/reportClosedInput.ts
+++ b/src/process/reportClosedInput.ts
@@ -27,8 +27,6 @@
   const limiter = new LogRateLimiter(LINES_PER_S);
   guard.reportTo(({ listener, reason, heldBytes }) => {
     count({ listener, reason });
-    const { write, skipped } = limiter.take(guard.now());
-    if (!write) return;
     const { budget } = guard;
     const fields = {
       listener,
@@ -37,6 +35,6 @@
       allBytes: budget.heldBytes,
       connections: budget.connections,
     };
-    logger.warn('input-closed', skipped === 0 ? fields : { ...fields, skipped });
+    limiter.writeLine(guard.now(), fields, (all) => logger.warn('input-closed', all));
   });
 }
--- a/src/request/dispatch/JobBounds.test.ts
+++ b/src/request/dispatch/JobBounds.test.ts
@@ -33,4 +33,14 @@
     bounds.release(buildJob([STEP]));
     expect(bounds.take(buildJob([STEP]))).to.equal(true);
   });
+
+  // 4,000 open jobs with a label of 262,000 characters, or with steps that all wait for each other, passed for small.
+  it('counts all texts and dependencies of a job', () => {
+    const text = 'x'.repeat(10_000);
+    const after = Array.from({ length: 1_000 }, (_, index) => index);
+    for (const step of [{ requiredLabel: text }, { preferredRack: text }, { after }]) {
+      expect(new JobBounds(LIMITS).take(buildJob([{ ...STEP, ...step }]))).to.equal(false);
+    }
+    expect(new JobBounds(LIMITS).take({ ...buildJob([STEP]), id: text })).to.equal(false);
+  });
 });
--- a/src/request/dispatch/JobBounds.ts
+++ b/src/request/dispatch/JobBounds.ts
@@ -6,6 +6,9 @@
 /** Estimated memory of a job and of each of its tasks, without texts but including sockets, bytes. */
 const JOB_BYTES = 2_048;
 const TASK_BYTES = 512;
+/** Memory of a character of a text, which may take two bytes, and of a step that another one waits for, bytes. */
+const CHARACTER_BYTES = 2;
+const DEPENDENCY_BYTES = 16;
 
 /** Limits from the settings. */
 export interface JobLimits {
@@ -63,7 +66,14 @@
   return steps.reduce((sum, { count }) => sum + count, 0);
 }
 
-/** Estimates the memory of a job; a character may take two bytes of heap. */
-function estimateBytes({ spec, steps }: JobSubmission): number {
-  return JOB_BYTES + spec.length * 2 + countTasks(steps) * TASK_BYTES;
+/** Estimates the memory of a job. */
+function estimateBytes({ id, spec, steps }: JobSubmission): number {
+  let characters = id.length + spec.length;
+  let dependencies = 0;
+  for (const { after, requiredLabel, preferredRack } of steps) {
+    characters += requiredLabel.length + preferredRack.length;
+    dependencies += after.length;
+  }
+  const bytes = characters * CHARACTER_BYTES + dependencies * DEPENDENCY_BYTES;
+  return JOB_BYTES + bytes + countTasks(steps) * TASK_BYTES;
 }
--- a/test/hostileCallers.test.ts
+++ b/test/hostileCallers.test.ts
@@ -113,6 +113,14 @@
     });
   }
 
+  it('takes no job whose id is longer than any id, and knows none', async () => {
+    const url = `/q/${'f'.repeat(129)}`;
+    expect((await bench.post('entry-1', url, { best_effort: true, steps: [STEP] })).status).to.equal(400);
+    expect((await bench.get('entry-1', url)).status).to.equal(410);
+    expect((await bench.cancel('entry-1', 'f'.repeat(129))).status).to.equal(410);
+    expect((await bench.submit('entry-1', 'f'.repeat(128), 1, 30)).status).to.equal(200);
+  });
+
   it('closes idle connections, and those with an incomplete header or body', async () => {
     bench.putConfiguration(['/q/'], { header_timeout_ms: 400, idle_timeout_ms: 400 });
     await bench.waitFor(async () => {
