--- a/test/clientCrowds.test.ts
+++ b/test/clientCrowds.test.ts
@@ -12,6 +12,8 @@
 import type { CrowdCase } from './fakes/clientCrowds.js';
 import {
   CALLER_CROWDS,
+  CUT_CROWD,
+  CUT_JOB,
   FULL_CROWD,
   IDLE_CROWD,
   LINK_CROWDS,
@@ -44,6 +46,17 @@
 const CALM_SHARE = 0.2;
 const MAX_CALM_WAIT_MS = 15_000;
 
+/** An ordinary job whose client sends it in pieces, with a pause after each, ms. */
+const SLOW_JOB = [
+  'POST /q/slow HTTP/1.1\r\nhost: a.example\r\n',
+  'transfer-encoding: chunked\r\n\r\n',
+  '14\r\n{"best_effort":true,\r\n',
+  'c\r\n"spec":"30",\r\n',
+  '23\r\n"steps":[{"cpu":1000,"count":1}]}  \r\n',
+  '0\r\n\r\n',
+];
+const SLOW_PAUSE_MS = 200;
+
 type ListenerName = 'link' | 'front' | 'ready' | 'control' | 'metrics';
 
 /** Highest figures of a process while something goes on. */
@@ -157,6 +170,37 @@
     });
   }
 
+  it('starts no job whose body was cut off, serves a slow client beside the crowd, and releases its memory', async () => {
+    await startBench(SMALL_VMS);
+    const crowd = new ClientCrowd(bench.findListener('entry-1', 'front'));
+    crowd.add(CUT_CROWD.clients, CUT_CROWD.build);
+    await crowd.settle();
+    const [job = '', ...parts] = SLOW_JOB;
+    const slow = bench.openCaller('entry-1', job);
+    let answer = '';
+    slow.on('data', (bytes) => (answer += bytes.toString()));
+    slow.on('error', () => undefined);
+    for (const part of parts) {
+      await sleep(SLOW_PAUSE_MS);
+      slow.write(part);
+    }
+    await bench.waitFor(() => answer !== '', 'that the slow client is answered');
+    expect(answer).to.match(/^HTTP\/1\.1 200 /);
+    expect([...crowd.statuses.keys()].filter((status) => status !== '503')).to.deep.equal([]);
+    expect(crowd.closed, 'closed connections of the crowd').to.be.above(0);
+    crowd.close();
+    slow.destroy();
+    await bench.waitFor(async () => (await readGauge('dispatcher_input_connections')) <= 5, 'the release');
+    expect(await readGauge('dispatcher_input_bytes')).to.be.below(MEBIBYTE);
+    await bench.waitUntilIdle();
+    expect([...bench.starts.keys()].filter((task) => task.startsWith(CUT_JOB))).to.deep.equal([]);
+  });
+
+  async function readGauge(name: string): Promise<number> {
+    const metrics = await bench.readMetrics('entry-1');
+    return Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(metrics)?.[1] ?? NaN);
+  }
+
   it(`leaves a dispatcher within its VM: ${FULL_CROWD.title}`, async () => {
     await startBench({ ...SMALL_VMS, dispatcher: USUAL_VM });
     await check('entry-1', USUAL_VM, [{ crowd: FULL_CROWD, listener: 'front' }]);
--- a/test/fakes/clientCrowds.ts
+++ b/test/fakes/clientCrowds.ts
@@ -183,6 +183,25 @@
   { title: 'pipelined requests', clients: 200, build: () => sendPipelined('/statsz', 20_000) },
 ];
 
+/** Prefix of the jobs whose last byte never comes. */
+export const CUT_JOB = 'cut-';
+
+/** Whole jobs but for their last byte, each as large as a body may be. */
+export const CUT_CROWD: CrowdCase = {
+  title: 'jobs without their last byte',
+  clients: 300,
+  build: () => {
+    const job = JSON.stringify({
+      best_effort: true,
+      spec: '30',
+      steps: [{ count: 1, cpu: 1_000, mem_mb: 10 }],
+    });
+    const body = job.padStart(BODY_BYTES, ' ');
+    const head = buildPost(`content-length: ${body.length}`, `/q/${CUT_JOB}${(nextJob += 1)}`);
+    return { parts: joinParts([head], [body.slice(0, -1)]) };
+  },
+};
+
 /** The crowds of bodies at a size that fills a VM of 350 MB. */
 export const FULL_CROWD: CrowdCase = {
   title: 'bodies that fill a VM of the usual size',
