Kept input: long queries of cancelled jobs, and bodies that nobody reads

What callers saw: 12,000 cancellings with queries of 15,000 characters ended a dispatcher of 160 MB.

Cause: the id of a job is a part of the request's target, and a part of a text keeps all of it: each remembered cancelling (50,000, for 120 s) kept its whole target, though CancelledJobs counts the characters of its ids. And a body that no handler reads waits as an object for each chunk while its answer waits behind an earlier one.

--- a/src/connection/input/GatedConnection.ts
+++ b/src/connection/input/GatedConnection.ts
@@ -264,8 +264,8 @@
 }
 
 /** Estimates the memory of the header of a request beyond that of a usual one, bytes. */
-function estimateHeaderBytes({ rawHeaders }: IncomingMessage): number {
-  let bytes = rawHeaders.length * HEADER_TEXT_BYTES;
+function estimateHeaderBytes({ url = '', rawHeaders }: IncomingMessage): number {
+  let bytes = url.length + rawHeaders.length * HEADER_TEXT_BYTES;
   for (const text of rawHeaders) bytes += text.length;
   return Math.max(0, bytes - USUAL_HEADER_BYTES);
 }
--- a/src/connection/input/guardHttpServer.test.ts
+++ b/src/connection/input/guardHttpServer.test.ts
@@ -48,6 +48,7 @@
   /** Answers at once, after the body, or (`/wait`) when the test does; `/job` is admitted as well. */
   async function handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     handled.push(incoming.url ?? '');
+    if (incoming.url === '/ignore') return void waiting.push(response);
     const body = await collectBody(incoming, 300_000);
     if (typeof body === 'string') return void (left += 1);
     response.once('close', () => (left += response.writableFinished ? 0 : 1));
@@ -132,6 +133,17 @@
     await until(() => countAnswers(client.read()) === 2_001);
   });
 
+  // What waits to be read is an object for each chunk.
+  it('discards a body that no listener reads', async () => {
+    const client = open('GET /ignore HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n');
+    client.socket.write(`${'1\r\nx\r\n'.repeat(100_000)}0\r\n\r\n${GET}`);
+    await until(() => waiting.length === 1);
+    await until(() => waiting[0]?.req.complete === true);
+    expect(waiting[0]?.req.readableLength).to.equal(0);
+    waiting[0]?.end();
+    await until(() => countAnswers(client.read()) === 2);
+  });
+
   it('refuses the body that holds most when the budget is used up, and serves the others', async () => {
     const head = 'POST /now HTTP/1.1\r\nhost: a\r\ncontent-length: 250000\r\n\r\n';
     const small = open('POST /now HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nx');
--- a/src/connection/input/guardHttpServer.ts
+++ b/src/connection/input/guardHttpServer.ts
@@ -6,6 +6,7 @@
 
 /**
  * Puts the connections of an HTTP server under the input budget of the process; call it before the server listens.
+ * A body that the server's own listener for requests has not begun to read is discarded as it arrives.
  *
  * @param server - the server, with its listeners for requests
  * @param guard - budget and turns of the process
@@ -30,6 +31,10 @@
   server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
     findConnection(request)?.trackRequest(response);
   });
+  server.on('request', (request: IncomingMessage) => {
+    if (request.readableFlowing !== null) return;
+    request.on('data', () => findConnection(request)?.recordBodyPart());
+  });
 }
 
 /**
--- a/test/fakes/clientCrowds.ts
+++ b/test/fakes/clientCrowds.ts
@@ -1,4 +1,5 @@
 /** Crowds of clients that do not behave, with what they send. Sizes and texts are fixed; tests only select from them. */
+import { DEADLINE_HEADER } from '../../platform/names.js';
 import { joinParts, repeatPart } from './ClientCrowd.js';
 import type { ClientInput } from './ClientCrowd.js';
 
@@ -16,7 +17,10 @@
 const PART_BYTES = 65_536;
 const TINY_CHUNK = '1\r\nx\r\n';
 const HOST = 'a.example';
-/** Work of the jobs that stay open, ms. */
+/** Length of a query that makes a header as long as it may be. */
+const LONG_QUERY_BYTES = 15_000;
+/** How long clients wait for the jobs that stay open, and their work, ms. */
+const OPEN_PATIENCE_MS = 120_000;
 const OPEN_JOB_MS = 30_000;
 
 let nextJob = 0;
@@ -67,10 +71,25 @@
 function sendBehindJob(count: number): ClientInput {
   const steps = [{ count: 1, cpu: 1_000, mem_mb: 10, estimate_ms: OPEN_JOB_MS }];
   const body = JSON.stringify({ best_effort: true, spec: String(OPEN_JOB_MS), steps });
-  const job = buildPost(`content-length: ${body.length}`) + body;
+  const job = buildPost(`${DEADLINE_HEADER}: ${OPEN_PATIENCE_MS}\r\ncontent-length: ${body.length}`) + body;
   return { parts: joinParts([job], repeatText(buildHead('GET', '/q/', []), count)) };
 }
 
+/** Cancellings of jobs that nobody has submitted, each with a query that fills the header. */
+function sendCancellings(count: number): ClientInput {
+  const query = 'x'.repeat(LONG_QUERY_BYTES);
+  const buildCancelling = (): string =>
+    buildHead('DELETE', `/q/${(nextJob += 1).toString(16).padStart(16, '0')}?${query}`, []);
+  return { parts: Array.from({ length: count }, buildCancelling) };
+}
+
+/** A body in one-byte chunks that no handler reads, behind a job that stays open. */
+function sendUnreadBody(count: number): ClientInput {
+  const [job = ''] = sendBehindJob(0).parts;
+  const head = buildHead('GET', '/q/', ['transfer-encoding: chunked']);
+  return { parts: [`${String(job)}${head}${TINY_CHUNK.repeat(count)}`] };
+}
+
 /** A header of many short lines, without its end. */
 function sendHeaderLines(bytes: number): ClientInput {
   return { parts: [`GET /q/ HTTP/1.1\r\nhost: ${HOST}\r\n${repeatLine(bytes)}`] };
@@ -126,6 +145,8 @@
     build: () => sendPipelined('/q/', 40_000),
   },
   { title: 'pipelined requests behind an open job', clients: 100, build: () => sendBehindJob(20_000) },
+  { title: 'bodies that nobody reads, behind an open job', clients: 200, build: () => sendUnreadBody(5_000) },
+  { title: 'cancellings behind long queries', clients: 40, build: () => sendCancellings(300) },
   { title: 'headers without end', clients: 1_500, build: () => sendHeaderLines(16_000) },
   { title: 'long headers of bodies that never come', clients: 1_500, build: () => sendLongHeader(15_000) },
   { title: 'trailers without end', clients: 1_500, build: () => sendTrailerLines(15_000) },
