Review: case 11, a DELETE acknowledged by a dispatcher that is cut off

A dispatcher that is cut off from all other machines, but not from its clients, answers a DELETE with 200 at once, though it can tell nobody; the job runs on past cancel_ms at a dispatcher that is in touch.

--- a/review/lib-3/runCase.ts
+++ b/review/lib-3/runCase.ts
@@ -17,6 +17,8 @@
   readonly number: number;
   readonly dispatchers: number;
   readonly executors: number;
+  /** Dispatcher that can be cut off. */
+  readonly cuttable?: string;
   readonly findKind: (number: number) => RunnerKind;
   /** Plays the case, with its disruption or without; returns what broke the rule, empty if it held. */
   readonly play: (deployment: Deployment, hasTrouble: boolean) => Promise<readonly string[]>;
@@ -26,7 +28,7 @@
 export async function runCase(one: Case): Promise<void> {
   const record = new CaseRecord();
   const file = path.join('review', String(one.number), 'record.txt');
-  const deployment = new Deployment(one.dispatchers, one.executors, record);
+  const deployment = new Deployment(one.dispatchers, one.executors, record, one.cuttable);
   const hasTrouble = process.env['TROUBLE'] !== '0';
   const finish = async (status: number, text: string): Promise<never> => {
     record.note('result', { status, text });
