--- a/review/lib-3/CaseRecord.ts
+++ b/review/lib-3/CaseRecord.ts
@@ -9,7 +9,11 @@
   readonly labels: readonly string[];
   readonly task: string;
   readonly run: number;
-  readonly spec: string;
+  /** Runs at the runner, this one and those that are being stopped too. */
+  readonly running: number;
+  /** Capacity of the runner, thousandths of a core, and when it last shrank. */
+  readonly cpu: number;
+  readonly shrunkAt: number;
   endedAt: number;
   how: string;
 }
@@ -25,10 +29,10 @@
     this.lines.push(`${at.padStart(9)} ${event} ${JSON.stringify(fields)}`);
   }
 
-  recordStart(runner: string, labels: readonly string[], task: string, run: number, spec: string): void {
-    const at = performance.now();
-    this.starts.push({ at, runner, labels, task, run, spec, endedAt: Infinity, how: '' });
-    this.note('start', { runner, labels, task, run });
+  recordStart(start: Omit<RecordedStart, 'at' | 'endedAt' | 'how'>): void {
+    const { runner, labels, task, run, running, cpu } = start;
+    this.starts.push({ ...start, at: performance.now(), endedAt: Infinity, how: '' });
+    this.note('start', { runner, labels, task, run, running, cpu });
   }
 
   recordEnd(runner: string, task: string, run: number, how: string): void {
--- a/review/lib-3/Deployment.ts
+++ b/review/lib-3/Deployment.ts
@@ -9,9 +9,8 @@
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { StoreStandin } from '../../standins/protocol/StoreStandin.js';
 import type { CaseRecord } from './CaseRecord.js';
-import { LinkProxy } from './LinkProxy.js';
+import { LossyStore } from './LossyStore.js';
 import { Runner } from './Runner.js';
 import type { RunnerKind } from './Runner.js';
 
@@ -43,10 +42,8 @@
 
 /** Processes, stand-ins and clients of one case. */
 export class Deployment {
-  readonly store = new StoreStandin();
+  readonly store = new LossyStore();
   readonly runners = new Map<string, Runner>();
-  /** Proxies of the link ports of all dispatchers, by dispatcher, and of the store, if one can be cut off. */
-  private readonly proxies = new Map<string, LinkProxy>();
   private readonly children = new Map<string, ChildProcess>();
   private readonly directory = mkdtempSync(path.join(tmpdir(), 'review-'));
   private readonly net = 1 + (process.pid % 250);
@@ -59,8 +56,6 @@
     private readonly dispatchers: number,
     private readonly executors: number,
     readonly record: CaseRecord,
-    /** Dispatcher that can be cut off from all other machines; empty for none. */
-    private readonly cuttable = '',
   ) {}
 
   /** Starts all processes and runners, and waits until each dispatcher calls itself ready. */
@@ -69,7 +64,6 @@
     this.ports = { link, front, ready, control };
     this.storeAddress = (await this.store.start('127.0.0.1', 0)).slice('http://'.length);
     this.putConfiguration([{ prefix: PREFIX, service: SERVICE }]);
-    if (this.cuttable !== '') await this.startProxies();
     for (const id of this.listDispatchers()) this.startProcess(id);
     for (let number = 1; number <= this.executors; number += 1) {
       this.startProcess(`side-${number}`);
@@ -117,12 +111,11 @@
       failureDomains: [ZONE],
       address: ip,
       linkPort: link,
-      seeds: this.listDispatchers().map((one) => `${this.findLinkIp(one)}:${control}`),
-      advertisedAddress: isDispatcher && this.cuttable !== '' ? this.findLinkIp(id) : '',
+      seeds: this.listDispatchers().map((one) => `${this.findIp(one)}:${control}`),
       callerAddress: isDispatcher ? `${ip}:${front}` : '',
       readyAddress: isDispatcher ? `${ip}:${ready}` : '',
       controlAddress: `${ip}:${control}`,
-      storeAddress: id === this.cuttable ? `${this.findProxyIp('store')}:${control}` : this.storeAddress,
+      storeAddress: this.storeAddress,
       storePartitions: 12,
       graceSeconds: 6,
       maxLeaseMs: 1_000,
@@ -155,13 +148,6 @@
     this.children.get(id)?.kill(name);
   }
 
-  /** Cuts the dispatcher off from all other machines and the store, not from its clients, or ends the cut. */
-  setCut(isCut: boolean): void {
-    this.record.note('cut', { id: this.cuttable, isCut });
-    for (const [id, proxy] of this.proxies)
-      proxy.setCut((opener) => isCut && (id === this.cuttable || opener === this.cuttable));
-  }
-
   /** Waits until a process has ended. */
   async waitForEnd(id: string): Promise<void> {
     for (let waited = 0; waited < READY_WAIT_MS; waited += 20) {
@@ -225,7 +211,6 @@
   async end(): Promise<void> {
     this.isEnding = true;
     for (const child of this.children.values()) child.kill('SIGKILL');
-    for (const proxy of this.proxies.values()) proxy.stop();
     for (const runner of this.runners.values()) await runner.stop();
     await this.store.stop();
     rmSync(this.directory, { recursive: true, force: true });
@@ -244,25 +229,6 @@
     });
   }
 
-  private async startProxies(): Promise<void> {
-    const { link, control } = this.ports;
-    for (const id of this.listDispatchers())
-      this.proxies.set(id, new LinkProxy(this.findProxyIp(id), link, this.findIp(id)));
-    const [host = '', port = ''] = this.storeAddress.split(':');
-    const toStore = new LinkProxy(this.findProxyIp('store'), control, host, Number(port), this.cuttable);
-    this.proxies.set('store', toStore);
-    for (const proxy of this.proxies.values()) await proxy.start();
-  }
-
-  /** Address at which other daemons reach a dispatcher. */
-  private findLinkIp(id: string): string {
-    return this.cuttable === '' ? this.findIp(id) : this.findProxyIp(id);
-  }
-
-  private findProxyIp(id: string): string {
-    return `127.43.${this.net}.${id === 'store' ? 100 : id.split('-')[1]}`;
-  }
-
   private findIp(id: string): string {
     const [kind, number] = id.split('-');
     return `127.${kind === 'edge' ? 41 : 42}.${this.net}.${number}`;
--- a/review/lib-3/Runner.ts
+++ b/review/lib-3/Runner.ts
@@ -56,6 +56,9 @@
   token = 0;
   leaseUntil = 0;
   beats = 0;
+  /** Present capacity, thousandths of a core, and since when it is no larger, monotonic ms. */
+  cpu: number;
+  shrunkAt = -Infinity;
   private readonly startedAt = performance.now();
 
   constructor(
@@ -64,6 +67,7 @@
     readonly kind: RunnerKind,
   ) {
     this.id = `i-${name}-${number}`;
+    this.cpu = kind.cpu;
   }
 
   get clock(): number {
@@ -121,6 +125,15 @@
     this.beatTimer = setInterval(() => this.beat(), BEAT_MS);
   }
 
+  /** Changes the capacity, which the next heartbeat tells. */
+  setCapacity(cpu: number): void {
+    const { life } = this;
+    if (!life) return;
+    if (cpu < life.cpu) life.shrunkAt = performance.now();
+    life.cpu = cpu;
+    this.record.note('capacity', { runner: life.id, cpu });
+  }
+
   /** Crashes: all that runs dies, and nothing listens any more. */
   async crash(): Promise<void> {
     const { life, server } = this;
@@ -147,7 +160,8 @@
     const { life } = this;
     if (!life) return;
     life.beats += 1;
-    const { cpu, labels } = life.kind;
+    const { cpu } = life;
+    const { labels } = life.kind;
     const body = JSON.stringify({
       service: this.service,
       address: `${this.ip}:${this.port}`,
@@ -200,7 +214,16 @@
     life.settled.set(task, run);
     const startedAt = performance.now();
     life.running.set(task, { task, run, startedAt, doneAt: startedAt + Number(spec), stoppedAt: Infinity });
-    this.record.recordStart(life.id, life.kind.labels, task, run, spec);
+    const { cpu, shrunkAt, running } = life;
+    this.record.recordStart({
+      runner: life.id,
+      labels: life.kind.labels,
+      task,
+      run,
+      running: running.size,
+      cpu,
+      shrunkAt,
+    });
     send(response, 200, { clock_ms: life.clock });
   }
 
