--- a/review/10/case.ts
+++ b/review/10/case.ts
@@ -23,7 +23,7 @@
 const QUIET_MS = 8_000;
 const GAP_MS = 1_000;
 const DOWN_MS = 500;
-const ROUNDS = 2;
+const ROUNDS = 3;
 
 const body = JSON.stringify({
   spec: String(WORK_MS),
