--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -1,14 +1,14 @@
 /** A job that can never be done, once at each dispatcher, keeps all links between dispatchers and executors down. */
 import { randomBytes } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import { PREFIX } from '../lib-3/Deployment.js';
 import { sendToAll } from '../lib-3/ordinaryJobs.js';
 import { runCase } from '../lib-3/runCase.js';
 
-const BEFORE_MS = 5_000;
-/** Time after the jobs from which on the ordinary ones are judged, and for how long, ms. */
-const SETTLE_MS = 5_000;
-const JUDGED_MS = 30_000;
+/** Pause after these jobs, and how long ordinary ones come, ms. */
+const PAUSE_MS = 1_000;
+const TRAFFIC_MS = 30_000;
 const PATIENCE_MS = 110_000;
 
 /** Each task asks for more than any runner has; together they ask for 1.08 million cores. */
@@ -24,19 +24,14 @@
   executors: 6,
   findKind: (number) => ({ labels: ['a', `r-${number}`], cpu: 16_000 }),
   play: async (deployment, hasTrouble) => {
-    const before = await sendToAll(deployment, BEFORE_MS);
-    if (before.served < before.sent / 2)
-      throw new Error(`${before.served} of ${before.sent} were served before`);
     for (const id of hasTrouble ? deployment.listDispatchers() : []) {
       const job = randomBytes(8).toString('hex');
       void deployment.call(id, 'POST', `${PREFIX}${job}`, hopeless, PATIENCE_MS);
     }
-    await sendToAll(deployment, SETTLE_MS);
-    const { sent, served } = await sendToAll(deployment, JUDGED_MS);
+    await sleep(PAUSE_MS);
+    const { sent, served } = await sendToAll(deployment, TRAFFIC_MS);
     deployment.record.note('judged', { sent, served });
     console.log(`${served} of ${sent} ordinary requests were served`);
-    return served === 0
-      ? [`none of ${sent} ordinary requests was served beside three jobs that can't be done`]
-      : [];
+    return served === 0 ? [`no request was served: ${sent} ordinary ones, and three that can't be done`] : [];
   },
 });
--- a/review/lib-3/runCase.ts
+++ b/review/lib-3/runCase.ts
@@ -45,7 +45,7 @@
   try {
     await deployment.start(one.findKind);
     const broken = await one.play(deployment, hasTrouble);
-    if (record.starts.length === 0) throw new Error('no task was started');
+    if (record.starts.length === 0 && broken.length === 0) throw new Error('no task was started');
     for (const text of broken) record.note('broken', { text });
     await finish(
       broken.length > 0 ? STATUS_BROKEN : STATUS_HELD,
