--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -7,7 +7,7 @@
 import { runCase } from '../lib-3/runCase.js';
 
 /** Pause after these jobs, and how long ordinary ones come, ms. */
-const PAUSE_MS = 1_000;
+const PAUSE_MS = 5_000;
 const TRAFFIC_MS = 30_000;
 const PATIENCE_MS = 110_000;
 
