--- a/review/lib-3/Deployment.ts
+++ b/review/lib-3/Deployment.ts
@@ -3,6 +3,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { request as sendRequest } from 'node:http';
+import type { Agent } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -162,8 +163,18 @@
     return child !== undefined && child.exitCode === null && child.signalCode === null;
   }
 
-  /** Sends a client's request; the client stays until it is answered, or for `waitMs`. */
-  call(id: string, method: string, url: string, body: string, waitMs: number): Promise<Answer> {
+  /**
+   * Sends a client's request; the client stays until it is answered, or for `waitMs`. It uses a connection of its own,
+   * or an open one of `agent`.
+   */
+  call(
+    id: string,
+    method: string,
+    url: string,
+    body: string,
+    waitMs: number,
+    agent: Agent | false = false,
+  ): Promise<Answer> {
     this.record.note('request', { id, method, url, body: body.slice(0, 300) });
     const headers = {
       host: HOST,
@@ -177,7 +188,7 @@
       method,
       path: url,
       headers,
-      agent: false,
+      agent,
     };
     return new Promise((resolve) => {
       const finish = (answer: Answer): void => {
