A dispatcher sends no task on a new link before it has a report on that link

Cause: ExecutorView.reopen kept the last report of the earlier link, and set the time of the last message anew, so that the report counted as fresh for the round trip until the first ping.

Change: a report counts only if it was received on the newest link. An executor pings as soon as it has the welcome, with all it reports, so this costs that round trip and nothing in calm.

The test failed before: isReady was true right after reopen.

--- a/src/process/dispatcher/ExecutorView.test.ts
+++ b/src/process/dispatcher/ExecutorView.test.ts
@@ -75,6 +75,18 @@
     expect(view.estimateRisk(NEED, now + REPORT_MS)).to.equal(0);
   });
 
+  // Guards against starts on the report of an earlier link, when another upstream has replaced the one reported.
+  it('is not ready on a new link before a report on that link', () => {
+    expect(view.isReady(now, Infinity)).to.equal(true);
+    const hello = { agent: 'a1', life: '1', failureDomain: 'x', entryLife: '', orphanMs: 1_000 };
+    view.reopen({ type: 'agent-hello', holding: [], results: [], ...hello }, now);
+    expect(view.isReady(now, Infinity)).to.equal(false);
+    view.recordPing({ type: 'ping', at: 0, version: 1, room: undefined, progress: undefined }, now);
+    expect(view.isReady(now, Infinity)).to.equal(false);
+    reportFree(view, 10_000);
+    expect(view.isReady(now, Infinity)).to.equal(true);
+  });
+
   it('observes other dispatchers from the hello on, even if the first ping has no report', () => {
     const hello = { agent: 'a2', life: '1', failureDomain: 'x', entryLife: '', orphanMs: 1_000 };
     const ping = { type: 'ping', at: 0, version: 1, room: undefined, progress: undefined } as const;
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -93,6 +93,8 @@
   private observedMs = 0;
   /** Time of the last ping or capacity report; initially the time of the hello. */
   private reportedAt: number;
+  /** Whether the report was received on the newest link. */
+  private isReportCurrent = false;
 
   constructor(hello: ExecutorHello, now: number) {
     this.id = buildExecutorId(hello);
@@ -125,7 +127,7 @@
    */
   isReady(now: number, staleMs: number): boolean {
     if (!this.linked || this.isEmptied || now - this.lastReceivedAt > staleMs) return false;
-    return this.report?.state === 'ready';
+    return this.isReportCurrent && this.report?.state === 'ready';
   }
 
   /** Number of starts that the executor has not acknowledged. */
@@ -149,9 +151,13 @@
     return linkNumber !== undefined && this.linkNumber !== undefined && linkNumber < this.linkNumber;
   }
 
-  /** Resets the starts in flight and the released resources for a reopened link. */
+  /**
+   * Resets the starts in flight and the released resources for a reopened link. No task is sent before a report on
+   * that link, as another upstream may have replaced the one of the last report.
+   */
   reopen({ linkNumber }: ExecutorHello, now: number): void {
     this.linked = true;
+    this.isReportCurrent = false;
     this.linkNumber = linkNumber;
     this.lastReceivedAt = Math.max(this.lastReceivedAt, now);
     this.startsSent = 0;
@@ -185,6 +191,7 @@
     const isDown = report.state === 'silent' || report.state === 'absent';
     if (isDown && this.report?.state === 'ready') this.downAt = now;
     this.report = { upstream, service, labels, capacity, ...rest };
+    this.isReportCurrent = true;
     this.released = NO_RESOURCES;
     while (this.inFlight[0] && this.inFlight[0].number <= report.startsSeen) {
       const acknowledged = this.inFlight.shift();
