A stored capacity is a bound until the upstream has reported to this process

Cause, by trace: the write of the smaller capacity was given up after four tries in 2.8 s (upstream-not-remembered), and not taken up again when the store was back, as it counted as saved; the next process took the stored capacity for a report of the upstream itself (upstream-recalled, upstream-found with the earlier capacity, ready for work at once).

Change, one design for both: - A stored report opens the session, so that the upstream is fenced and joined as early as before, but gives no capacity to rely on. A dispatcher remembers what the earlier incarnation of the executor has reported, and its age, and says so in its welcome. The lower of the two holds, and only for 3 s after the earlier process last confirmed it: with the one interval between two reports that is the time after which a smaller capacity must be kept to. Then the upstream's own report counts. - What was only recalled is marked as such to dispatchers, so that a second restart does not make it fresh; so is an upstream that drains, whose capacity is not confirmed. - The predecessor of an incarnation under the same id still confirms nothing. - A report stays due until it is written, a later one replaces it or its incarnation is gone: pauses from 0.4 to 10 s, half at random, one call at a time. Loading is repeated likewise, until the upstream has reported. No write more in calm.

Ruled out: an upstream that reported late (the record shows its reports), and dispatchers that sent too much (the executor started it). A condition on the append was not taken: it makes the record right, but not the age of what it says.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -44,6 +44,18 @@
   readonly speed: number;
   /** Whether the executor prefers the addressed dispatcher; undefined for no. */
   readonly isHome?: boolean | undefined;
+  /** Whether the upstream has not reported its capacity to this process yet; undefined for no. */
+  readonly isRecalled?: boolean | undefined;
+  /** Whether the upstream itself drains, whatever the state of the executor; undefined for no. */
+  readonly isUpstreamDraining?: boolean | undefined;
+}
+
+/** Capacity of an upstream that an earlier incarnation of an executor has reported. */
+export interface EarlierCapacity {
+  readonly upstream: string;
+  readonly capacity: Resources;
+  /** Time since that incarnation last confirmed it, ms. */
+  readonly ageMs: number;
 }
 
 /** Progress of a running attempt. */
@@ -94,6 +106,8 @@
   readonly place: DispatcherPlace;
   /** As in a pong. */
   readonly lagMs?: number | undefined;
+  /** Undefined if no earlier incarnation of the executor is known. */
+  readonly earlierCapacity?: EarlierCapacity | undefined;
 }
 
 /** First message of a dispatcher that dials another one, to announce itself. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -49,8 +49,18 @@
     startsSeen: COUNT,
     speed: { type: 'number', minimum: 0 },
   },
-  { description: DESCRIPTION, isHome: { type: 'boolean' } },
+  {
+    description: DESCRIPTION,
+    isHome: { type: 'boolean' },
+    isRecalled: { type: 'boolean' },
+    isUpstreamDraining: { type: 'boolean' },
+  },
 );
+const EARLIER_CAPACITY = buildObject({
+  upstream: TEXT,
+  capacity: buildResources(RESOURCE_AMOUNT),
+  ageMs: { type: 'number', minimum: 0 },
+});
 const CRASHED = buildObject({
   job: TEXT,
   step: COUNT,
@@ -112,7 +122,10 @@
     },
     { takesBatches: { type: 'boolean' }, linkNumber: COUNT },
   ),
-  'entry-welcome': buildObject({ entry: TEXT, life: TEXT, place: PLACE }, { lagMs: COUNT }),
+  'entry-welcome': buildObject(
+    { entry: TEXT, life: TEXT, place: PLACE },
+    { lagMs: COUNT, earlierCapacity: EARLIER_CAPACITY },
+  ),
   'entry-hello': buildObject({ entry: TEXT, place: PLACE }),
   ping: buildObject(
     { at: FINITE, version: FINITE },
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -8,6 +8,7 @@
  */
 import { assertInvariant } from '../../_lib/assertInvariant.js';
 import type {
+  EarlierCapacity,
   ExecutorHello,
   AttemptName,
   AttemptProgress,
@@ -227,6 +228,11 @@
     return id;
   }
 
+  /** Finds the capacity that the latest earlier incarnation of an executor has reported. */
+  findEarlierCapacity(hello: ExecutorHello, now: number): EarlierCapacity | undefined {
+    return this.executors.findEarlierCapacity(hello, now);
+  }
+
   /** Handles a closed link. The tasks at the executor are kept until it links again or expires. */
   handleClose(executorId: string, reason: string, now: number): void {
     const executor = this.executors.find(executorId);
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -457,7 +457,9 @@
     if (hello.takesBatches === true) channel.allowBatches();
     const { place, incarnation } = this;
     const lagMs = this.findReportedLag(now);
-    channel.send({ type: 'entry-welcome', entry: this.settings.id, life: incarnation, place, lagMs });
+    const earlierCapacity = this.dispatcher.findEarlierCapacity(hello, now);
+    const names = { entry: this.settings.id, life: incarnation, place };
+    channel.send({ type: 'entry-welcome', ...names, lagMs, earlierCapacity });
     channel.send({ type: 'members', entries: [this.place, ...this.members.list(now)] });
     this.dispatcher.handleHello(hello, this.incarnation, now);
     this.notices.openExecutor(channel);
--- a/src/process/dispatcher/ExecutorTable.ts
+++ b/src/process/dispatcher/ExecutorTable.ts
@@ -1,5 +1,5 @@
 /** The executors of a dispatcher: their links, emptied failure domains and typical speed. */
-import type { ExecutorHello } from '../../connection/peer/peerMessages.js';
+import type { EarlierCapacity, ExecutorHello } from '../../connection/peer/peerMessages.js';
 import { ExecutorView, buildExecutorId } from './ExecutorView.js';
 
 /** Lower bound of the typical speed, so that time estimates stay finite. */
@@ -79,6 +79,20 @@
     );
   }
 
+  /**
+   * Finds the capacity that the upstream has reported to the latest other incarnation of an executor; undefined also
+   * if it drained.
+   */
+  findEarlierCapacity(hello: ExecutorHello, now: number): EarlierCapacity | undefined {
+    const id = buildExecutorId(hello);
+    const [latest] = this.list()
+      .filter((other) => other.processId === hello.agent && other.id !== id && other.hasReportedCapacity)
+      .sort((left, right) => left.findReportAge(now) - right.findReportAge(now));
+    if (!latest?.report || latest.report.isUpstreamDraining === true) return undefined;
+    const { upstream, capacity } = latest.report;
+    return { upstream, capacity, ageMs: latest.findReportAge(now) };
+  }
+
   /** Updates the typical speed from the reports of the executors. */
   updateSpeed(): void {
     this.medianSpeed = computeMedianSpeed(this.executors.values());
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -203,6 +203,16 @@
     this.reportedAt = now;
   }
 
+  /** Whether the upstream has reported its capacity to this incarnation of the executor. */
+  get hasReportedCapacity(): boolean {
+    return this.report !== undefined && this.report.state !== 'absent' && this.report.isRecalled !== true;
+  }
+
+  /** Time since the executor last reported or confirmed its capacity, ms. */
+  findReportAge(now: number): number {
+    return now - this.reportedAt;
+  }
+
   private recordTakenByOthers(taken: number, now: number): void {
     this.takenByOthers = this.takenByOthers * HISTORY_WEIGHT + taken;
     this.observedMs = this.observedMs * HISTORY_WEIGHT + (now - this.reportedAt);
--- a/src/process/executor/DispatcherLinks.ts
+++ b/src/process/executor/DispatcherLinks.ts
@@ -322,7 +322,7 @@
 
   private handleWelcome(
     link: DispatcherLink,
-    { life: incarnation, place, lagMs }: DispatcherWelcome,
+    { life: incarnation, place, lagMs, earlierCapacity }: DispatcherWelcome,
     now: number,
   ): void {
     const { address } = link;
@@ -333,7 +333,7 @@
     this.log('entry-linked', { address, life: incarnation, before });
     this.directory.recordMembers([{ ...place, address }], now);
     this.directory.recordAlive(address, now);
-    this.executor.handleWelcome(incarnation, link.openedAt, lagMs);
+    this.executor.handleWelcome(incarnation, link.openedAt, lagMs, earlierCapacity);
     if (link.retiringSince !== undefined) this.executor.setRetiring(incarnation, true);
     this.sendPing(link, now);
     this.sendMembers();
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../../_lib/Clock.js';
 import { buildTaskKey, OTHER_SUSPECT, UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import type {
+  EarlierCapacity,
   ExecutorHello,
   AttemptProgress,
   AttemptResult,
@@ -132,6 +133,16 @@
     this.incarnations.handleReport(report);
   }
 
+  /** Handles a report that an earlier process has stored. */
+  recall(report: UpstreamReport): void {
+    this.incarnations.recall(report);
+  }
+
+  /** Whether an incarnation of an upstream may still be running. */
+  hasOpenSession(name: string): boolean {
+    return this.incarnations.list().some((session) => session.name === name && !session.isSuperseded);
+  }
+
   /**
    * Handles a shutdown announcement of an upstream.
    *
@@ -148,8 +159,10 @@
    * @param dispatcher - incarnation of the dispatcher
    * @param openedAt - when the link was opened, monotonic ms
    * @param lagMs - how long ago the end of a caller's connection may have arrived that is not handled yet
+   * @param earlier - capacity that the dispatcher remembers from an earlier incarnation of this executor
    */
-  handleWelcome(dispatcher: string, openedAt: number, lagMs = 0): void {
+  handleWelcome(dispatcher: string, openedAt: number, lagMs = 0, earlier?: EarlierCapacity): void {
+    if (earlier) this.incarnations.handleEarlierCapacity(earlier, openedAt - lagMs);
     const liveness = this.recordLiveness(dispatcher, openedAt);
     // Stops of callers that left while an earlier link was down follow the welcome, and precede the first pong.
     if (liveness.handledUntil === -Infinity) liveness.handledUntil = openedAt - lagMs;
@@ -341,6 +354,8 @@
       trust: session.readHealth(),
       speed: roundSpeed(session.readSpeed()),
       isHome,
+      isRecalled: session.isDescribed ? undefined : true,
+      isUpstreamDraining: session.state === 'draining' ? true : undefined,
     };
   }
 
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -12,7 +12,7 @@
 import { LogRateLimiter } from '../LogRateLimiter.js';
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
-import { describeError, logFailure } from '../failures.js';
+import { logFailure } from '../failures.js';
 import { PauseGuard } from '../PauseGuard.js';
 import { fitResources } from '../../request/dispatch/resources.js';
 import type { Resources } from '../../request/dispatch/submission.js';
@@ -25,6 +25,7 @@
 import { DispatcherLinks } from './DispatcherLinks.js';
 import { buildExecutorMetrics } from './executorMetrics.js';
 import { isKnownService } from './isKnownService.js';
+import { StoredUpstream } from './StoredUpstream.js';
 
 /**
  * Interval of the timer that applies timeouts and sends due pings, ms; a single timer keeps wake-ups rare.
@@ -61,9 +62,8 @@
   private readonly rejectLogLimiter = new LogRateLimiter(REJECT_LINES_PER_S);
   /** Whether an upstream has sent a report since this process started. */
   private hasReport = false;
-  /** Incarnation and capacity of the upstream as last saved, for the next start of this process. */
-  private saved = '';
-  private saving: Promise<void> = Promise.resolve();
+  /** The upstream as stored for the next start of this process. */
+  private readonly stored: StoredUpstream;
   private leaving = false;
   private ticks = 0;
 
@@ -92,7 +92,7 @@
           this.links.sendResult(dispatcher, result);
         },
         sendCrashes: (dispatcher, notice) => this.links.sendCrashes(dispatcher, notice),
-        handleJoined: (report) => this.saveUpstream(report),
+        handleJoined: (report) => this.stored.save(report),
         handleChange: () => this.links.scheduleCapacityReports(),
         handleCapacityChange: (report, before) => this.handleCapacityChange(report, before),
         handleShareChange: () => this.metrics.increment('executor_parts_told'),
@@ -134,6 +134,11 @@
       cancelledMs,
     };
     const nextRandom = createRandom(Date.now() % 1_000_000);
+    this.stored = new StoredUpstream(ports.reportStore, settings.id, this.clock, {
+      isOpen: (name) => this.executor.hasOpenSession(name),
+      nextRandom,
+      warn: (event, fields) => this.logger.warn(event, fields),
+    });
     const log = (event: string, fields: LogFields): void => this.logDecision(event, fields);
     this.links = new DispatcherLinks(options, this.executor, this.clock, log, nextRandom);
   }
@@ -181,7 +186,7 @@
     await sleep(TICK_MS / 2);
     this.logger.info('stopped', { tasks: this.executor.load });
     this.metrics.stop();
-    this.ports.reportStore.stop();
+    this.stored.stop();
     this.links.stop();
     await this.ports.registry.stop();
     this.logger.flush();
@@ -211,43 +216,22 @@
   }
 
   /**
-   * Reports the new capacity to all dispatchers at once, and replaces the saved one, so that the next
+   * Reports the new capacity to all dispatchers at once, and replaces the stored one, so that the next
    * incarnation of this process does not start with the earlier capacity.
    */
   private handleCapacityChange(report: UpstreamReport, before: Resources): void {
     const direction = fitResources(before, report.capacity) ? 'grown' : 'shrunk';
     this.metrics.increment('executor_capacity_changes', { direction });
     this.links.sendCapacity();
-    if (this.saved.startsWith(buildIncarnationPrefix(report))) this.saveUpstream(report);
-  }
-
-  /**
-   * Saves an incarnation that has answered, for the next start of this process; a report alone may be
-   * outdated.
-   */
-  private saveUpstream(report: UpstreamReport): void {
-    const name = buildIncarnationName(report);
-    const key = buildSavedKey(report);
-    if (key === this.saved || report.isDraining) return;
-    this.saved = key;
-    const save = (): Promise<void> =>
-      this.ports.reportStore.save(this.settings.id, report).catch((error: unknown) => {
-        this.logger.warn('upstream-not-remembered', { upstream: name, error: describeError(error) });
-      });
-    // One at a time, so that a retried write of an earlier report does not replace a later one.
-    this.saving = this.saving.then(save);
+    this.stored.saveChange(report);
   }
 
-  /** Loads the upstream saved by an earlier process, as its next report may be more than a second away. */
+  /** Loads the upstream stored by an earlier process, as its next report may be more than a second away. */
   private async loadUpstream(): Promise<void> {
-    const report = await this.ports.reportStore.load(this.settings.id).catch((error: unknown) => {
-      this.logger.warn('upstream-not-recalled', { error: describeError(error) });
-      return undefined;
-    });
-    if (!report || this.hasReport || this.leaving || !this.isOfKnownService(report)) return;
-    this.saved = buildSavedKey(report);
+    const report = await this.stored.load(() => !this.hasReport && !this.leaving);
+    if (!report || !this.isOfKnownService(report)) return;
     this.logger.info('upstream-recalled', { upstream: buildIncarnationName(report) });
-    this.executor.handleReport({ ...report, clockMs: 0, sequence: -1 });
+    this.executor.recall(report);
   }
 
   private tick(): void {
@@ -258,12 +242,3 @@
     if (this.ticks % LINK_UPDATE_TICKS === 0) this.links.updateLinks();
   }
 }
-
-/** Builds a key of the saved properties, to detect changes. */
-function buildSavedKey(report: UpstreamReport): string {
-  return buildIncarnationPrefix(report) + JSON.stringify(report.capacity);
-}
-
-function buildIncarnationPrefix(report: UpstreamReport): string {
-  return `${buildIncarnationName(report)} `;
-}
--- /dev/null
+++ b/src/process/executor/KnownReport.ts
@@ -0,0 +1,83 @@
+/**
+ * What is known of one incarnation of an upstream: its newest report, and where that comes from. A report of another
+ * origin than the incarnation itself shows no capacity to be relied on, until one is confirmed.
+ */
+import type { UpstreamDescription } from '../../connection/peer/peerMessages.js';
+import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
+import { limitResources } from '../../request/dispatch/resources.js';
+import type { ConfirmedCapacity } from './EarlierCapacities.js';
+
+/**
+ * Origin of a report: the incarnation itself, the store of an earlier process, or the last report of the incarnation
+ * before, whose answers have shown this one.
+ */
+export type ReportOrigin = 'upstream' | 'store' | 'predecessor';
+
+/** Newest report of an incarnation. */
+export class KnownReport {
+  private currentDescription: UpstreamDescription;
+  /** Until when a capacity from the store is relied on, monotonic ms. */
+  private confirmedUntil = -Infinity;
+
+  /**
+   * @param current - first report
+   * @param origin - where it comes from
+   */
+  constructor(
+    private current: UpstreamReport,
+    private origin: ReportOrigin,
+  ) {
+    this.currentDescription = describeReport(current);
+  }
+
+  /** The report. */
+  get report(): UpstreamReport {
+    return this.current;
+  }
+
+  /** Description of the upstream for dispatchers; replaced by another object only when it changes. */
+  get description(): UpstreamDescription {
+    return this.currentDescription;
+  }
+
+  /** Whether the incarnation itself has sent the report. */
+  get isOwn(): boolean {
+    return this.origin === 'upstream';
+  }
+
+  /** Whether the capacity may be relied on. */
+  isCapacityKnown(now: number): boolean {
+    return this.isOwn || now < this.confirmedUntil;
+  }
+
+  /** Checks whether another report was sent before the newest one. */
+  isLaterThan(other: UpstreamReport): boolean {
+    return other.sequence < this.current.sequence;
+  }
+
+  /** Replaces the report by a later one that the incarnation itself has sent. */
+  replace(report: UpstreamReport): void {
+    this.current = report;
+    this.origin = 'upstream';
+    const description = describeReport(report);
+    if (JSON.stringify(description) !== JSON.stringify(this.currentDescription))
+      this.currentDescription = description;
+  }
+
+  /**
+   * Limits a capacity from the store to a confirmed one, to be relied on for a time.
+   *
+   * @returns whether the report is from the store; any other one is left as it is
+   */
+  confirm({ capacity, until }: ConfirmedCapacity): boolean {
+    if (this.origin !== 'store') return false;
+    this.current = { ...this.current, capacity: limitResources(this.current.capacity, capacity) };
+    this.currentDescription = describeReport(this.current);
+    this.confirmedUntil = until;
+    return true;
+  }
+}
+
+function describeReport({ id, service, labels, capacity }: UpstreamReport): UpstreamDescription {
+  return { upstream: id, service, labels, capacity };
+}
--- a/src/process/executor/UpstreamIncarnations.test.ts
+++ b/src/process/executor/UpstreamIncarnations.test.ts
@@ -223,6 +223,64 @@
     expect(findOpen()).to.equal(undefined);
   });
 
+  describe('from the store', () => {
+    const askedAt = (): number => clock.now();
+
+    beforeEach(() => {
+      incarnations.handleLeave('u1', undefined);
+      restart();
+      joined.length = 0;
+    });
+
+    function confirm(cpuMilli: number, ageMs = 0): void {
+      const capacity = { ...UPSTREAM_CAPACITY, cpuMilli };
+      incarnations.handleEarlierCapacity({ upstream: 'u1', capacity, ageMs }, askedAt());
+    }
+
+    it('take no work until their capacity is confirmed, before or after they are recalled', async () => {
+      incarnations.recall(buildReport(upstream.bornAt, 9));
+      await advance(60);
+      expect(findOpen()?.state).to.equal('joining');
+      confirm(1_000);
+      expect([findOpen()?.state, findOpen()?.free.cpuMilli]).to.deep.equal(['ready', 1_000]);
+      findOpen()?.close('test');
+      await advance(20);
+      incarnations.recall(buildReport(upstream.bornAt, 9));
+      await advance(60);
+      expect([findOpen()?.state, findOpen()?.free.cpuMilli]).to.deep.equal(['ready', 1_000]);
+    });
+
+    it('take no more work once the confirmed capacity is old, until they report', async () => {
+      incarnations.recall(buildReport(upstream.bornAt, 9));
+      confirm(1_000, 2_000);
+      await advance(900);
+      expect(findOpen()?.state).to.equal('ready');
+      await advance(200);
+      expect(findOpen()?.state).to.equal('joining');
+      incarnations.handleReport(buildReport(upstream.bornAt, 1));
+      expect([findOpen()?.state, findOpen()?.free]).to.deep.equal(['ready', UPSTREAM_CAPACITY]);
+    });
+
+    it('are not saved again before they report', async () => {
+      incarnations.recall(buildReport(upstream.bornAt, 9));
+      confirm(1_000);
+      await advance(60);
+      expect(joined).to.deep.equal([]);
+      incarnations.handleReport(buildReport(upstream.bornAt, 1));
+      expect(joined).to.deep.equal([String(1_000)]);
+    });
+
+    it('take no work if another incarnation answers', async () => {
+      incarnations.recall(buildReport(BORN_MS, 9));
+      confirm(1_000);
+      await advance(200);
+      confirm(1_000);
+      await advance(200);
+      expect(findOpen()?.bornAt).to.equal(upstream.bornAt);
+      expect(findOpen()?.state).to.equal('joining');
+    });
+  });
+
   it('are identified by the id if no start time is reported', async () => {
     incarnations.handleLeave('u1', undefined);
     restart();
--- a/src/process/executor/UpstreamIncarnations.ts
+++ b/src/process/executor/UpstreamIncarnations.ts
@@ -12,10 +12,13 @@
  * nothing unknown, or once no incarnation is reachable and all leases have expired.
  */
 import type { Clock } from '../../_lib/Clock.js';
+import type { EarlierCapacity } from '../../connection/peer/peerMessages.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import type { UpstreamApi } from '../../ports/UpstreamApi.js';
 import { buildIncarnationName } from './buildIncarnationName.js';
+import { EarlierCapacities } from './EarlierCapacities.js';
 import type { FencingTokens } from './FencingTokens.js';
+import type { ReportOrigin } from './KnownReport.js';
 import { UpstreamSession } from './UpstreamSession.js';
 import type { SessionBounds, SessionEvents } from './sessionEvents.js';
 
@@ -37,6 +40,7 @@
   private readonly sessions = new Map<string, UpstreamSession>();
   /** When each incarnation last sent a report. */
   private readonly reportedAt = new Map<string, number>();
+  private readonly earlierCapacities = new EarlierCapacities();
 
   /**
    * @param clock - clock of this process
@@ -64,7 +68,34 @@
     if (isSameEndpoint(report, known)) return this.updateDescription(known, report);
     if (known.isDescribed && known.isJoined) return this.skipReport(report, 'of another place');
     known.close('reported-elsewhere');
-    this.open(report, true);
+    this.open(report, 'upstream');
+  }
+
+  /**
+   * Opens a session with an incarnation that an earlier process has stored. It takes work once dispatchers have
+   * confirmed its capacity, which may have changed since, or once it reports to this process.
+   */
+  recall(report: UpstreamReport): void {
+    this.open({ ...report, clockMs: 0, sequence: UNREPORTED_SEQUENCE }, 'store');
+    this.confirmCapacities();
+  }
+
+  /**
+   * Handles the capacity that a dispatcher remembers from an earlier process.
+   *
+   * @param earlier - capacity and age
+   * @param askedAt - monotonic time at or before which the dispatcher measured the age, ms
+   */
+  handleEarlierCapacity(earlier: EarlierCapacity, askedAt: number): void {
+    this.earlierCapacities.record(earlier, askedAt, this.clock.now());
+    this.confirmCapacities();
+  }
+
+  private confirmCapacities(): void {
+    for (const session of this.list()) {
+      const confirmed = this.earlierCapacities.find(session.id, this.clock.now());
+      if (confirmed && !session.isDescribed) session.confirmCapacity(confirmed);
+    }
   }
 
   /**
@@ -104,21 +135,21 @@
   private handleNewIncarnation(report: UpstreamReport): void {
     const current = this.listIncarnations(report.id).find(({ isJoined }) => isJoined);
     if (current && isEarlier(report, current)) return this.skipReport(report, 'of an earlier life');
-    this.open(report, true);
+    this.open(report, 'upstream');
   }
 
-  private open(report: UpstreamReport, isDescribed: boolean): UpstreamSession {
+  private open(report: UpstreamReport, origin: ReportOrigin): UpstreamSession {
     const name = buildIncarnationName(report);
     const { clock, tokens, bounds } = this;
     const api = this.events.openApi(report);
     const events = this.buildSessionEvents(() => session);
-    const session = new UpstreamSession(report, isDescribed, api, clock, tokens, bounds, events);
+    const session = new UpstreamSession(report, origin, api, clock, tokens, bounds, events);
     // A superseded session of the same incarnation is closed, which finishes its tasks.
     this.sessions.get(name)?.close('superseded');
     this.sessions.set(name, session);
     this.reportedAt.set(name, clock.now());
     const { service, capacity, labels, isDraining } = report;
-    const fields = { upstream: name, service, capacity, labels, isDraining, isDescribed };
+    const fields = { upstream: name, service, capacity, labels, isDraining, origin };
     this.events.log('upstream-found', fields);
     void session.run().finally(() => this.removeClosed(session));
     return session;
@@ -155,7 +186,7 @@
     };
     const known = this.sessions.get(buildIncarnationName(report));
     const isOpen = known && !known.isClosed && !known.isSuperseded;
-    this.supersede(expected, isOpen ? known : this.open(report, false));
+    this.supersede(expected, isOpen ? known : this.open(report, 'predecessor'));
   }
 
   /**
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -28,7 +28,10 @@
 import type { Resources } from '../../request/dispatch/submission.js';
 import { buildIncarnationName } from './buildIncarnationName.js';
 import { findLossReason, isCrash } from './crashes.js';
+import type { ConfirmedCapacity } from './EarlierCapacities.js';
 import type { FencingTokens } from './FencingTokens.js';
+import { KnownReport } from './KnownReport.js';
+import type { ReportOrigin } from './KnownReport.js';
 import { createLocalTask, isAttempt, LOCAL_TASK_TABLE } from './localTask.js';
 import type { LocalEvent, LocalTask } from './localTask.js';
 import { RunHistory } from './RunHistory.js';
@@ -59,7 +62,7 @@
   private readonly orders: RunOrders;
   private readonly lists: RunLists;
   private readonly speedMeter: SpeedMeter;
-  private reportedDescription: UpstreamDescription;
+  private readonly known: KnownReport;
   private readonly healthMeter = new HealthMeter();
   private readonly runs = new RunHistory();
   private used: Resources = NO_RESOURCES;
@@ -73,8 +76,8 @@
 
   /**
    * @param report - first report of this incarnation
-   * @param described - whether the incarnation itself has sent the report; if not, it takes no work until it
-   *   sends one
+   * @param origin - where the report comes from; unless from the incarnation itself, it takes no work until its
+   *   capacity is confirmed or it sends a report
    * @param api - client of the upstream's API
    * @param clock - clock of this process
    * @param tokens - fencing tokens of this process
@@ -82,8 +85,8 @@
    * @param events - callbacks to the executor
    */
   constructor(
-    private report: UpstreamReport,
-    private described: boolean,
+    report: UpstreamReport,
+    origin: ReportOrigin,
     api: UpstreamApi,
     private readonly clock: Clock,
     tokens: FencingTokens,
@@ -118,7 +121,11 @@
       log: this.events.log,
     });
     this.speedMeter = createSpeedMeter(bounds.speedMeasure ?? 'mean', now);
-    this.reportedDescription = describeReport(report);
+    this.known = new KnownReport(report, origin);
+  }
+
+  private get report(): UpstreamReport {
+    return this.known.report;
   }
 
   get id(): string {
@@ -136,12 +143,12 @@
 
   /** Newest report of this incarnation. */
   get newestReport(): UpstreamReport {
-    return this.report;
+    return this.known.report;
   }
 
-  /** Whether this incarnation has sent a report. */
+  /** Whether this incarnation has sent a report to this process. */
   get isDescribed(): boolean {
-    return this.described;
+    return this.known.isOwn;
   }
 
   /** Whether this incarnation has answered and been fenced, and runs nothing unknown. */
@@ -165,7 +172,7 @@
 
   /** Description of the upstream for dispatchers; replaced by another object only when it changes. */
   get description(): UpstreamDescription {
-    return this.reportedDescription;
+    return this.known.description;
   }
 
   /** False once all leases have expired without an answer, until a renewal is granted. */
@@ -188,7 +195,7 @@
   get state(): UpstreamState {
     if (this.isOver || !this.reachable) return 'absent';
     if (this.report.isDraining || this.leaving) return 'draining';
-    if (!this.joined || !this.described) return 'joining';
+    if (!this.joined || !this.known.isCapacityKnown(this.clock.now())) return 'joining';
     return this.calls.isAnswering && !this.isReportedLimited ? 'ready' : 'silent';
   }
 
@@ -204,14 +211,10 @@
 
   /** Handles a report of the same incarnation; an older one is skipped. */
   update(report: UpstreamReport): void {
-    if (report.sequence < this.report.sequence) return this.logSkippedReport(report);
+    if (this.known.isLaterThan(report)) return this.logSkippedReport(report);
     const before = this.state;
     const { capacity } = this.report;
-    this.report = report;
-    this.described = true;
-    const description = describeReport(report);
-    if (JSON.stringify(description) !== JSON.stringify(this.reportedDescription))
-      this.reportedDescription = description;
+    this.known.replace(report);
     if (this.state !== before) {
       this.events.log('upstream-state', { upstream: this.name, state: this.state });
       if (this.state === 'draining') this.dropWaiting('draining');
@@ -220,6 +223,18 @@
     if (!equalResources(capacity, report.capacity)) this.applyCapacityChange(capacity);
   }
 
+  /**
+   * Limits a capacity from the store to what dispatchers have confirmed, and relies on it until then. A capacity of
+   * another origin is not affected.
+   */
+  confirmCapacity(confirmed: ConfirmedCapacity): void {
+    if (!this.known.confirm(confirmed)) return;
+    const forMs = Math.round(confirmed.until - this.clock.now());
+    this.events.log('capacity-confirmed', { upstream: this.name, capacity: this.report.capacity, forMs });
+    this.startWaitingTasks();
+    this.events.change();
+  }
+
   /** Applies a changed capacity: returns waiting tasks that no longer fit, and starts those that fit now. */
   private applyCapacityChange(before: Resources): void {
     const { capacity } = this.report;
@@ -579,7 +594,3 @@
     task.phase = stepMachine(LOCAL_TASK_TABLE, task.phase, event);
   }
 }
-
-function describeReport({ id, service, labels, capacity }: UpstreamReport): UpstreamDescription {
-  return { upstream: id, service, labels, capacity };
-}
--- a/src/request/dispatch/resources.ts
+++ b/src/request/dispatch/resources.ts
@@ -61,3 +61,20 @@
 export function equalResources(left: Resources, right: Resources): boolean {
   return left.cpuMilli === right.cpuMilli && left.memoryMb === right.memoryMb && left.gpus === right.gpus;
 }
+
+/**
+ * Finds the lower of two amounts of each resource.
+ *
+ * @param left - an amount
+ * @param right - another
+ * @returns the lower amount of each resource
+ * @example
+ * limitResources(capacity, NO_RESOURCES); // NO_RESOURCES
+ */
+export function limitResources(left: Resources, right: Resources): Resources {
+  return {
+    cpuMilli: Math.min(left.cpuMilli, right.cpuMilli),
+    memoryMb: Math.min(left.memoryMb, right.memoryMb),
+    gpus: Math.min(left.gpus, right.gpus),
+  };
+}
--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -38,6 +38,12 @@
   hidesRecords = false;
   /** Items added unchanged before the others to each page of newest records. */
   readonly strangeItems: unknown[] = [];
+  /** Number of following writes that are not answered and are carried out `lateMs` later. */
+  lateWrites = 0;
+  /** Delay of late writes, ms. */
+  lateMs = 0;
+  /** Number of writes to the system's own topics that were received. */
+  writes = 0;
   private readonly records: Buffer[] = [];
   /** Newest values of the system's own topics in base64, by partition and key. */
   private readonly systemTopics = new Map<string, Map<string, string>>();
@@ -101,13 +107,18 @@
   }
 
   protected override async handle(request: StandinRequest, response: ServerResponse): Promise<void> {
+    if (request.url.pathname === LOG_APPEND_PATH) this.writes += 1;
     if (this.fault === 'silent') return;
     if (this.fault === 'reset') return void response.destroy();
     if (this.fault === 'busy') return writeJson(response, 503, '{}');
     const { pathname, searchParams } = request.url;
     const topic = searchParams.get('topic') ?? '';
     const partition = `${topic}/${searchParams.get('part')}`;
-    if (pathname === LOG_APPEND_PATH) return this.append(partition, request.bytes, response);
+    if (pathname === LOG_APPEND_PATH && this.lateWrites > 0) return this.appendLate(partition, request.bytes);
+    if (pathname === LOG_APPEND_PATH) {
+      this.append(partition, request.bytes);
+      return writeJson(response, 200, JSON.stringify({ offset: 0, end: 1 }));
+    }
     if (pathname === LOG_NEWEST_PATH && topic !== OPERATOR_TOPIC) return this.sendKeys(partition, response);
     if (pathname === LOG_NEWEST_PATH) return this.sendNewest(response, searchParams.get('after'));
     if (pathname !== LOG_READ_PATH) return writeJson(response, 404, '{}');
@@ -118,12 +129,17 @@
     this.sendRecords(response, this.hidesRecords ? this.records.length : from);
   }
 
-  private append(partition: string, body: Buffer, response: ServerResponse): void {
+  private async appendLate(partition: string, body: Buffer): Promise<void> {
+    this.lateWrites -= 1;
+    await sleep(this.lateMs);
+    this.append(partition, body);
+  }
+
+  private append(partition: string, body: Buffer): void {
     const keyEnd = 5 + body.readUInt8(4);
     const keys = this.systemTopics.get(partition) ?? new Map<string, string>();
     keys.set(body.toString('utf8', 5, keyEnd), body.toString('base64', keyEnd));
     this.systemTopics.set(partition, keys);
-    writeJson(response, 200, JSON.stringify({ offset: 0, end: 1 }));
   }
 
   private sendKeys(partition: string, response: ServerResponse): void {
--- a/test/fakes/SessionFixture.ts
+++ b/test/fakes/SessionFixture.ts
@@ -20,7 +20,7 @@
   readonly tokens = new FencingTokens(FIRST_TOKEN, this.clock);
   readonly session = new UpstreamSession(
     buildUpstreamReport({ clockMs: this.upstream.clockMs }),
-    true,
+    'upstream',
     this.upstream,
     this.clock,
     this.tokens,
