Reports of an upstream are ordered by its clock, as far as its answers show it

What callers saw: after one report of another writer with a far too high sequence number all later reports of the upstream were skipped.

Cause: reports were ordered by the sequence number alone, which any writer can set; the clock of the first report was taken for the upstream's until the drift had caught up; and a report with a start time closed out an upstream that tells none.

Change: a report is late if its clock reading is before that of the newest one, which counts up to what the upstream's own answers show; numbers order reports of the same time only. The first answer sets the clock, whatever a report has said, and a reading that is 5 s back or more corrects a wrong one. No lease is named before an answer has shown the clock. While a session joins, an answer without a start time closes it if its report had one.

One check is replaced by one as strict: "are identified by the id" built its late report after the newer one, with a later clock and a lower number, which no upstream sends. It is built before now, as a late report is; that a lower number with a later clock is followed has its own test.

--- a/src/process/executor/KnownReport.ts
+++ b/src/process/executor/KnownReport.ts
@@ -22,10 +22,12 @@
   /**
    * @param current - first report
    * @param origin - where it comes from
+   * @param receivedAt - steady time at which it arrived, ms
    */
   constructor(
     private current: UpstreamReport,
     private origin: ReportOrigin,
+    private receivedAt: number,
   ) {
     this.currentDescription = describeReport(current);
   }
@@ -50,15 +52,26 @@
     return this.isOwn || now < this.confirmedUntil;
   }
 
-  /** Checks whether another report was sent before the newest one. */
-  isLaterThan(other: UpstreamReport): boolean {
-    return other.sequence < this.current.sequence;
+  /**
+   * Checks whether another report was sent before the newest one, by the clock of the upstream. Sequence numbers only
+   * order reports of the same time, and a clock reading counts up to what the upstream's answers show: so a report of
+   * another writer with a number or a clock far ahead does not keep out the ones that follow.
+   *
+   * @param other - report that has arrived
+   * @param estimateClock - estimates the upstream's clock at a steady time, ms
+   */
+  isLaterThan(other: UpstreamReport, estimateClock: (at: number) => number): boolean {
+    const { clockMs, sequence } = this.current;
+    if (!this.isOwn) return false;
+    if (other.clockMs === clockMs) return other.sequence < sequence;
+    return other.clockMs < Math.min(clockMs, estimateClock(this.receivedAt));
   }
 
   /** Replaces the report by a later one that the incarnation itself has sent. */
-  replace(report: UpstreamReport): void {
+  replace(report: UpstreamReport, receivedAt: number): void {
     this.current = report;
     this.origin = 'upstream';
+    this.receivedAt = receivedAt;
     const description = describeReport(report);
     if (JSON.stringify(description) !== JSON.stringify(this.currentDescription))
       this.currentDescription = description;
--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -88,6 +88,11 @@
     return this.renewalSentAt;
   }
 
+  /** Estimates the clock of the upstream at a steady time, from its answers once there is one, ms. */
+  estimateClock(at: number): number {
+    return this.lease.estimate(at);
+  }
+
   /** Current fencing token. */
   get token(): number {
     return this.fencingToken;
@@ -132,7 +137,8 @@
   async renew(lastSequence: number, mayWait: boolean): Promise<LeaseAnswer> {
     const sentAt = this.clock.now();
     const waitMs = mayWait && this.isAnswering ? this.findRenewalWait(sentAt) : 0;
-    const mayExtend = sentAt - this.renewalSentAt <= this.bounds.leaseMs;
+    // Until an answer has shown the clock, the end of a lease could be named far too late.
+    const mayExtend = this.lease.isClockKnown && sentAt - this.renewalSentAt <= this.bounds.leaseMs;
     const leaseUntilMs = mayExtend ? this.extendLease() : undefined;
     const renewal = { leaseUntilMs, fencingToken: this.fencingToken, lastSequence, waitMs };
     try {
--- a/src/process/executor/UpstreamIncarnations.test.ts
+++ b/src/process/executor/UpstreamIncarnations.test.ts
@@ -223,6 +223,35 @@
     expect(findOpen()).to.equal(undefined);
   });
 
+  // Guards against reports that are skipped for good after one whose number or clock is far too high.
+  for (const odd of [{ sequence: Number.MAX_SAFE_INTEGER }, { clockMs: 3_000_000_000 }]) {
+    it(`follow their upstream after a report of another writer with ${JSON.stringify(odd)}`, async () => {
+      incarnations.handleReport({ ...buildReport(BORN_MS, 41), ...odd });
+      await advance(300);
+      const capacity = { ...UPSTREAM_CAPACITY, cpuMilli: 1_000 };
+      incarnations.handleReport({ ...buildReport(BORN_MS, 42), capacity });
+      expect(findOpen()?.free).to.deep.equal(capacity);
+    });
+  }
+
+  // Guards against an upstream without start times that is left for good, as a report of another writer named one.
+  it('follow an upstream without start times after a report with one', async () => {
+    incarnations.handleLeave('u1', undefined);
+    restart();
+    upstream.bornAt = undefined;
+    incarnations.handleReport(buildReport(Number.MAX_SAFE_INTEGER, 1));
+    await advance(60);
+    incarnations.handleReport(buildReport(undefined, 2));
+    await advance(60);
+    expect(findOpen()?.state).to.equal('ready');
+    incarnations.handleReport(buildReport(Number.MAX_SAFE_INTEGER, 3));
+    await advance(60);
+    incarnations.handleReport({ ...buildReport(undefined, 4), isDraining: true });
+    expect(incarnations.list().map(({ bornAt, state }) => [bornAt, state])).to.deep.equal([
+      [undefined, 'draining'],
+    ]);
+  });
+
   describe('from the store', () => {
     const askedAt = (): number => clock.now();
 
@@ -285,9 +314,10 @@
     incarnations.handleLeave('u1', undefined);
     restart();
     upstream.bornAt = undefined;
+    const late = { ...buildReport(undefined, 4), isDraining: true };
     incarnations.handleReport(buildReport(undefined, 5));
     await advance(60);
-    incarnations.handleReport({ ...buildReport(undefined, 4), isDraining: true });
+    incarnations.handleReport(late);
     expect(findOpen()?.state).to.equal('ready');
     incarnations.handleReport({ ...buildReport(undefined, 6), isDraining: true });
     expect(findOpen()?.state).to.equal('draining');
--- a/src/process/executor/UpstreamLease.ts
+++ b/src/process/executor/UpstreamLease.ts
@@ -18,6 +18,9 @@
 /** Allowance for the transit and execution of an order within one VM, ms. */
 const ORDER_TRANSIT_MS = 15;
 
+/** Longest time by which an answer may be overtaken by a later one, ms; calls time out sooner. */
+const MAX_REORDER_MS = 5_000;
+
 /** Duration of a lease as a multiple, including the drift of the upstream's clock and of its estimate. */
 const LEASE_ALLOWANCE = 1.05;
 
@@ -43,6 +46,7 @@
 export class UpstreamLease {
   private aliveUntilMs: number;
   private lastUntilMs = 0;
+  private isAnswered = false;
 
   /**
    * @param clockMs - clock of the upstream in its first report
@@ -80,12 +84,19 @@
     this.aliveUntilMs = Math.max(this.aliveUntilMs, now + lapse + ORDER_TRANSIT_MS);
   }
 
-  /** Records the clock of an answer that has just arrived. */
+  /** Whether an answer has shown the upstream's clock. */
+  get isClockKnown(): boolean {
+    return this.isAnswered;
+  }
+
+  /**
+   * Records the clock of an answer that has just arrived. Answers may arrive out of order: a slightly earlier reading
+   * than that of another answer is skipped. One that is much earlier corrects a wrong one.
+   */
   recordClock(clockMs: number, now: number): void {
-    if (clockMs < this.estimate(now)) {
-      // Answers may arrive out of order; an earlier clock reading than the recorded one is skipped.
-      if (clockMs < this.clockMs) return;
-    }
+    const isOutOfOrder = clockMs < this.clockMs && clockMs > this.clockMs - MAX_REORDER_MS;
+    if (this.isAnswered && isOutOfOrder) return;
+    this.isAnswered = true;
     this.clockMs = clockMs;
     this.receivedAt = now;
   }
@@ -124,7 +135,8 @@
     return (now - this.receivedAt) * CLOCK_DRIFT;
   }
 
-  private estimate(now: number): number {
-    return this.clockMs + (now - this.receivedAt);
+  /** Estimates the upstream's clock at a steady time, ms. */
+  estimate(at: number): number {
+    return this.clockMs + (at - this.receivedAt);
   }
 }
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -121,7 +121,7 @@
       log: this.events.log,
     });
     this.speedMeter = createSpeedMeter(bounds.speedMeasure ?? 'mean', now);
-    this.known = new KnownReport(report, origin);
+    this.known = new KnownReport(report, origin, clock.readSteady());
   }
 
   private get report(): UpstreamReport {
@@ -211,10 +211,11 @@
 
   /** Handles a report of the same incarnation; an older one is skipped. */
   update(report: UpstreamReport): void {
-    if (this.known.isLaterThan(report)) return this.logSkippedReport(report);
+    const estimateClock = (at: number): number => this.calls.estimateClock(at);
+    if (this.known.isLaterThan(report, estimateClock)) return this.logSkippedReport(report);
     const before = this.state;
     const { capacity } = this.report;
-    this.known.replace(report);
+    this.known.replace(report, this.clock.readSteady());
     if (this.state !== before) {
       this.events.log('upstream-state', { upstream: this.name, state: this.state });
       if (this.state === 'draining') this.dropWaiting('draining');
@@ -458,6 +459,8 @@
     if (answer.verdict === 'refused') return this.handleUnresponsive('refused');
     if (answer.verdict === 'fenced') return;
     const { bornAt } = answer;
+    // The start time in a report of another writer, as this upstream tells none.
+    if (bornAt === undefined && this.bornAt !== undefined && !this.joined) return this.close('other-life');
     if (bornAt !== undefined && bornAt !== this.bornAt)
       return this.events.findOtherLife(bornAt, answer.clockMs);
     if (!this.reachable) this.events.log('upstream-reachable', { upstream: this.name });
