A number of an end that is far ahead counts once a second answer lists it

What callers saw: one answer of an upstream with an end numbered 1,000,000,000 took that upstream out of use for good: each later task was started again and again and never ended (run 13, 14, 15 of one task in the log), all jobs answered 504.

Cause: the number was acknowledged with the next renewal, so that the upstream forgot every end up to it before listing it, and the executor took the runs for stopped as they were in neither list.

Change: a step of over 1,000, twice what one answer lists, is applied and acknowledged when a second answer lists the same number; until then a task named there counts as listed. An upstream that has had many ends before costs one more renewal, with the first end after a restart of the executor.

--- a/src/process/executor/RunLists.ts
+++ b/src/process/executor/RunLists.ts
@@ -9,6 +9,12 @@
 import type { LocalTask } from './localTask.js';
 import type { RunHistory } from './RunHistory.js';
 
+/**
+ * Largest step between two numbers of ends that is taken at once, twice what one answer lists. An end with a higher
+ * number counts once a second answer lists it: acknowledging it would make the upstream forget all ends up to it.
+ */
+const MAX_STEP = 1_000;
+
 /** Callbacks to the session. */
 export interface RunListCallbacks {
   /** Called when the upstream has started a task. */
@@ -23,6 +29,8 @@
 /** Lists of one incarnation. */
 export class RunLists {
   private lastAppliedSequence = 0;
+  /** Ends of the newest answer whose numbers are too high to be taken at once. */
+  private pending: readonly EndedRun[] = [];
 
   /**
    * @param tasks - tasks that may run there, by key
@@ -65,14 +73,22 @@
     now: number,
     hadLapsed: boolean,
   ): number {
-    for (const ended of answer.ended) this.handleEnd(ended, now);
+    const listedBefore = new Set(this.pending.map(({ sequence }) => sequence));
+    this.pending = answer.ended.filter((ended) => !this.handleEnd(ended, listedBefore, now));
     const unknown = this.handleRunning(answer.running, sentAt, now);
-    this.handleMissing(answer.running, sentAt, hadLapsed);
+    this.handleMissing([...answer.running, ...this.pending], sentAt, hadLapsed);
     return unknown;
   }
 
-  private handleEnd(ended: EndedRun, now: number): void {
-    if (ended.sequence <= this.lastAppliedSequence) return;
+  /** Applies an end that is new; returns false if its number is too high as long as no second answer lists it. */
+  private handleEnd(ended: EndedRun, listedBefore: ReadonlySet<number>, now: number): boolean {
+    const step = ended.sequence - this.lastAppliedSequence;
+    if (step > MAX_STEP && !listedBefore.has(ended.sequence)) return false;
+    if (step > 0) this.applyEnd(ended, now);
+    return true;
+  }
+
+  private applyEnd(ended: EndedRun, now: number): void {
     this.lastAppliedSequence = ended.sequence;
     const key = buildTaskKey(ended.name);
     this.runs.record(key, ended.name.run);
@@ -112,8 +128,12 @@
    * listed. Once all leases have expired and a new token is accepted, a start sent before is refused, so that
    * a run that is not listed is over without its stop being accepted.
    */
-  private handleMissing(running: readonly RunningRun[], sentAt: number, hadLapsed: boolean): void {
-    const names = new Set(running.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
+  private handleMissing(
+    listed: readonly { readonly name: RunName }[],
+    sentAt: number,
+    hadLapsed: boolean,
+  ): void {
+    const names = new Set(listed.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
     for (const task of [...this.tasks.values()]) {
       if (names.has(`${task.key}/${task.run}`)) continue;
       const since = task.phase === 'stopping' ? task.stopAcceptedAt : task.confirmedAt;
