Odd values in messages, records and answers stay where they are read

What callers saw (oddEntries.test.ts on the code before): after a configuration record of version 2^53 - 1 no later one was ever in force, as none can be higher ("that the next configuration is in force did not hold in time").

Tests: each place where processes read what others may leave, on real processes: reports, stored reports, operators' records, answers of upstreams, links; each number at and past its limits, 1e400, odd ports, each field nested to the size limit.

Open: a version that later ones could follow, but far ahead (2^52), is adopted from a record or a peer.

--- a/bench/buildValidatorModules.ts
+++ b/bench/buildValidatorModules.ts
@@ -23,6 +23,9 @@
   readonly text: string;
 }
 
+/** Module whose messages are kept and passed on: only listed fields stay, and the first error is enough. */
+const PEER_MODULE = 'src/connection/peer/peerValidators.generated';
+
 const MODULES: Readonly<Record<string, Readonly<Record<string, object>>>> = {
   'platform/validators.generated': {
     validateJob: JOB_SCHEMA,
@@ -37,7 +40,7 @@
     validateNewestItem: NEWEST_ITEM_SCHEMA,
     validateRememberedReport: STORED_REPORT_SCHEMA,
   },
-  'src/connection/peer/peerValidators.generated': Object.fromEntries(
+  [PEER_MODULE]: Object.fromEntries(
     Object.entries(PEER_SCHEMAS).map(([type, schema]) => [buildValidatorName(type), schema]),
   ),
   'src/process/settings/dispatchValidator.generated': { validateDispatchSettings: DISPATCH_SCHEMA },
@@ -55,7 +58,8 @@
   const files: GeneratedFile[] = [];
   for (const [file, schemas] of Object.entries(MODULES)) {
     const ajv = new Ajv({
-      allErrors: true,
+      allErrors: file !== PEER_MODULE,
+      removeAdditional: file === PEER_MODULE ? 'all' : false,
       useDefaults: true,
       strictTuples: false,
       code: { source: true, esm: true },
--- a/src/connection/peer/parsePeerMessage.ts
+++ b/src/connection/peer/parsePeerMessage.ts
@@ -1,6 +1,7 @@
 import type { ValidateFunction } from 'ajv';
 
 import { listFindings, renderFindings } from '../../_lib/finding.js';
+import { isDialable } from '../isDialable.js';
 import type { WireMessage } from './peerMessages.js';
 import * as validators from './peerValidators.generated.js';
 
@@ -55,9 +56,15 @@
   if (typeof type !== 'string') return { message: undefined, problem: 'not a message' };
   if (!Object.hasOwn(VALIDATORS, type)) return { message: undefined, problem: '' };
   const validate = VALIDATORS[type as WireMessage['type']];
-  if (validate(value)) return { message: value as unknown as WireMessage, problem: '' };
+  if (validate(value)) return { message: dropUndialable(value as unknown as WireMessage), problem: '' };
   return {
     message: undefined,
     problem: `invalid ${type} message: ${renderFindings(listFindings(validate.errors))}`,
   };
 }
+
+/** Leaves out members that cannot be dialed: their sender may have heard of them elsewhere. */
+function dropUndialable(message: WireMessage): WireMessage {
+  if (message.type !== 'members') return message;
+  return { ...message, entries: message.entries.filter(({ address }) => isDialable(address)) };
+}
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -1,10 +1,16 @@
 /**
- * JSON schemas of the messages in `peerMessages.ts`. Fields that are not listed are ignored, so that newer
- * versions may add some. `bench/generateValidators.ts` generates the validators.
+ * JSON schemas of the messages in `peerMessages.ts`. Fields that are not listed are removed, so that newer versions may
+ * add some, and none of unknown form is kept or passed on. `bench/generateValidators.ts` generates the validators.
  */
 
+import { PORT_PATTERN } from '../portPattern.js';
+
 const TEXT = { type: 'string' } as const;
-const COUNT = { type: 'integer', minimum: 0 } as const;
+/** Largest count or version, far below the largest safe integer, so that later ones can follow. */
+const MAX_COUNT = 2 ** 52;
+const COUNT = { type: 'integer', minimum: 0, maximum: MAX_COUNT } as const;
+/** Version or revision; -1 for none. */
+const VERSION = { type: 'integer', minimum: -1, maximum: MAX_COUNT } as const;
 const AMOUNT = { type: 'integer', minimum: -1_000_000_000_000, maximum: 1_000_000_000_000 } as const;
 const RESOURCE_AMOUNT = { type: 'integer', minimum: 0, maximum: 1_000_000_000 } as const;
 const FINITE = { type: 'number' } as const;
@@ -12,7 +18,10 @@
 type Properties = Readonly<Record<string, unknown>>;
 
 /** Builds the schema of an object whose fields are required, except for those of `optional`. */
-function buildObject(properties: Properties, optional: Properties = {}): object {
+function buildObject(
+  properties: Properties,
+  optional: Properties = {},
+): { readonly properties: Properties } & Record<string, unknown> {
   return { type: 'object', required: Object.keys(properties), properties: { ...properties, ...optional } };
 }
 
@@ -26,7 +35,7 @@
 
 const NAME = buildObject({ job: TEXT, step: COUNT, index: COUNT, attempt: COUNT });
 const PLACE = buildObject({
-  address: { type: 'string', pattern: '^[0-9A-Za-z.\\-]+:[0-9]{1,5}$' },
+  address: { type: 'string', pattern: `^[0-9A-Za-z.\\-]+:${PORT_PATTERN}$` },
   failureDomain: TEXT,
 });
 const RESULT = buildObject({
@@ -108,8 +117,11 @@
   limits: buildObject({ maxBodyBytes: COUNT, headerTimeoutMs: COUNT, idleTimeoutMs: COUNT }),
 });
 
-/** Schemas by message type. */
-export const PEER_SCHEMAS: Readonly<Record<string, object>> = {
+/** Members that can't be dialed are left out by the parser, as they are not the sender's own. */
+const MEMBER = buildObject({ address: TEXT, failureDomain: TEXT });
+
+/** Schemas by message type, without the type itself. */
+const BODIES: Readonly<Record<string, { readonly properties: Properties }>> = {
   'agent-hello': buildObject(
     {
       agent: TEXT,
@@ -128,17 +140,17 @@
   ),
   'entry-hello': buildObject({ entry: TEXT, place: PLACE }),
   ping: buildObject(
-    { at: FINITE, version: FINITE },
-    { emptiedRevision: FINITE, echoMs: FINITE, room: ROOM, progress: buildList(PROGRESS) },
+    { at: FINITE, version: VERSION },
+    { emptiedRevision: VERSION, echoMs: FINITE, room: ROOM, progress: buildList(PROGRESS) },
   ),
   pong: buildObject(
     {
       at: FINITE,
-      version: FINITE,
+      version: VERSION,
       typicalSpeed: { type: 'number', minimum: 0 },
       isWaiting: { type: 'boolean' },
     },
-    { waitingCpuMilli: RESOURCE_AMOUNT, emptiedRevision: FINITE, lagMs: COUNT },
+    { waitingCpuMilli: RESOURCE_AMOUNT, emptiedRevision: VERSION, lagMs: COUNT },
   ),
   demand: buildObject({}, { waitingCpuMilli: RESOURCE_AMOUNT }),
   room: buildObject({ at: FINITE, room: ROOM }),
@@ -176,5 +188,13 @@
   'configuration-piece': buildObject({ version: COUNT, position: COUNT, length: COUNT, text: TEXT }),
   'emptied-request': buildObject({}),
   emptied: buildObject({ emptied: buildObject({ revision: COUNT, domains: buildList(TEXT) }) }),
-  members: buildObject({ entries: buildList(PLACE) }),
+  members: buildObject({ entries: buildList(MEMBER) }),
 };
+
+/** Schemas by message type. */
+export const PEER_SCHEMAS: Readonly<Record<string, object>> = Object.fromEntries(
+  Object.entries(BODIES).map(([type, body]) => [
+    type,
+    { ...body, properties: { type: TEXT, ...body.properties } },
+  ]),
+);
--- a/standins/protocol/RunnerStandin.ts
+++ b/standins/protocol/RunnerStandin.ts
@@ -101,6 +101,10 @@
   lostStops = 0;
   /** Faults of the following calls. */
   readonly callFaults = new CallFaults();
+  /** Texts sent in place of the next answers to lease renewals. */
+  readonly oddAnswers: string[] = [];
+  /** Whether its reports and answers name the start of an incarnation. */
+  tellsBirth = true;
   /** Whether heartbeats are omitted. */
   skipsHeartbeats = false;
   /** Reported capacity, thousandths of a core; undefined for the actual one. */
@@ -254,7 +258,10 @@
     const running = [...this.incarnation.running.values()].map(({ task, run, startedAt, workMs }) => {
       return [task, run, '', Math.min(99, Math.floor(((performance.now() - startedAt) / workMs) * 100)), 0];
     });
-    const { clockMs, born, ended } = this.incarnation;
+    const { clockMs, ended } = this.incarnation;
+    const born = this.tellsBirth ? this.incarnation.born : undefined;
+    const odd = this.oddAnswers.shift();
+    if (odd !== undefined) return sendJson(response, 200, odd);
     sendJson(response, 200, JSON.stringify({ clock_ms: clockMs, born, running, ended }));
   }
 
@@ -294,8 +301,20 @@
   private sendHeartbeat(): void {
     if (this.skipsHeartbeats) return;
     this.incarnation.beats += 1;
-    const { id, service, control, cpu } = this.identity;
-    const body = JSON.stringify({
+    const { id, control } = this.identity;
+    const body = JSON.stringify(this.buildHeartbeat());
+    const { host, port } = splitAddress(control);
+    const headers = { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)) };
+    const outgoing = sendRequest({ host, port, method: 'POST', path: `${HEARTBEAT_PREFIX}${id}`, headers });
+    outgoing.on('response', (incoming) => incoming.resume());
+    outgoing.on('error', () => undefined);
+    outgoing.end(body);
+  }
+
+  /** Builds the body of a heartbeat of this time. */
+  buildHeartbeat(): Record<string, unknown> {
+    const { service, cpu } = this.identity;
+    return {
       service,
       address: this.address,
       zone: 'x',
@@ -307,14 +326,8 @@
       labels: ['a', 'r1'],
       clock_ms: this.incarnation.clockMs,
       call_seq: this.incarnation.beats,
-      born: this.incarnation.born,
-    });
-    const { host, port } = splitAddress(control);
-    const headers = { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)) };
-    const outgoing = sendRequest({ host, port, method: 'POST', path: `${HEARTBEAT_PREFIX}${id}`, headers });
-    outgoing.on('response', (incoming) => incoming.resume());
-    outgoing.on('error', () => undefined);
-    outgoing.end(body);
+      born: this.tellsBirth ? this.incarnation.born : undefined,
+    };
   }
 }
 
--- a/standins/protocol/StoreStandin.ts
+++ b/standins/protocol/StoreStandin.ts
@@ -101,6 +101,12 @@
     return values.map((value) => Buffer.from(value, 'base64').toString());
   }
 
+  /** Replaces the newest value of each key of the system's own topics, as another writer. */
+  replaceKept(value: string): void {
+    for (const keys of this.systemTopics.values())
+      for (const key of keys.keys()) keys.set(key, Buffer.from(value).toString('base64'));
+  }
+
   /** Drops all records from the log; the newest value of each key stays. */
   compact(): void {
     this.first = this.records.length;
--- a/test/fakes/PlatformBench.ts
+++ b/test/fakes/PlatformBench.ts
@@ -27,6 +27,8 @@
 const SERVICE = 'service';
 const HOST = 'a.example';
 const TARGET_LATENCY_MS = 60;
+/** Time for which a link of a foreign peer stays open, ms. */
+const FOREIGN_LINK_MS = 400;
 /** Thousandths of a core that a task needs, and tasks that fit a runner. */
 const TASK_CPU = 1_000;
 const RUNNER_TASKS = 4;
@@ -298,10 +300,24 @@
 
   /** Sends a heartbeat to an executor as a foreign writer; returns the status of the answer. */
   async sendHeartbeat(executor: string, id: string, body: object): Promise<number> {
+    return this.sendReport(executor, `${HEARTBEAT_PREFIX}${id}`, JSON.stringify(body));
+  }
+
+  /** Sends any text to an executor as a foreign writer; returns the status of the answer. */
+  async sendReport(executor: string, path: string, text: string): Promise<number> {
     const headers = { 'content-type': 'application/json' };
-    const path = `${HEARTBEAT_PREFIX}${id}`;
-    const { control } = this.ports;
-    return (await send(findIp(executor), control, 'POST', path, JSON.stringify(body), headers)).status;
+    return (await send(findIp(executor), this.ports.control, 'POST', path, text, headers)).status;
+  }
+
+  /** Opens a link to a dispatcher as a foreign peer and sends lines; resolves when the link closes or after a while. */
+  async sendLines(id: string, lines: readonly string[]): Promise<void> {
+    const socket = connect(this.ports.link, findIp(id));
+    socket.on('error', () => undefined);
+    socket.resume();
+    socket.write(`${lines.join('\n')}\n`);
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    await Promise.race([closed, sleep(FOREIGN_LINK_MS)]);
+    socket.destroy();
   }
 
   /** Cancels a job. */
