--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -3,11 +3,9 @@
  * add some, and none of unknown form is kept or passed on. `bench/generateValidators.ts` generates the validators.
  */
 
-import { PORT_PATTERN } from '../portPattern.js';
+import { MAX_COUNT, PORT_PATTERN } from '../schemaBounds.js';
 
 const TEXT = { type: 'string' } as const;
-/** Largest count or version, far below the largest safe integer, so that later ones can follow. */
-const MAX_COUNT = 2 ** 52;
 const COUNT = { type: 'integer', minimum: 0, maximum: MAX_COUNT } as const;
 /** Version or revision; -1 for none. */
 const VERSION = { type: 'integer', minimum: -1, maximum: MAX_COUNT } as const;
