Two tests of a configuration whose version is far ahead, which fail

Versions that leave no room for later ones are rejected since; this one is not, as the highest version wins for good and nothing else orders configurations between processes.

--- a/test/oddEntries.test.ts
+++ b/test/oddEntries.test.ts
@@ -240,6 +240,50 @@
   });
 });
 
+/** Version far ahead of all others, which later ones could follow. */
+const FAR_VERSION = 1_000_000_000;
+/** Time within which a configuration of the store must be in force, ms. */
+const APPLY_MS = 2_000;
+
+describe('a configuration of another writer, of a version far ahead', function () {
+  this.timeout(60_000);
+  let bench: PlatformBench;
+
+  beforeEach(async () => {
+    bench = new PlatformBench(2, 1, TARGET_LATENCY_MS);
+    await bench.start();
+  });
+
+  afterEach(() => bench.stop());
+
+  async function checkNextInForce(): Promise<void> {
+    await sleep(1_000);
+    bench.putConfiguration(['/q/', '/r/']);
+    await sleep(APPLY_MS);
+    expect((await bench.get('entry-2', '/r/')).status).to.equal(200);
+    expect((await bench.submit('entry-2', 'after', 1, TASK_MS)).status).to.equal(200);
+  }
+
+  it('in the store does not keep out the next one', async () => {
+    bench.store.writeRecord('config', JSON.stringify({ version: FAR_VERSION, routes: [] }));
+    await checkNextInForce();
+  });
+
+  it('on a link does not keep out the next one of the store', async () => {
+    const place = { address: '127.0.0.1:9', failureDomain: 'x' };
+    const limits = { maxBodyBytes: 9_999, headerTimeoutMs: 999, idleTimeoutMs: 999 };
+    const messages = [
+      { type: 'entry-hello', entry: 'odd', place },
+      { type: 'configuration', configuration: { version: FAR_VERSION, routes: [], limits } },
+    ];
+    await bench.sendLines(
+      'entry-1',
+      messages.map((message) => JSON.stringify(message)),
+    );
+    await checkNextInForce();
+  });
+});
+
 /** Whether an odd message names a version that later ones could follow, and would be adopted as the newest. */
 function isPlausibleVersion(text: string): boolean {
   return /"(version|revision)":[0-9]{4,}/.test(text) && !/:(9007199254740991|9007199254740992)/.test(text);
