What a process sends on a link is accepted, and what cannot be read costs itself, not the link

Cause: the sum of what waits (waitingCpuMilli) exceeded what executors accept, and one field that cannot be read closed the link with all that it carries; the dialer began its back-off anew with each link that opened, so it was closed again some 50 ms later.

Change, at both ends: - Sums and ratios are bounded where they are built (waitingCpuMilli, speeds, ages), and so are lists (starts in a batch, tasks at an upstream, kept results, progress, members), so that no line is longer than a receiver takes. encodePeerMessage bounds each number to its schema before it is written, and reports what it had to change. - peerSchemas lists which parts of a message stand alone. An unreadable optional field or row of a list is left out, some fields are replaced, a message without what it needs is left out. A start that can be named goes back as not run. Each is logged (10 lines/s) and counted. Only the first message of a link closes it, and what is no message. - RedialBackoff: pauses grow while links close early for the same reason; the first two are free, as a network fault may reset several. - Settings: a host that no peer would accept in an address is rejected at the start.

Two tests that expected the link to close now expect that the row alone is left out and named, and all others arrive. The bound of the sum stays as it was, so executors of the version before accept it too. Ruled out: a larger bound in the schema, which an old executor would still reject, and no bound is large enough for a sum.

--- a/src/connection/peer/LineChannel.ts
+++ b/src/connection/peer/LineChannel.ts
@@ -4,12 +4,12 @@
 import { InvariantError } from '../../_lib/errors.js';
 import { ByteCollector } from '../input/ByteCollector.js';
 import type { InputAccount } from '../input/InputAccount.js';
+import { encodePeerMessage, MAX_LINE_BYTES } from './encodePeerMessage.js';
 import { listStarts, mergeStarts } from './mergeStarts.js';
+import type { FaultDirection, MessageFault } from './MessageFault.js';
 import { parsePeerMessage } from './parsePeerMessage.js';
-import type { PeerMessage } from './peerMessages.js';
+import type { PeerMessage, WireMessage } from './peerMessages.js';
 
-/** Longest incomplete line that is buffered, bytes. */
-const MAX_LINE_BYTES = 4 * 1024 * 1024;
 const LINE_BREAK = 0x0a;
 /** Maximum number of bytes buffered for a peer that does not read. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
@@ -20,6 +20,8 @@
   readonly close: (reason: string) => void;
   /** Called for all received data, also when no message is complete. */
   readonly receiveBytes?: () => void;
+  /** Called for each part of a message that was left out or changed, before the rest is received. */
+  readonly recordFault?: (fault: MessageFault, direction: FaultDirection) => void;
 }
 
 /** Sends and receives messages on a connection to a peer. */
@@ -70,7 +72,7 @@
     const messages = this.sendsBatches ? mergeStarts(this.outgoing) : this.outgoing;
     this.outgoing = [];
     let text = '';
-    for (const message of messages) text += `${JSON.stringify(message)}\n`;
+    for (const message of messages) text += this.encode(message);
     this.socket.write(text);
     if (this.socket.writableLength > MAX_UNSENT_BYTES) this.close('peer does not read');
   }
@@ -85,6 +87,13 @@
     this.events.close(reason);
   }
 
+  /** Encodes a message with its line break; empty for one that cannot be sent. */
+  private encode(message: WireMessage): string {
+    const { line, faults } = encodePeerMessage(message);
+    for (const fault of faults) this.events.recordFault?.(fault, 'sent');
+    return line === '' ? '' : `${line}\n`;
+  }
+
   private read(chunk: Buffer): void {
     if (this.closed) return;
     this.events.receiveBytes?.();
@@ -95,7 +104,8 @@
     this.keepIncomplete(chunk.subarray(end + 1));
     for (const line of lines) {
       if (this.closed) return;
-      const { message, problem } = parsePeerMessage(line);
+      const { message, faults, problem } = parsePeerMessage(line);
+      for (const fault of faults) this.events.recordFault?.(fault, 'received');
       if (message?.type === 'starts') for (const start of listStarts(message)) this.deliver(start);
       else if (message) this.deliver(message);
       else if (problem !== '') return this.close(problem);
--- a/src/connection/peer/PeerDialer.ts
+++ b/src/connection/peer/PeerDialer.ts
@@ -6,19 +6,20 @@
 import { splitAddress } from '../splitAddress.js';
 import { PongMonitor } from './PongMonitor.js';
 import { LineChannel } from './LineChannel.js';
+import type { FaultDirection, MessageFault } from './MessageFault.js';
 import type { PeerMessage } from './peerMessages.js';
+import { RedialBackoff } from './RedialBackoff.js';
 
 /** Timeout of a connection attempt, ms; an attempt across a partition gets no reply. */
 const DIAL_TIMEOUT_MS = 500;
-/** Bounds of the backoff between two attempts, before jitter, ms. */
-const MIN_RETRY_MS = 50;
-const MAX_RETRY_MS = 800;
 
 /** Callbacks of a dialer to its owner. */
 export interface DialerEvents {
   readonly open: (address: string, channel: LineChannel) => void;
   readonly receive: (address: string, message: PeerMessage) => void;
   readonly close: (address: string, reason: string) => void;
+  /** Called for each part of a message that was left out or changed. */
+  readonly recordFault?: (address: string, fault: MessageFault, direction: FaultDirection) => void;
 }
 
 interface DialedPeer {
@@ -26,7 +27,9 @@
   socket: Socket | undefined;
   /** Monitors the pongs of the peer over all its successive channels. */
   readonly pongs: PongMonitor;
-  retryMs: number;
+  readonly backoff: RedialBackoff;
+  /** Whether the next attempt follows at once. */
+  isRedialedAtOnce: boolean;
   timer: NodeJS.Timeout | undefined;
 }
 
@@ -60,7 +63,8 @@
       channel: undefined,
       socket: undefined,
       pongs: new PongMonitor(this.firstPongMs),
-      retryMs: MIN_RETRY_MS,
+      backoff: new RedialBackoff(),
+      isRedialedAtOnce: false,
       timer: undefined,
     };
     this.peers.set(address, peer);
@@ -74,7 +78,7 @@
   reconnect(address: string, reason: string): void {
     const peer = this.peers.get(address);
     if (!peer?.channel) return;
-    peer.retryMs = 0;
+    peer.isRedialedAtOnce = true;
     peer.channel.close(reason);
   }
 
@@ -143,6 +147,7 @@
     const fail = (): void => {
       if (!settle()) return;
       socket.destroy();
+      peer.backoff.recordFailed();
       this.scheduleDial(address, peer);
     };
     const timer = setTimeout(fail, DIAL_TIMEOUT_MS);
@@ -158,22 +163,24 @@
     const channel = new LineChannel(socket, {
       receiveBytes: () => peer.pongs.recordArrival(this.clock.now()),
       receive: (message) => this.events.receive(address, message),
+      recordFault: (fault, direction) => this.events.recordFault?.(address, fault, direction),
       close: (reason) => {
         peer.channel = undefined;
         this.events.close(address, reason);
+        if (!peer.isRedialedAtOnce) peer.backoff.recordClosed(reason, this.clock.now());
         if (this.peers.get(address) === peer) this.scheduleDial(address, peer);
       },
     });
     peer.channel = channel;
     peer.pongs.handleOpened();
-    peer.retryMs = MIN_RETRY_MS;
+    peer.backoff.recordOpened(this.clock.now());
     this.events.open(address, channel);
   }
 
   private scheduleDial(address: string, peer: DialedPeer): void {
     if (this.stopped || this.peers.get(address) !== peer) return;
-    const pause = peer.retryMs * (0.75 + 0.5 * this.nextRandom());
-    peer.retryMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, peer.retryMs * 2));
-    peer.timer = setTimeout(() => this.dial(address, peer), pause);
+    const pauseMs = peer.isRedialedAtOnce ? 0 : peer.backoff.computePauseMs(this.nextRandom());
+    peer.isRedialedAtOnce = false;
+    peer.timer = setTimeout(() => this.dial(address, peer), pauseMs);
   }
 }
--- a/src/connection/peer/PeerListener.ts
+++ b/src/connection/peer/PeerListener.ts
@@ -5,6 +5,7 @@
 import { LINK_LISTENER } from '../input/InputBudget.js';
 import type { InputGuard } from '../input/InputGuard.js';
 import { LineChannel } from './LineChannel.js';
+import type { FaultDirection, MessageFault } from './MessageFault.js';
 import type { PeerMessage } from './peerMessages.js';
 
 /** Timeout for the first message on an accepted connection, ms. */
@@ -24,6 +25,8 @@
 export interface ListenerEvents {
   readonly receive: (channel: LineChannel, message: PeerMessage) => void;
   readonly close: (channel: LineChannel, reason: string) => void;
+  /** Called for each part of a message that was left out or changed. */
+  readonly recordFault?: (fault: MessageFault, direction: FaultDirection) => void;
 }
 
 /** Server for channels that peers dial. */
@@ -81,6 +84,7 @@
           this.idleChecks.set(channel, 0);
           this.events.receive(channel, message);
         },
+        recordFault: (fault, direction) => this.events.recordFault?.(fault, direction),
         close: (reason) => {
           clearTimeout(timer);
           this.idleChecks.delete(channel);
--- a/src/connection/peer/mergeStarts.ts
+++ b/src/connection/peer/mergeStarts.ts
@@ -4,6 +4,9 @@
  */
 import type { PeerMessage, StartBatch, StartOrder, WireMessage } from './peerMessages.js';
 
+/** Most starts in one message, so that its length is bounded. */
+const MAX_BATCH_STARTS = 500;
+
 /**
  * Merges starts among the messages of a turn. No start is moved behind a later message.
  *
@@ -22,7 +25,7 @@
       slots.push(message);
       continue;
     }
-    const group = groups.find(([first]) => first !== undefined && canMerge(first, message));
+    const group = groups.find((starts) => canJoin(starts, message));
     if (group) {
       group.push(message);
       continue;
@@ -47,6 +50,11 @@
   });
 }
 
+function canJoin(starts: readonly StartOrder[], start: StartOrder): boolean {
+  const [first] = starts;
+  return first !== undefined && starts.length < MAX_BATCH_STARTS && canMerge(first, start);
+}
+
 /** Suspect tasks are sent separately, since a batch has no `isSuspect` field. */
 function canMerge(first: StartOrder, other: StartOrder): boolean {
   return (
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -1,17 +1,21 @@
 /**
  * JSON schemas of the messages in `peerMessages.ts`. Fields that are not listed are removed, so that newer versions may
  * add some, and none of unknown form is kept or passed on. `bench/generateValidators.ts` generates the validators.
+ *
+ * Each message lists which of its parts stand alone, so that one that cannot be read costs only itself.
  */
 
-import { MAX_COUNT, PORT_PATTERN } from '../schemaBounds.js';
+import { MAX_COUNT, MAX_RESOURCE_AMOUNT, PORT_PATTERN } from '../schemaBounds.js';
+import type { WireMessage } from './peerMessages.js';
 
 const TEXT = { type: 'string' } as const;
 const COUNT = { type: 'integer', minimum: 0, maximum: MAX_COUNT } as const;
 /** Version or revision; -1 for none. */
 const VERSION = { type: 'integer', minimum: -1, maximum: MAX_COUNT } as const;
 const AMOUNT = { type: 'integer', minimum: -1_000_000_000_000, maximum: 1_000_000_000_000 } as const;
-const RESOURCE_AMOUNT = { type: 'integer', minimum: 0, maximum: 1_000_000_000 } as const;
+const RESOURCE_AMOUNT = { type: 'integer', minimum: 0, maximum: MAX_RESOURCE_AMOUNT } as const;
 const FINITE = { type: 'number' } as const;
+const DURATION = { type: 'number', minimum: 0 } as const;
 
 type Properties = Readonly<Record<string, unknown>>;
 
@@ -31,15 +35,17 @@
   return { type: 'array', items };
 }
 
-const NAME = buildObject({ job: TEXT, step: COUNT, index: COUNT, attempt: COUNT });
+/** Schema of the name of an attempt. */
+export const NAME = buildObject({ job: TEXT, step: COUNT, index: COUNT, attempt: COUNT });
 const PLACE = buildObject({
   address: { type: 'string', pattern: `^[0-9A-Za-z.\\-]+:${PORT_PATTERN}$` },
   failureDomain: TEXT,
 });
+const ATTEMPT_END = { enum: ['done', 'failed', 'stopped', 'lost', 'not-run'] } as const;
 const RESULT = buildObject({
   type: { const: 'result' },
   name: NAME,
-  end: { enum: ['done', 'failed', 'stopped', 'lost', 'not-run'] },
+  end: ATTEMPT_END,
   reason: TEXT,
 });
 const DESCRIPTION = buildObject({
@@ -118,81 +124,123 @@
 /** Members that can't be dialed are left out by the parser, as they are not the sender's own. */
 const MEMBER = buildObject({ address: TEXT, failureDomain: TEXT });
 
-/** Schemas by message type, without the type itself. */
-const BODIES: Readonly<Record<string, { readonly properties: Properties }>> = {
-  'agent-hello': buildObject(
+/** Field that is replaced by a value when it cannot be read. */
+interface ReplaceableField {
+  readonly schema: object;
+  readonly replacement: unknown;
+}
+
+/** Schema of a message, by what an unreadable part of it costs. */
+export interface MessageSchema {
+  /** Fields without which the message has no meaning: it is left out. */
+  readonly required: Properties;
+  /** Fields that are left out. */
+  readonly optional: Properties;
+  /** Fields that are replaced. */
+  readonly replaceable: Readonly<Record<string, ReplaceableField>>;
+  /** Lists of which single rows are left out: schema of a row. One that may be absent is listed in `optional` too. */
+  readonly rows: Properties;
+}
+
+function buildMessage(required: Properties, parts: Partial<MessageSchema> = {}): MessageSchema {
+  return { optional: {}, replaceable: {}, rows: {}, ...parts, required };
+}
+
+const LIST = { type: 'array' } as const;
+/** Version or revision of a peer that is not known. */
+const UNKNOWN_VERSION = { schema: VERSION, replacement: -1 } as const;
+
+/** Schemas by message type. */
+export const MESSAGE_SCHEMAS: Readonly<Record<WireMessage['type'], MessageSchema>> = {
+  'agent-hello': buildMessage(
+    { agent: TEXT, life: TEXT, failureDomain: TEXT, entryLife: TEXT, orphanMs: DURATION },
     {
-      agent: TEXT,
-      life: TEXT,
-      failureDomain: TEXT,
-      holding: buildList(NAME),
-      entryLife: TEXT,
-      results: buildList(RESULT),
-      orphanMs: { type: 'number', minimum: 0 },
+      optional: { takesBatches: { type: 'boolean' }, linkNumber: COUNT },
+      rows: { holding: NAME, results: RESULT },
     },
-    { takesBatches: { type: 'boolean' }, linkNumber: COUNT },
   ),
-  'entry-welcome': buildObject(
+  'entry-welcome': buildMessage(
     { entry: TEXT, life: TEXT, place: PLACE },
-    { lagMs: COUNT, earlierCapacity: EARLIER_CAPACITY },
+    { optional: { lagMs: COUNT, earlierCapacity: EARLIER_CAPACITY } },
   ),
-  'entry-hello': buildObject({ entry: TEXT, place: PLACE }),
-  ping: buildObject(
-    { at: FINITE, version: VERSION },
-    { emptiedRevision: VERSION, echoMs: FINITE, room: ROOM, progress: buildList(PROGRESS) },
+  'entry-hello': buildMessage({ entry: TEXT, place: PLACE }),
+  ping: buildMessage(
+    { at: FINITE },
+    {
+      replaceable: { version: UNKNOWN_VERSION },
+      optional: { emptiedRevision: VERSION, echoMs: FINITE, room: ROOM, progress: LIST },
+      rows: { progress: PROGRESS },
+    },
   ),
-  pong: buildObject(
+  pong: buildMessage(
+    { at: FINITE },
     {
-      at: FINITE,
-      version: VERSION,
-      typicalSpeed: { type: 'number', minimum: 0 },
-      isWaiting: { type: 'boolean' },
+      replaceable: {
+        version: UNKNOWN_VERSION,
+        typicalSpeed: { schema: { type: 'number', minimum: 0 }, replacement: 1 },
+        isWaiting: { schema: { type: 'boolean' }, replacement: false },
+      },
+      optional: { waitingCpuMilli: RESOURCE_AMOUNT, emptiedRevision: VERSION, lagMs: COUNT },
     },
-    { waitingCpuMilli: RESOURCE_AMOUNT, emptiedRevision: VERSION, lagMs: COUNT },
   ),
-  demand: buildObject({}, { waitingCpuMilli: RESOURCE_AMOUNT }),
-  room: buildObject({ at: FINITE, room: ROOM }),
-  start: buildObject(
+  demand: buildMessage({}, { optional: { waitingCpuMilli: RESOURCE_AMOUNT } }),
+  room: buildMessage({ at: FINITE, room: ROOM }),
+  start: buildMessage(
     {
       name: NAME,
       service: TEXT,
       spec: TEXT,
       resources: buildResources(RESOURCE_AMOUNT),
-      estimateMs: { type: 'number', minimum: 0 },
+      estimateMs: DURATION,
       rank: FINITE,
       expiresAt: FINITE,
     },
-    { isSuspect: { type: 'boolean' } },
+    { optional: { isSuspect: { type: 'boolean' } } },
   ),
-  starts: buildObject({
-    job: TEXT,
-    service: TEXT,
-    spec: TEXT,
-    rank: FINITE,
-    expiresAt: FINITE,
-    tasks: buildList(START_TASK),
-  }),
-  stop: buildObject({ name: NAME }, { givenUpMs: { type: 'number', minimum: 0 } }),
-  result: RESULT,
-  crashes: buildObject({ tasks: buildList(CRASHED) }),
-  suspects: buildObject({ tasks: buildList(SUSPECT) }),
-  cancelled: buildObject({ jobs: buildList(CANCELLED) }),
-  'configuration-request': buildObject(
+  starts: buildMessage(
+    { job: TEXT, service: TEXT, spec: TEXT, rank: FINITE, expiresAt: FINITE },
+    { rows: { tasks: START_TASK } },
+  ),
+  stop: buildMessage({ name: NAME }, { optional: { givenUpMs: DURATION } }),
+  // Whatever the end was, the attempt is over.
+  result: buildMessage(
+    { name: NAME },
+    {
+      replaceable: {
+        end: { schema: ATTEMPT_END, replacement: 'lost' },
+        reason: { schema: TEXT, replacement: 'unreadable' },
+      },
+    },
+  ),
+  crashes: buildMessage({}, { rows: { tasks: CRASHED } }),
+  suspects: buildMessage({}, { rows: { tasks: SUSPECT } }),
+  cancelled: buildMessage({}, { rows: { jobs: CANCELLED } }),
+  'configuration-request': buildMessage(
     {},
-    { version: COUNT, position: COUNT, length: COUNT, isUrgent: { type: 'boolean' } },
+    { optional: { version: COUNT, position: COUNT, length: COUNT, isUrgent: { type: 'boolean' } } },
+  ),
+  configuration: buildMessage({ configuration: CONFIGURATION }),
+  'configuration-summary': buildMessage(
+    { version: COUNT },
+    { optional: { services: buildList(TEXT), length: COUNT } },
   ),
-  configuration: buildObject({ configuration: CONFIGURATION }),
-  'configuration-summary': buildObject({ version: COUNT }, { services: buildList(TEXT), length: COUNT }),
-  'configuration-piece': buildObject({ version: COUNT, position: COUNT, length: COUNT, text: TEXT }),
-  'emptied-request': buildObject({}),
-  emptied: buildObject({ emptied: buildObject({ revision: COUNT, domains: buildList(TEXT) }) }),
-  members: buildObject({ entries: buildList(MEMBER) }),
+  'configuration-piece': buildMessage({ version: COUNT, position: COUNT, length: COUNT, text: TEXT }),
+  'emptied-request': buildMessage({}),
+  emptied: buildMessage({ emptied: buildObject({ revision: COUNT, domains: buildList(TEXT) }) }),
+  members: buildMessage({}, { rows: { entries: MEMBER } }),
 };
 
-/** Schemas by message type. */
-export const PEER_SCHEMAS: Readonly<Record<string, object>> = Object.fromEntries(
-  Object.entries(BODIES).map(([type, body]) => [
-    type,
-    { ...body, properties: { type: TEXT, ...body.properties } },
-  ]),
-);
+/**
+ * Builds the schema that a message must match for any of it to be used; its other parts are not checked by it.
+ *
+ * @param schema - schema of the message
+ * @returns JSON schema of the whole message
+ */
+export function buildOuterSchema({ required, optional, replaceable, rows }: MessageSchema): object {
+  const lists = Object.keys(rows).filter((field) => !Object.hasOwn(optional, field));
+  const anyValue = [...Object.keys(optional), ...Object.keys(replaceable)].map((field) => [field, {}]);
+  return buildObject(
+    { type: TEXT, ...required, ...Object.fromEntries(lists.map((field) => [field, LIST])) },
+    Object.fromEntries(anyValue),
+  );
+}
--- a/src/connection/schemaBounds.ts
+++ b/src/connection/schemaBounds.ts
@@ -6,3 +6,6 @@
 
 /** Largest counter or version, far below the largest safe integer, so that later ones can follow. */
 export const MAX_COUNT = 2 ** 52;
+
+/** Largest amount of a resource that a task, an upstream or a sum may have. */
+export const MAX_RESOURCE_AMOUNT = 1_000_000_000;
--- a/src/process/MemberTable.ts
+++ b/src/process/MemberTable.ts
@@ -5,6 +5,8 @@
  */
 import type { DispatcherPlace } from '../connection/peer/peerMessages.js';
 
+/** Most dispatchers that are sent in one message. */
+export const MAX_MEMBERS_PER_MESSAGE = 1_000;
 /** Time after which an address that is no longer reported is removed, ms. */
 const EXPIRY_MS = 15_000;
 
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -19,6 +19,7 @@
   SuspectTask,
 } from '../../connection/peer/peerMessages.js';
 import { UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
+import { MAX_RESOURCE_AMOUNT } from '../../connection/schemaBounds.js';
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
 import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
 import { CancelledJobs } from '../CancelledJobs.js';
@@ -106,9 +107,9 @@
     return this.backlog.size;
   }
 
-  /** CPU required by the waiting tasks, thousandths of a core. */
+  /** CPU required by the waiting tasks, thousandths of a core; at most `MAX_RESOURCE_AMOUNT`. */
   get waitingCpuMilli(): number {
-    return this.backlog.sumCpuMilli();
+    return Math.min(MAX_RESOURCE_AMOUNT, this.backlog.sumCpuMilli());
   }
 
   /** Counts the waiting tasks by a property of their queue. */
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -14,12 +14,13 @@
 import { DroppedRoutes } from '../../version/DroppedRoutes.js';
 import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import { createDaemonClock } from '../createDaemonClock.js';
+import { createFaultReporter } from '../createFaultReporter.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
 import { createLogSink } from '../createLogSink.js';
 import { createLogger } from '../logger.js';
 import type { LogFields, ProcessLogger } from '../logger.js';
-import { MemberTable } from '../MemberTable.js';
+import { MAX_MEMBERS_PER_MESSAGE, MemberTable } from '../MemberTable.js';
 import { OperatorExchange } from '../OperatorExchange.js';
 import type { UpdateSource } from '../OperatorExchange.js';
 import { PauseGuard } from '../PauseGuard.js';
@@ -27,11 +28,11 @@
 import type { DispatchSettings } from '../settings/dispatchSettings.js';
 import { reportClosedInput } from '../reportClosedInput.js';
 import { startTimer } from '../startTimer.js';
-import { roundSpeed } from '../roundSpeed.js';
 import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { buildExecutorId } from './ExecutorView.js';
 import { AnswerLog } from './AnswerLog.js';
 import { DecisionLog } from './DecisionLog.js';
+import { DemandReporter } from './DemandReporter.js';
 import { CANCELLED, Dispatcher } from './Dispatcher.js';
 import { HeldSubmissions } from './HeldSubmissions.js';
 import { computeCriticalPathMs } from './dispatchJob.js';
@@ -106,12 +107,9 @@
   private readonly dispatcherChannels = new Set<LineChannel>();
   private leavingAt: number | undefined;
   private placementScheduled = false;
-  private demandSentAt = -Infinity;
+  private readonly demand: DemandReporter;
   private readonly held: HeldSubmissions;
   private readonly droppedRoutes: DroppedRoutes;
-  /** Links on which a pong has reported the demand; later pongs omit it while no task waits. */
-  private readonly demandReportedTo = new WeakSet<LineChannel>();
-  private readonly pingMs: number;
 
   constructor(
     private settings: DispatchSettings,
@@ -126,7 +124,6 @@
     const nextRandom = createRandom(Date.now() % 1_000_000);
     this.exchange = this.createExchange(nextRandom);
     const { pingMs, orphanAfterMs } = deriveDispatchTimes(settings);
-    this.pingMs = pingMs;
     const bounds = new JobBounds(settings);
     this.dispatcher = new Dispatcher(
       {
@@ -147,6 +144,7 @@
         recordOutcome: (job, outcome, now) => this.answers.recordOutcome(job, outcome, now),
       },
     );
+    this.demand = new DemandReporter(this.dispatcher, pingMs);
     this.droppedRoutes = new DroppedRoutes(settings.cancelledSeconds * SECOND_MS);
     this.held = new HeldSubmissions(
       () => this.hasCaughtUp(),
@@ -191,9 +189,13 @@
       this.held.applyPause(this.pauseGuard.findStaleTurns(this.clock.now()));
       if (gapMs > orphanAfterMs) this.dispatcher.endAll('paused', this.clock.now());
     });
+    const recordFault = createFaultReporter(this.logger, readNow, (labels) =>
+      this.metrics.increment('dispatcher_message_faults', labels),
+    );
     const events = {
       receive: (channel: LineChannel, message: PeerMessage) => this.receive(channel, message),
       close: (channel: LineChannel, reason: string) => this.closeChannel(channel, reason),
+      recordFault,
     };
     this.listener = new PeerListener(events, guard);
     this.peers = new DispatcherPeers(
@@ -204,6 +206,7 @@
         recordMembers: (dispatchers) => this.recordMembers(dispatchers, this.clock.now()),
         notices: this.notices,
         log: (event, fields) => this.logger.info(event, fields),
+        recordFault,
       },
       nextRandom,
     );
@@ -387,27 +390,18 @@
     });
   }
 
-  /** Requests immediate capacity reports while tasks wait, once a ping interval; pongs repeat the demand. */
+  /** Requests immediate capacity reports while tasks wait. */
   private sendDemand(now: number): void {
-    const isWaiting = this.dispatcher.waitingTasks > 0;
-    if (!isWaiting || now - this.demandSentAt < this.pingMs) return;
-    this.demandSentAt = now;
-    const { waitingCpuMilli } = this.dispatcher;
-    for (const channel of this.channels.values()) channel.send({ type: 'demand', waitingCpuMilli });
+    const notice = this.demand.takeNotice(now);
+    if (notice) for (const channel of this.channels.values()) channel.send(notice);
   }
 
   private receive(channel: LineChannel, message: PeerMessage): void {
     const now = this.clock.now();
     this.pauseGuard.update(now);
     if (message.type === 'ping') {
-      const typicalSpeed = roundSpeed(this.dispatcher.typicalSpeed);
-      const { versions } = this.exchange;
-      const isWaiting = this.dispatcher.waitingTasks > 0;
-      const needsDemand = isWaiting || !this.demandReportedTo.has(channel);
-      this.demandReportedTo.add(channel);
-      const waitingCpuMilli = needsDemand ? this.dispatcher.waitingCpuMilli : undefined;
-      const reply = { type: 'pong', at: message.at, ...versions, typicalSpeed, isWaiting } as const;
-      channel.send({ ...reply, waitingCpuMilli, lagMs: this.findReportedLag(now) });
+      const lagMs = this.findReportedLag(now);
+      channel.send(this.demand.buildPong(channel, message, this.exchange.versions, lagMs));
       this.exchange.compareVersions(message, channel, now);
     }
     this.handle(channel, message, now);
@@ -460,7 +454,8 @@
     const earlierCapacity = this.dispatcher.findEarlierCapacity(hello, now);
     const names = { entry: this.settings.id, life: incarnation, place };
     channel.send({ type: 'entry-welcome', ...names, lagMs, earlierCapacity });
-    channel.send({ type: 'members', entries: [this.place, ...this.members.list(now)] });
+    const members = this.members.list(now).slice(0, MAX_MEMBERS_PER_MESSAGE - 1);
+    channel.send({ type: 'members', entries: [this.place, ...members] });
     this.dispatcher.handleHello(hello, this.incarnation, now);
     this.notices.openExecutor(channel);
   }
@@ -526,7 +521,8 @@
 
   /** Sends members to executors. Executors pass on only the dispatchers that respond to them. */
   private sendMembers(dispatchers: readonly DispatcherPlace[]): void {
-    for (const channel of this.channels.values()) channel.send({ type: 'members', entries: dispatchers });
+    const entries = dispatchers.slice(0, MAX_MEMBERS_PER_MESSAGE);
+    for (const channel of this.channels.values()) channel.send({ type: 'members', entries });
   }
 
   private logDecision(event: string, fields: LogFields): void {
--- a/src/process/dispatcher/DispatcherPeers.test.ts
+++ b/src/process/dispatcher/DispatcherPeers.test.ts
@@ -57,6 +57,7 @@
       recordMembers: () => undefined,
       notices: { receive: () => false, open: () => undefined, close: () => undefined },
       log: (event: string) => void logged.push(event),
+      recordFault: () => undefined,
     };
     const options = { id: 'e1', place, linkPort };
     const exchange = new OperatorExchange({
--- a/src/process/dispatcher/DispatcherPeers.ts
+++ b/src/process/dispatcher/DispatcherPeers.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from '../../_lib/Clock.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
+import type { FaultDirection, MessageFault } from '../../connection/peer/MessageFault.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
 import type { DispatcherPlace, PeerMessage } from '../../connection/peer/peerMessages.js';
 import { splitAddress } from '../../connection/splitAddress.js';
@@ -36,6 +37,7 @@
   /** What the dispatchers tell each other of their jobs. */
   readonly notices: Pick<DispatcherNotices, 'open' | 'close' | 'receive'>;
   readonly log: (event: string, fields: LogFields) => void;
+  readonly recordFault: (fault: MessageFault, direction: FaultDirection) => void;
 }
 
 /** Links of one dispatcher to others. */
@@ -55,6 +57,8 @@
       open: (address: string, channel: LineChannel) => this.handleOpened(address, channel),
       receive: (address: string, message: PeerMessage) => this.receive(address, message),
       close: (address: string, reason: string) => this.handleClosed(address, reason),
+      recordFault: (_address: string, fault: MessageFault, direction: FaultDirection) =>
+        this.events.recordFault(fault, direction),
     };
     this.dialer = new PeerDialer(dialed, clock, nextRandom, FIRST_PONG_TIMEOUT_MS);
   }
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -210,7 +210,7 @@
 
   /** Time since the executor last reported or confirmed its capacity, ms. */
   findReportAge(now: number): number {
-    return now - this.reportedAt;
+    return Math.max(0, now - this.reportedAt);
   }
 
   private recordTakenByOthers(taken: number, now: number): void {
--- a/src/process/dispatcher/dispatcherMetrics.ts
+++ b/src/process/dispatcher/dispatcherMetrics.ts
@@ -100,6 +100,11 @@
       help: 'Accepted connections, without links',
       read: () => input.connections,
     },
+    dispatcher_message_faults: {
+      kind: 'counter',
+      help: 'Messages on links of which a part could not be read, or had to be bounded before it was sent',
+      labels: ['direction', 'type'],
+    },
     dispatcher_input_closed: {
       kind: 'counter',
       help: 'Connections closed because of a limit on input that is not admitted',
--- a/src/process/executor/DispatcherLinks.ts
+++ b/src/process/executor/DispatcherLinks.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../../_lib/Clock.js';
 import { ClockTimeline } from '../../_lib/Timeline.js';
 import type { LineChannel } from '../../connection/peer/LineChannel.js';
+import type { FaultDirection, MessageFault } from '../../connection/peer/MessageFault.js';
 import { PeerDialer } from '../../connection/peer/PeerDialer.js';
 import type {
   AttemptResult,
@@ -18,6 +19,7 @@
 import type { LogFields } from '../logger.js';
 import { CancellationExchange } from '../CancellationExchange.js';
 import { CancelledJobs } from '../CancelledJobs.js';
+import { MAX_MEMBERS_PER_MESSAGE } from '../MemberTable.js';
 import { OperatorExchange } from '../OperatorExchange.js';
 import type { EmptiedDomains } from '../../version/emptiedDomains.js';
 import type { Executor } from './Executor.js';
@@ -67,6 +69,12 @@
   readonly cancelledMs: number;
 }
 
+/** Records of events on the links. */
+export interface DispatcherLinkRecords {
+  readonly log: (event: string, fields: LogFields) => void;
+  readonly recordFault: (fault: MessageFault, direction: FaultDirection) => void;
+}
+
 interface DispatcherLink {
   readonly address: string;
   readonly channel: LineChannel;
@@ -103,20 +111,22 @@
     private readonly options: DispatcherLinksOptions,
     private readonly executor: Executor,
     private readonly clock: Clock,
-    private readonly log: (event: string, fields: LogFields) => void,
+    private readonly records: DispatcherLinkRecords,
     nextRandom: () => number,
   ) {
     this.directory = new DispatcherDirectory(options.executor, options.maxLinks, options.smallFleet);
     const { linkMbps } = options;
+    const { log } = records;
     this.cancelled = new CancelledJobs(log, options.cancelledMs);
     this.cancellations = new CancellationExchange(this.cancelled, new ClockTimeline(clock), log);
     this.exchange = new OperatorExchange(
       {
         changeConfiguration: () => undefined,
         changeEmptied: (emptied) => this.handleEmptied(emptied),
-        recordConfiguration: (version, before) => this.log('configuration-kept', { version, before }),
-        recordServices: (version, services) => this.log('services-known', { version, services }),
-        recordFault: (version, problem) => this.log('configuration-unavailable', { version, problem }),
+        recordConfiguration: (version, before) => this.records.log('configuration-kept', { version, before }),
+        recordServices: (version, services) => this.records.log('services-known', { version, services }),
+        recordFault: (version, problem) =>
+          this.records.log('configuration-unavailable', { version, problem }),
       },
       { usesRoutes: false, linkMbps, timeline: new ClockTimeline(clock), nextRandom },
     );
@@ -124,6 +134,8 @@
       open: (address: string, channel: LineChannel) => this.openLink(address, channel),
       receive: (address: string, message: PeerMessage) => this.receive(address, message),
       close: (address: string, reason: string) => this.closeLink(address, reason),
+      recordFault: (address: string, fault: MessageFault, direction: FaultDirection) =>
+        this.recordFault(address, fault, direction),
     };
     this.dialer = new PeerDialer(events, clock, nextRandom, FIRST_PONG_TIMEOUT_MS);
   }
@@ -217,8 +229,8 @@
 
   /** Sends the list of dispatchers that this executor has a working link to, on all links. */
   sendMembers(): void {
-    const dispatchers = this.directory.listAlive(this.clock.now());
-    for (const { channel } of this.links.values()) channel.send({ type: 'members', entries: dispatchers });
+    const entries = this.directory.listAlive(this.clock.now()).slice(0, MAX_MEMBERS_PER_MESSAGE);
+    for (const { channel } of this.links.values()) channel.send({ type: 'members', entries });
   }
 
   /** Closes all links. */
@@ -258,7 +270,7 @@
 
   private setRetiring(link: DispatcherLink, since: number | undefined): void {
     link.retiringSince = since;
-    this.log('entry-retiring', { address: link.address, retiring: since !== undefined });
+    this.records.log('entry-retiring', { address: link.address, retiring: since !== undefined });
     if (link.incarnation === '') return;
     this.executor.setRetiring(link.incarnation, since !== undefined);
     this.sendCapacityChange(link);
@@ -289,7 +301,7 @@
     if (link) this.cancellations.close(link.channel);
     const incarnation = link?.incarnation ?? '';
     const unresponsiveMs = Math.round(this.directory.findUnresponsiveTime(address, this.clock.now()));
-    this.log('entry-unlinked', {
+    this.records.log('entry-unlinked', {
       address,
       life: incarnation,
       reason,
@@ -298,6 +310,13 @@
     });
   }
 
+  /** Records a fault, and returns starts that could not be read. */
+  private recordFault(address: string, fault: MessageFault, direction: FaultDirection): void {
+    this.records.recordFault(fault, direction);
+    const incarnation = this.links.get(address)?.incarnation ?? '';
+    if (fault.starts && incarnation !== '') this.executor.handleUnreadableStarts(incarnation, fault);
+  }
+
   private receive(address: string, message: PeerMessage): void {
     const link = this.links.get(address);
     if (!link) return;
@@ -330,7 +349,7 @@
     if (before !== undefined && before !== incarnation) this.executor.handleDispatcherReplaced(before);
     this.incarnations.set(address, incarnation);
     link.incarnation = incarnation;
-    this.log('entry-linked', { address, life: incarnation, before });
+    this.records.log('entry-linked', { address, life: incarnation, before });
     this.directory.recordMembers([{ ...place, address }], now);
     this.directory.recordAlive(address, now);
     this.executor.handleWelcome(incarnation, link.openedAt, lagMs, earlierCapacity);
@@ -342,7 +361,7 @@
 
   private handleEmptied({ domains, revision }: EmptiedDomains): void {
     const isEmptied = domains.includes(this.options.failureDomain);
-    this.log('emptied-domains', { emptied: domains, revision, isEmptied });
+    this.records.log('emptied-domains', { emptied: domains, revision, isEmptied });
     this.executor.setEmptied(isEmptied);
   }
 
--- a/src/process/executor/Executor.test.ts
+++ b/src/process/executor/Executor.test.ts
@@ -7,6 +7,10 @@
   buildUpstreamReport,
   UPSTREAM_CAPACITY,
 } from '../../../test/fakes/upstreamFixtures.js';
+import { encodePeerMessage } from '../../connection/peer/encodePeerMessage.js';
+import { parsePeerMessage } from '../../connection/peer/parsePeerMessage.js';
+import type { PeerMessage } from '../../connection/peer/peerMessages.js';
+import { NO_RESOURCES } from '../../request/dispatch/resources.js';
 import { Executor } from './Executor.js';
 
 const VERSION = 7;
@@ -262,4 +266,49 @@
     report('u1', 3, { ...UPSTREAM_CAPACITY, cpuMilli: 1_000 });
     expect(changedCapacities).to.have.length(1);
   });
+
+  /** Checks that a receiver accepts a message as it was built. */
+  function checkAccepted(message: PeerMessage): void {
+    const { line, faults } = encodePeerMessage(message);
+    expect(faults, message.type).to.deep.equal([]);
+    expect(parsePeerMessage(line), message.type).to.deep.include({ faults: [], problem: '' });
+  }
+
+  // The attempts and results in the first message of a link would make it too long, so that each link is closed again.
+  it('builds only messages that dispatchers accept, however many tasks it is sent', async () => {
+    const job = '\u20ac'.repeat(128);
+    const resources = { cpuMilli: 0, memoryMb: 0, gpus: 0 };
+    upstream.taskMs = 1_000_000;
+    for (let index = 0; index < 10_000; index += 1) {
+      const name = { job, step: 2 ** 31, index, attempt: 2 ** 52 };
+      executor.handleStart(DISPATCHER, { ...ORDER, name, resources, estimateMs: 1e9, expiresAt: Infinity });
+    }
+    await clock.advance(300);
+    const hello = executor.buildHello(DISPATCHER);
+    expect(hello.holding).to.have.length(4_000);
+    expect(hello.results).to.have.length(2_500);
+    const ping = executor.buildPing(DISPATCHER, VERSION);
+    expect(ping.progress).to.have.length(500);
+    for (const message of [hello, ping, ...hello.results]) checkAccepted(message);
+  });
+
+  it('builds only messages that dispatchers accept, for tasks and a capacity of any size', async () => {
+    const largest = { cpuMilli: 1e9, memoryMb: 1e9, gpus: 1e9 };
+    for (const [sequence, capacity] of [largest, NO_RESOURCES].entries()) {
+      report('u1', sequence + 2, capacity);
+      for (const estimateMs of [Number.MIN_VALUE, 1e9])
+        executor.handleStart(DISPATCHER, buildStartOrder(sequence, { resources: largest, estimateMs }));
+      await clock.advance(200);
+      checkAccepted(executor.buildHello(DISPATCHER));
+      checkAccepted(executor.buildPing(DISPATCHER, VERSION));
+    }
+  });
+
+  it('returns starts that cannot be read, and counts them', () => {
+    const { name } = ORDER;
+    const fault = { type: 'starts', field: 'tasks', count: 3, problem: '', starts: [name] } as const;
+    executor.handleUnreadableStarts(DISPATCHER, fault);
+    expect(results).to.deep.equal(['not-run unreadable']);
+    expect(executor.buildPing(DISPATCHER, VERSION).room?.startsSeen).to.equal(3);
+  });
 });
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -6,6 +6,7 @@
  * frozen or partitioned dispatcher leaves no orphaned tasks.
  */
 import type { Clock } from '../../_lib/Clock.js';
+import type { MessageFault } from '../../connection/peer/MessageFault.js';
 import { buildTaskKey, OTHER_SUSPECT, UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import type {
   EarlierCapacity,
@@ -41,6 +42,13 @@
 
 /** Time for which results are kept, to be sent again on a new link, ms. */
 const RESULT_RETENTION_MS = 2_500;
+/**
+ * Most results that are kept for a dispatcher, most tasks that an upstream is given, and most rows of progress in a ping:
+ * they bound the length of messages. Tasks that need no resources fit in any number.
+ */
+const MAX_KEPT_RESULTS = 2_500;
+const MAX_UPSTREAM_TASKS = 4_000;
+const MAX_PROGRESS_ROWS = 500;
 /** Allowance for transit and event loop delay in the announced orphan timeout, ms. */
 const ORPHAN_MARGIN_MS = 60;
 /** Time without progress after which a task is reported as stalled, ms. */
@@ -289,6 +297,13 @@
     });
   }
 
+  /** Returns starts of a dispatcher that could not be read, as far as they could be named. */
+  handleUnreadableStarts(dispatcher: string, { count, starts = [] }: MessageFault): void {
+    this.findLiveness(dispatcher, -Infinity).startsSeen += count;
+    for (const name of starts)
+      this.sendResult(dispatcher, { type: 'result', name, end: 'not-run', reason: 'unreadable' });
+  }
+
   /** Handles the order of a dispatcher to stop an attempt; sends nothing if the attempt is not here. */
   handleStop(dispatcher: string, { name, givenUpMs = 0 }: StopOrder): void {
     const key = buildTaskKey(name);
@@ -409,6 +424,7 @@
         const stalledMs = Math.round(now - percentAt);
         if (phase !== 'running' || (!isSlow && stalledMs < STALL_MS)) continue;
         progress.push({ name: order.name, percent, stalledMs });
+        if (progress.length === MAX_PROGRESS_ROWS) return progress;
       }
     }
     return progress;
@@ -514,6 +530,7 @@
     const session = this.findSession();
     if (!session || session.state !== 'ready') return 'no-upstream';
     if (session.service !== order.service) return 'other-service';
+    if (session.load >= MAX_UPSTREAM_TASKS) return 'full';
     if (order.isSuspect && session.hasSuspect) return OTHER_SUSPECT;
     return session;
   }
@@ -570,8 +587,9 @@
     // The dispatcher counts the capacity of an ended attempt as free until the next report, so that one is
     // sent even if nothing has changed.
     liveness.reported = { ...liveness.reported, capacity: '' };
-    while (results[0] && now - results[0].at > RESULT_RETENTION_MS) results.shift();
     results.push({ at: now, result, crash });
+    while (results[0] && (now - results[0].at > RESULT_RETENTION_MS || results.length > MAX_KEPT_RESULTS))
+      results.shift();
     this.effects.sendResult(dispatcher, result);
   }
 }
--- a/src/process/executor/ExecutorDaemon.ts
+++ b/src/process/executor/ExecutorDaemon.ts
@@ -6,6 +6,7 @@
 import type { UpstreamReportStore } from '../../ports/UpstreamReportStore.js';
 import type { UpstreamRegistry, UpstreamReport } from '../../ports/UpstreamRegistry.js';
 import { createDaemonClock } from '../createDaemonClock.js';
+import { createFaultReporter } from '../createFaultReporter.js';
 import { createIncarnation } from '../createIncarnation.js';
 import { deriveDispatchTimes } from '../dispatchTimes.js';
 import { createLogSink } from '../createLogSink.js';
@@ -140,7 +141,12 @@
       warn: (event, fields) => this.logger.warn(event, fields),
     });
     const log = (event: string, fields: LogFields): void => this.logDecision(event, fields);
-    this.links = new DispatcherLinks(options, this.executor, this.clock, log, nextRandom);
+    const recordFault = createFaultReporter(
+      this.logger,
+      () => this.clock.now(),
+      (labels) => this.metrics.increment('executor_message_faults', labels),
+    );
+    this.links = new DispatcherLinks(options, this.executor, this.clock, { log, recordFault }, nextRandom);
   }
 
   /** Starts to listen for reports of the upstream and to connect to dispatchers. */
--- a/src/process/executor/executorMetrics.ts
+++ b/src/process/executor/executorMetrics.ts
@@ -61,6 +61,11 @@
       help: 'Accepted connections',
       read: () => input.connections,
     },
+    executor_message_faults: {
+      kind: 'counter',
+      help: 'Messages on links of which a part could not be read, or had to be bounded before it was sent',
+      labels: ['direction', 'type'],
+    },
     executor_input_closed: {
       kind: 'counter',
       help: 'Connections closed because of a limit on input that is not admitted',
--- a/src/process/settings/dispatchSchema.ts
+++ b/src/process/settings/dispatchSchema.ts
@@ -4,6 +4,8 @@
  */
 
 const PORT = { type: 'integer', minimum: 1, maximum: 65_535 } as const;
+/** Host as peers accept it in an address. */
+const HOST = { type: 'string', pattern: '^[0-9A-Za-z.\\-]+$' } as const;
 const ADDRESS = { type: 'string', pattern: '^[0-9A-Za-z.\\-]+:[0-9]+$' } as const;
 const OPTIONAL_ADDRESS = { type: 'string', pattern: '^([0-9A-Za-z.\\-]+:[0-9]+)?$', default: '' } as const;
 
@@ -17,8 +19,8 @@
     failureDomain: { type: 'string', pattern: '.', default: 'default' },
     failureDomains: { type: 'array', items: { type: 'string' }, default: [] },
     service: { type: 'string', default: '' },
-    address: { type: 'string', pattern: '.' },
-    advertisedAddress: { type: 'string', default: '' },
+    address: HOST,
+    advertisedAddress: { type: 'string', pattern: '^[0-9A-Za-z.\\-]*$', default: '' },
     linkPort: PORT,
     seeds: { type: 'array', items: ADDRESS, default: [] },
     maxLinks: { type: 'integer', minimum: 1, default: 3 },
