A job that no upstream could serve is refused at once, and keeps no other one back

Cause: Dispatcher.place passed over each task that needed as much CPU as the smallest that had found no executor, whatever that one lacked, a GPU, a label or another service; and nothing compared a need with what upstreams have at all.

Change: - UnplacedNeeds: within one pass, a task is passed over only if one of the same service that needs no more of any resource, and no label that it doesn't need, has found none. What 'never' rests on: what this dispatcher's upstreams have had within ten minutes, also before they shrank, drained or went, with their labels; executors tell the largest capacity, so a dispatcher that starts while upstreams have shrunk knows it too. For the first 5 s with a service nothing is refused for this, and what came before is reviewed then. - Refused before it is counted, so forecast, fair shares and demand don't see it.

Not covered: in a fleet of more dispatchers than smallFleet one sees a part of the executors; what only others have is refused here too, and its caller may come to another one.

--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -29,6 +29,8 @@
   readonly service: string;
   readonly labels: readonly string[];
   readonly capacity: Resources;
+  /** Largest amount of each resource that the upstream has had; undefined for `capacity`, and in earlier versions. */
+  readonly largest?: Resources | undefined;
 }
 
 /** State and free capacity of an executor's upstream. */
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -48,12 +48,10 @@
   end: ATTEMPT_END,
   reason: TEXT,
 });
-const DESCRIPTION = buildObject({
-  upstream: TEXT,
-  service: TEXT,
-  labels: buildList(TEXT),
-  capacity: buildResources(RESOURCE_AMOUNT),
-});
+const DESCRIPTION = buildObject(
+  { upstream: TEXT, service: TEXT, labels: buildList(TEXT), capacity: buildResources(RESOURCE_AMOUNT) },
+  { largest: buildResources(RESOURCE_AMOUNT) },
+);
 const ROOM = buildObject(
   {
     state: { enum: ['absent', 'joining', 'ready', 'silent', 'draining'] },
--- a/src/process/dispatcher/Dispatcher.ts
+++ b/src/process/dispatcher/Dispatcher.ts
@@ -21,7 +21,7 @@
 import { UPSTREAM_CRASHED } from '../../connection/peer/peerMessages.js';
 import { MAX_RESOURCE_AMOUNT } from '../../connection/schemaBounds.js';
 import type { Caller, JobState } from '../../ports/CallerGateway.js';
-import type { JobOutcome, JobSubmission } from '../../request/dispatch/submission.js';
+import type { JobOutcome, JobSubmission, Refusal } from '../../request/dispatch/submission.js';
 import { CancelledJobs } from '../CancelledJobs.js';
 import { CallerTimeoutAdmission, RETRY_AFTER_MS } from './Admission.js';
 import type { Admission } from './Admission.js';
@@ -30,25 +30,30 @@
 import { buildExecutorId } from './ExecutorView.js';
 import type { ExecutorView } from './ExecutorView.js';
 import { Backlog } from './Backlog.js';
-import { buildAttemptName, createDispatchJob, isOutstanding, transitionTask } from './dispatchJob.js';
+import { buildStartOrder } from './buildStartOrder.js';
+import {
+  buildAttemptKey,
+  buildAttemptName,
+  createDispatchJob,
+  isOutstanding,
+  transitionTask,
+} from './dispatchJob.js';
 import type { DispatchJob, DispatchTask } from './dispatchJob.js';
 import type { DispatchEffects, DispatchOptions } from './dispatchOptions.js';
+import { estimateStartBytes } from './estimateStartBytes.js';
 import { describeAttemptOver, describePlacedAgain, describePlacement } from './attemptLog.js';
 import { JobTable } from './JobTable.js';
 import { needsMove } from './needsMove.js';
 import type { Placement, PlacementContext } from './Placement.js';
 import type { CapacityView } from './CapacityForecast.js';
+import { CANCELLED, FULL } from './refusals.js';
 import { SUPERSEDED } from './Successors.js';
 import type { Submission } from './Successors.js';
 import { Suspects } from './Suspects.js';
+import { UnplacedNeeds } from './UnplacedNeeds.js';
 
 /** Time since the last message of an executor, in ping intervals, after which it is sent no new tasks. */
 const STALE_PING_INTERVALS = 2;
-/**
- * Validity of a start on the executor's clock, in ping intervals. It is shorter than the age of the last
- * acknowledged ping after which the executor stops the tasks of this dispatcher, which is 3 ping intervals.
- */
-const START_EXPIRY_PING_INTERVALS = 2.4;
 /** Pause in sending to an executor after it returned a start as not run, ms. */
 const REJECTION_PAUSE_MS = 4;
 /**
@@ -61,10 +66,6 @@
 /** Rank difference of one priority step, ms. */
 const PRIORITY_STEP_MS = 100;
 
-/** Bytes of a start without the job's spec, and of each further start of the job in the same message. */
-const START_BYTES = 250;
-const BATCHED_START_BYTES = 110;
-
 /** Dispatches the jobs of one entry VM. */
 export class Dispatcher {
   private readonly executors: ExecutorTable;
@@ -134,10 +135,7 @@
 
   /** Accepts a job, which is answered through `caller`. Refuses a job that has been cancelled. */
   submit(submission: JobSubmission, caller: Caller, now: number): void {
-    if (this.cancelled.has(submission.id)) {
-      this.effects.log('refuse', { job: submission.id, reason: CANCELLED.reason });
-      return caller.answer(CANCELLED);
-    }
+    if (this.cancelled.has(submission.id)) return this.refuse(submission, caller, CANCELLED);
     const findings = this.options.bounds.findExcess(submission);
     if (findings.length > 0) {
       this.effects.log('reject', { job: submission.id, findings });
@@ -287,25 +285,22 @@
     const context = this.buildContext(now);
     const executors = this.executors.list();
     let bytesInFlight = this.executors.sumBytesInFlight(now);
-    let smallestUnplaced = Infinity;
-    let smallestUnplacedSuspect = Infinity;
+    const unplaced = new UnplacedNeeds();
     for (const task of this.backlog.list(now, this.typicalSpeed)) {
-      const { cpuMilli } = task.need.resources;
-      if (cpuMilli >= smallestUnplaced) continue;
+      if (unplaced.covers(task)) continue;
       if (!this.options.window.canSend(bytesInFlight, now)) break;
       const isSuspect = this.suspects.has(task);
-      if (isSuspect && cpuMilli >= smallestUnplacedSuspect) continue;
+      if (isSuspect && unplaced.coversSuspect(task)) continue;
       const executor = this.findPlacement(isSuspect).choose(task, executors, context);
       if (executor) bytesInFlight += this.send(task, executor, now);
-      else if (task.need.requiredLabel !== '') continue;
-      else if (isSuspect) smallestUnplacedSuspect = cpuMilli;
-      else smallestUnplaced = cpuMilli;
+      else unplaced.record(task, isSuspect);
     }
     this.backlog.prune();
   }
 
   /** Handles timeouts: unresponsive executors and jobs that cannot be completed in time. */
   tick(now: number): void {
+    this.updateCapacities(now);
     this.executors.updateSpeed();
     this.suspects.tick(now);
     this.cancelled.tick(now);
@@ -340,10 +335,11 @@
   private admit({ submission, caller, deadlineAt }: Submission, now: number): void {
     const timing = { now, typicalSpeed: this.typicalSpeed, priorityStepMs: PRIORITY_STEP_MS };
     const patienceMs = deadlineAt - now;
+    const refusal = this.executors.capacities.findRefusal(submission, now);
+    if (refusal) return this.refuse(submission, caller, refusal);
     if (!this.options.bounds.take(submission)) {
       const { openJobs, openBytes } = this.options.bounds;
-      this.effects.log('refuse', { job: submission.id, reason: 'full', openJobs, openBytes });
-      return caller.answer({ kind: 'refused', reason: 'full', retryAfterMs: RETRY_AFTER_MS });
+      return this.refuse(submission, caller, FULL, { openJobs, openBytes });
     }
     const job = createDispatchJob({ ...submission, patienceMs }, caller, timing);
     this.jobs.add(job);
@@ -354,6 +350,29 @@
     this.reviewJob(job, this.buildCapacityView(now));
   }
 
+  /** Refuses a submission that is not admitted. */
+  private refuse(
+    { id }: JobSubmission,
+    caller: Caller,
+    refusal: Refusal,
+    figures: Readonly<Record<string, number>> = {},
+  ): void {
+    const { reason, findings } = refusal;
+    this.effects.log('refuse', { job: id, reason, ...(findings && { findings }), ...figures });
+    caller.answer(refusal);
+  }
+
+  /** Records the upstreams that are there, and refuses jobs that came before all of their service were known. */
+  private updateCapacities(now: number): void {
+    if (!this.executors.updateCapacities(now)) return;
+    const { capacities } = this.executors;
+    for (const job of this.jobs.list()) {
+      if (job.answered || job.offered) continue;
+      const refusal = capacities.findRefusal(job.submission, now);
+      if (refusal) this.endJob(job, refusal, now);
+    }
+  }
+
   /** Gives up a job that can no longer be completed in time. */
   private reviewJob(job: DispatchJob, view: CapacityView): void {
     const reason = job.answered ? undefined : this.admission.findReason(job, view);
@@ -371,9 +390,8 @@
 
   /** Sends a start, and returns its estimated size in bytes. */
   private send(task: DispatchTask, executor: ExecutorView, now: number): number {
-    const { job, need } = task;
-    const isBatched = job.lastExecutorId === executor.id && job.lastSentAt === now;
-    const bytes = isBatched ? BATCHED_START_BYTES : START_BYTES + job.submission.spec.length;
+    const { job } = task;
+    const bytes = estimateStartBytes(task, executor.id, now);
     transitionTask(task, 'send');
     this.attempts += 1;
     task.attempt = this.attempts;
@@ -385,14 +403,8 @@
     job.offered = true;
     job.lastExecutorId = executor.id;
     job.lastSentAt = now;
-    executor.reserve(need.resources, bytes);
-    const { spec, route } = job.submission;
-    const name = buildAttemptName(task);
-    const expiresAt = executor.estimateClock(now) + this.options.pingMs * START_EXPIRY_PING_INTERVALS;
-    const { resources, estimateMs } = need;
-    const rank = Math.round(job.rank - now);
-    const order = { name, service: route.service, spec, resources, estimateMs, rank, expiresAt };
-    this.effects.send(executor.id, { type: 'start', ...order, ...(task.isIsolated && { isSuspect: true }) });
+    executor.reserve(task.need.resources, bytes);
+    this.effects.send(executor.id, buildStartOrder(task, executor, now, this.options.pingMs));
     if (task.previous) this.effects.log('place-again', describePlacedAgain(task, task.previous, now));
     this.effects.log('place', describePlacement(task, executor, now));
     return bytes;
@@ -410,7 +422,10 @@
       task.previous = { attempt: task.attempt, executorId: task.executorId, end, reason, overAt: now };
     this.admission.recordEnded(task, end === 'done', now);
     if (end === 'not-run') this.backlog.recordReturned(task, now);
-    if (job.answered) return this.drop(task, now);
+    if (job.answered) {
+      transitionTask(task, 'drop');
+      return this.deleteIfFinished(job, now);
+    }
     if (end === 'done') return this.finishTask(task, now);
     if (end !== 'not-run') task.avoid.add(task.executorId);
     if (end === 'failed') task.failures += 1;
@@ -475,11 +490,6 @@
     this.effects.send(executorId, { type: 'stop', name, givenUpMs: Math.max(0, Math.ceil(givenUpMs)) });
   }
 
-  private drop(task: DispatchTask, now: number): void {
-    transitionTask(task, 'drop');
-    this.deleteIfFinished(task.job, now);
-  }
-
   private deleteIfFinished(job: DispatchJob, now: number): void {
     if (job.outstanding > 0) return;
     const successor = this.jobs.delete(job.id);
@@ -568,10 +578,3 @@
     }
   }
 }
-
-/** Answer to a submission of a job that has been cancelled. */
-export const CANCELLED = { kind: 'refused', reason: 'cancelled', retryAfterMs: undefined } as const;
-
-function buildAttemptKey({ job, step, index, attempt }: AttemptResult['name']): string {
-  return `${job}/${step}/${index}/${attempt}`;
-}
--- a/src/process/dispatcher/DispatcherDaemon.ts
+++ b/src/process/dispatcher/DispatcherDaemon.ts
@@ -33,7 +33,7 @@
 import { AnswerLog } from './AnswerLog.js';
 import { DecisionLog } from './DecisionLog.js';
 import { DemandReporter } from './DemandReporter.js';
-import { CANCELLED, Dispatcher } from './Dispatcher.js';
+import { Dispatcher } from './Dispatcher.js';
 import { HeldSubmissions } from './HeldSubmissions.js';
 import { computeCriticalPathMs } from './dispatchJob.js';
 import { buildDispatcherMetrics, describePriority } from './dispatcherMetrics.js';
@@ -41,6 +41,7 @@
 import { createPlacement } from './createPlacement.js';
 import { createSendWindow } from './createSendWindow.js';
 import { createTaskOrder } from './createTaskOrder.js';
+import { CANCELLED } from './refusals.js';
 import { DispatcherNotices } from './DispatcherNotices.js';
 import { DispatcherPeers } from './DispatcherPeers.js';
 
--- a/src/process/dispatcher/ExecutorTable.ts
+++ b/src/process/dispatcher/ExecutorTable.ts
@@ -1,9 +1,12 @@
 /** The executors of a dispatcher: their links, emptied failure domains and typical speed. */
 import type { EarlierCapacity, ExecutorHello } from '../../connection/peer/peerMessages.js';
 import { ExecutorView, buildExecutorId } from './ExecutorView.js';
+import { KnownCapacities } from './KnownCapacities.js';
 
 /** Lower bound of the typical speed, so that time estimates stay finite. */
 const MIN_TYPICAL_SPEED = 0.2;
+/** Interval at which the capacities of the upstreams are recorded, ms. */
+const CAPACITIES_INTERVAL_MS = 1_000;
 /** Age of the last message after which an unlinked executor is removed, ms. */
 const RETENTION_MS = 10_000;
 
@@ -13,6 +16,9 @@
   /** Failure domains in which no task is started. */
   private emptied: readonly string[] = [];
   private medianSpeed = 1;
+  /** What the upstreams have had of late. */
+  readonly capacities = new KnownCapacities();
+  private capacitiesUpdatedAt = -Infinity;
 
   /** @param staleMs - age of the last message after which an executor is sent no new tasks, ms */
   constructor(readonly staleMs: number) {}
@@ -93,6 +99,18 @@
     return { upstream, capacity, ageMs: latest.findReportAge(now) };
   }
 
+  /**
+   * Records the capacities that the upstreams have.
+   *
+   * @returns whether there are services of which all upstreams are known from now on
+   */
+  updateCapacities(now: number): boolean {
+    if (now - this.capacitiesUpdatedAt < CAPACITIES_INTERVAL_MS) return false;
+    this.capacitiesUpdatedAt = now;
+    for (const { report } of this.executors.values()) if (report) this.capacities.record(report, now);
+    return this.capacities.tick(now);
+  }
+
   /** Updates the typical speed from the reports of the executors. */
   updateSpeed(): void {
     this.medianSpeed = computeMedianSpeed(this.executors.values());
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -185,12 +185,12 @@
   recordCapacity(report: CapacityReport, now: number): void {
     const { description = this.report, ...rest } = report;
     if (!description) return;
-    const { upstream, service, labels, capacity } = description;
+    const { upstream, service, labels, capacity, largest } = description;
     const freeBefore = this.free.cpuMilli;
     const isComparable = this.report?.upstream === upstream && equalResources(this.report.capacity, capacity);
     const isDown = report.state === 'silent' || report.state === 'absent';
     if (isDown && this.report?.state === 'ready') this.downAt = now;
-    this.report = { upstream, service, labels, capacity, ...rest };
+    this.report = { upstream, service, labels, capacity, largest, ...rest };
     this.isReportCurrent = true;
     this.released = NO_RESOURCES;
     while (this.inFlight[0] && this.inFlight[0].number <= report.startsSeen) {
--- a/src/process/dispatcher/dispatchJob.ts
+++ b/src/process/dispatcher/dispatchJob.ts
@@ -110,6 +110,18 @@
   return { job: job.id, step, index, attempt };
 }
 
+/**
+ * Builds the key of an attempt.
+ *
+ * @param name - name of the attempt
+ * @returns a key that is unique to it in one incarnation of the dispatcher
+ * @example
+ * buildAttemptKey({ job: 'a', step: 0, index: 3, attempt: 7 }); // 'a/0/3/7'
+ */
+export function buildAttemptKey({ job, step, index, attempt }: AttemptName): string {
+  return `${job}/${step}/${index}/${attempt}`;
+}
+
 /**
  * Computes the critical path of a job.
  *
--- a/src/process/executor/KnownReport.ts
+++ b/src/process/executor/KnownReport.ts
@@ -4,7 +4,8 @@
  */
 import type { UpstreamDescription } from '../../connection/peer/peerMessages.js';
 import type { UpstreamReport } from '../../ports/UpstreamRegistry.js';
-import { limitResources } from '../../request/dispatch/resources.js';
+import { equalResources, limitResources, raiseResources } from '../../request/dispatch/resources.js';
+import type { Resources } from '../../request/dispatch/submission.js';
 import type { ConfirmedCapacity } from './EarlierCapacities.js';
 
 /**
@@ -16,6 +17,8 @@
 /** Newest report of an incarnation. */
 export class KnownReport {
   private currentDescription: UpstreamDescription;
+  /** Largest amount of each resource in its reports. */
+  private largest: Resources;
   /** Until when a capacity from the store is relied on, monotonic ms. */
   private confirmedUntil = -Infinity;
 
@@ -29,7 +32,8 @@
     private origin: ReportOrigin,
     private receivedAt: number,
   ) {
-    this.currentDescription = describeReport(current);
+    this.largest = current.capacity;
+    this.currentDescription = this.describe();
   }
 
   /** The report. */
@@ -72,7 +76,8 @@
     this.current = report;
     this.origin = 'upstream';
     this.receivedAt = receivedAt;
-    const description = describeReport(report);
+    this.largest = raiseResources(this.largest, report.capacity);
+    const description = this.describe();
     if (JSON.stringify(description) !== JSON.stringify(this.currentDescription))
       this.currentDescription = description;
   }
@@ -85,12 +90,14 @@
   confirm({ capacity, until }: ConfirmedCapacity): boolean {
     if (this.origin !== 'store') return false;
     this.current = { ...this.current, capacity: limitResources(this.current.capacity, capacity) };
-    this.currentDescription = describeReport(this.current);
+    this.currentDescription = this.describe();
     this.confirmedUntil = until;
     return true;
   }
-}
 
-function describeReport({ id, service, labels, capacity }: UpstreamReport): UpstreamDescription {
-  return { upstream: id, service, labels, capacity };
+  private describe(): UpstreamDescription {
+    const { id, service, labels, capacity } = this.current;
+    const largest = equalResources(this.largest, capacity) ? undefined : this.largest;
+    return { upstream: id, service, labels, capacity, largest };
+  }
 }
--- a/src/request/dispatch/resources.ts
+++ b/src/request/dispatch/resources.ts
@@ -62,6 +62,23 @@
   return left.cpuMilli === right.cpuMilli && left.memoryMb === right.memoryMb && left.gpus === right.gpus;
 }
 
+/**
+ * Finds the higher of two amounts of each resource.
+ *
+ * @param left - an amount
+ * @param right - another
+ * @returns the higher amount of each resource
+ * @example
+ * raiseResources(capacity, NO_RESOURCES); // capacity
+ */
+export function raiseResources(left: Resources, right: Resources): Resources {
+  return {
+    cpuMilli: Math.max(left.cpuMilli, right.cpuMilli),
+    memoryMb: Math.max(left.memoryMb, right.memoryMb),
+    gpus: Math.max(left.gpus, right.gpus),
+  };
+}
+
 /**
  * Finds the lower of two amounts of each resource.
  *
--- a/src/request/dispatch/submission.ts
+++ b/src/request/dispatch/submission.ts
@@ -36,6 +36,16 @@
   readonly patienceMs: number;
 }
 
+/** None of the job's tasks has run, or will run under this submission. */
+export interface Refusal {
+  readonly kind: 'refused';
+  readonly reason: string;
+  /** When the caller should submit it again; undefined for never. */
+  readonly retryAfterMs: number | undefined;
+  /** What of the job cannot be served; undefined if that is not the reason. */
+  readonly findings?: readonly Finding[];
+}
+
 /** Final outcome of a job. */
 export type JobOutcome =
   | { readonly kind: 'completed' }
@@ -47,8 +57,4 @@
    * The job exceeds the limits of a single job; none of its tasks has run, and it should not be resubmitted.
    */
   | { readonly kind: 'rejected'; readonly reason: string; readonly findings: readonly Finding[] }
-  /**
-   * None of the job's tasks has run, or will run under this submission. `retryAfterMs` is when the caller should
-   * submit it again; undefined for never.
-   */
-  | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number | undefined };
+  | Refusal;
