--- a/bench/buildValidatorModules.ts
+++ b/bench/buildValidatorModules.ts
@@ -5,6 +5,7 @@
   HEARTBEAT_SCHEMA,
   CONFIGURATION_SCHEMA,
   EVACUATION_SCHEMA,
+  ENDED_ROW_SCHEMA,
   HOLD_SCHEMA,
   JOB_SCHEMA,
   LEAVE_SCHEMA,
@@ -13,6 +14,7 @@
   ORDER_ANSWER_SCHEMA,
   STORED_REPORT_SCHEMA,
   ROUTE_SCHEMA,
+  RUNNING_ROW_SCHEMA,
 } from '../platform/wireSchemas.js';
 import { buildValidatorName } from '../src/connection/peer/buildValidatorName.js';
 import { buildOuterSchema, MESSAGE_SCHEMAS, NAME } from '../src/connection/peer/peerSchemas.js';
@@ -38,6 +40,8 @@
     validateLeave: LEAVE_SCHEMA,
     validateOrderAnswer: ORDER_ANSWER_SCHEMA,
     validateHold: HOLD_SCHEMA,
+    validateRunningRow: RUNNING_ROW_SCHEMA,
+    validateEndedRow: ENDED_ROW_SCHEMA,
     validateNewest: NEWEST_SCHEMA,
     validateNewestItem: NEWEST_ITEM_SCHEMA,
     validateRememberedReport: STORED_REPORT_SCHEMA,
--- a/src/ports/UpstreamApi.ts
+++ b/src/ports/UpstreamApi.ts
@@ -46,15 +46,16 @@
 /** A run in progress. */
 export interface RunningRun {
   readonly name: RunName;
-  /** Progress, 0 to 100. */
-  readonly percent: number;
+  /** Progress, 0 to 100; undefined if it could not be read. */
+  readonly percent: number | undefined;
 }
 
 /** A run that has ended. */
 export interface EndedRun {
   /** Rises by one with each run that ends in this incarnation of the upstream. */
   readonly sequence: number;
-  readonly name: RunName;
+  /** Undefined if it could not be read. */
+  readonly name: RunName | undefined;
   readonly end: RunEnd;
 }
 
@@ -78,6 +79,8 @@
       readonly bornAt: number | undefined;
       readonly running: readonly RunningRun[];
       readonly ended: readonly EndedRun[];
+      /** Number of rows in both lists that could not be read; undefined for none. */
+      readonly unreadable?: number;
     }
   | { readonly verdict: 'fenced'; readonly clockMs: number | undefined }
   | { readonly verdict: 'other-life' }
--- a/src/process/executor/RunLists.test.ts
+++ b/src/process/executor/RunLists.test.ts
@@ -76,4 +76,13 @@
     apply(ended);
     expect([ends, lists.lastSequence]).to.deep.equal([['0 done done', '1 done done'], FAR_AHEAD + 1]);
   });
+
+  // Guards against ends that are listed again and again, as the number of one that cannot be read is not acknowledged.
+  it('acknowledge the number of an end that cannot be read, and apply those behind it', () => {
+    const name = addRunning(0);
+    apply([{ sequence: 1, name: undefined, end: 'failed' }], [name]);
+    expect([ends, lists.lastSequence]).to.deep.equal([[], 1]);
+    apply([{ sequence: 2, name, end: 'done' }]);
+    expect([ends, lists.lastSequence]).to.deep.equal([['0 done done'], 2]);
+  });
 });
--- a/src/process/executor/RunLists.ts
+++ b/src/process/executor/RunLists.ts
@@ -5,6 +5,7 @@
 import type { AttemptEnd } from '../../connection/peer/peerMessages.js';
 import { buildTaskKey } from '../../connection/peer/peerMessages.js';
 import type { EndedRun, LeaseAnswer, RunName, RunningRun } from '../../ports/UpstreamApi.js';
+import { LogRateLimiter } from '../LogRateLimiter.js';
 import { convertRunEnd } from './convertRunEnd.js';
 import type { LocalTask } from './localTask.js';
 import type { RunHistory } from './RunHistory.js';
@@ -28,6 +29,7 @@
 
 /** Lists of one incarnation. */
 export class RunLists {
+  private readonly unreadableLimiter = new LogRateLimiter(1);
   private lastAppliedSequence = 0;
   /** Ends of the newest answer whose numbers are too high to be taken at once. */
   private pending: readonly EndedRun[] = [];
@@ -73,6 +75,7 @@
     now: number,
     hadLapsed: boolean,
   ): number {
+    this.reportUnreadable(answer.unreadable ?? 0, now);
     const listedBefore = new Set(this.pending.map(({ sequence }) => sequence));
     this.pending = answer.ended.filter((ended) => !this.handleEnd(ended, listedBefore, now));
     const unknown = this.handleRunning(answer.running, sentAt, now);
@@ -80,6 +83,14 @@
     return unknown;
   }
 
+  /** Reports rows that could not be read, once a second: the same one may be listed again and again. */
+  private reportUnreadable(rows: number, now: number): void {
+    if (rows === 0) return;
+    this.unreadableLimiter.writeLine(now, { rows }, (fields) =>
+      this.callbacks.log('rows-unreadable', fields),
+    );
+  }
+
   /** Applies an end that is new; returns false if its number is too high as long as no second answer lists it. */
   private handleEnd(ended: EndedRun, listedBefore: ReadonlySet<number>, now: number): boolean {
     const step = ended.sequence - this.lastAppliedSequence;
@@ -90,6 +101,7 @@
 
   private applyEnd(ended: EndedRun, now: number): void {
     this.lastAppliedSequence = ended.sequence;
+    if (!ended.name) return;
     const key = buildTaskKey(ended.name);
     this.runs.record(key, ended.name.run);
     const task = this.tasks.get(key);
@@ -106,7 +118,7 @@
       if (task && task.run === name.run) {
         if (task.phase === 'starting') this.callbacks.confirm(task, now);
         this.reviewStop(task, sentAt);
-        this.callbacks.recordProgress(task, percent, now);
+        if (percent !== undefined) this.callbacks.recordProgress(task, percent, now);
       } else {
         unknown += 1;
         this.runs.record(buildTaskKey(name), name.run);
@@ -129,11 +141,11 @@
    * a run that is not listed is over without its stop being accepted.
    */
   private handleMissing(
-    listed: readonly { readonly name: RunName }[],
+    listed: readonly { readonly name: RunName | undefined }[],
     sentAt: number,
     hadLapsed: boolean,
   ): void {
-    const names = new Set(listed.map(({ name }) => `${buildTaskKey(name)}/${name.run}`));
+    const names = new Set(listed.map(({ name }) => name && `${buildTaskKey(name)}/${name.run}`));
     for (const task of [...this.tasks.values()]) {
       if (names.has(`${task.key}/${task.run}`)) continue;
       const since = task.phase === 'stopping' ? task.stopAcceptedAt : task.confirmedAt;
