The capacity of a delayed report, or of one that is old by now, is not relied on after a restart

Cause: the first report of an upstream to a new process was taken whatever its clock says; and a dispatcher took the time of the last ping for the time of the upstream's last report, so that an upstream that has told nothing for long was confirmed all the same.

Change: - The first report of an incarnation to a process counts only if it is less than 1.5 s old by the clock that the upstream's answers show. One that comes before any answer is reviewed with the first.

Tests: KnownReport, and two of changingCapacity on real processes, which failed before.

--- a/src/connection/peer/encodePeerMessage.test.ts
+++ b/src/connection/peer/encodePeerMessage.test.ts
@@ -84,6 +84,7 @@
     emptiedRevision: orUndefined(EXTREME),
     room: orUndefined(ROOM),
     echoMs: orUndefined(EXTREME),
+    reportAgeMs: orUndefined(EXTREME),
     progress: orUndefined(fc.array(fc.record({ name: NAME, percent: EXTREME, stalledMs: EXTREME }))),
   }),
   pong: fc.record({
--- a/src/connection/peer/peerMessages.ts
+++ b/src/connection/peer/peerMessages.ts
@@ -131,6 +131,8 @@
   readonly room: CapacityReport | undefined;
   /** Latest round-trip time of a ping, ms; undefined before the first pong. Not sent by earlier versions. */
   readonly echoMs?: number | undefined;
+  /** Time since the upstream last reported its capacity, ms; undefined for a short time, and in earlier versions. */
+  readonly reportAgeMs?: number | undefined;
   /** Stalled or slow attempts; undefined for none. */
   readonly progress: readonly AttemptProgress[] | undefined;
 }
--- a/src/connection/peer/peerSchemas.ts
+++ b/src/connection/peer/peerSchemas.ts
@@ -166,7 +166,13 @@
     { at: FINITE },
     {
       replaceable: { version: UNKNOWN_VERSION },
-      optional: { emptiedRevision: VERSION, echoMs: FINITE, room: ROOM, progress: LIST },
+      optional: {
+        emptiedRevision: VERSION,
+        echoMs: FINITE,
+        reportAgeMs: DURATION,
+        room: ROOM,
+        progress: LIST,
+      },
       rows: { progress: PROGRESS },
     },
   ),
--- a/src/connection/peer/peerValidators.generated.d.ts
+++ b/src/connection/peer/peerValidators.generated.d.ts
@@ -14,6 +14,7 @@
 export declare const validatePingVersion: ValidateFunction;
 export declare const validatePingEmptiedRevision: ValidateFunction;
 export declare const validatePingEchoMs: ValidateFunction;
+export declare const validatePingReportAgeMs: ValidateFunction;
 export declare const validatePingRoom: ValidateFunction;
 export declare const validatePingProgress: ValidateFunction;
 export declare const validatePingProgressRow: ValidateFunction;
--- a/src/process/dispatcher/ExecutorView.ts
+++ b/src/process/dispatcher/ExecutorView.ts
@@ -93,6 +93,8 @@
   private observedMs = 0;
   /** Time of the last ping or capacity report; initially the time of the hello. */
   private reportedAt: number;
+  /** Age of the upstream's last report at the last ping, if that was long ago, ms. */
+  private reportAgeMs = 0;
   /** Whether the report was received on the newest link. */
   private isReportCurrent = false;
 
@@ -169,6 +171,7 @@
 
   /** Records a ping, which carries the executor's clock and possibly its capacity. */
   recordPing(ping: Ping, now: number): void {
+    this.reportAgeMs = ping.reportAgeMs ?? 0;
     this.lastReceivedAt = now;
     this.recordClock(ping.at, now);
     if (ping.room) this.recordCapacity(ping.room, now);
@@ -208,9 +211,9 @@
     return this.report !== undefined && this.report.state !== 'absent' && this.report.isRecalled !== true;
   }
 
-  /** Time since the executor last reported or confirmed its capacity, ms. */
+  /** Time since the capacity was last true, as far as the executor has told, ms. */
   findReportAge(now: number): number {
-    return Math.max(0, now - this.reportedAt);
+    return Math.max(0, now - this.reportedAt) + this.reportAgeMs;
   }
 
   private recordTakenByOthers(taken: number, now: number): void {
--- a/src/process/executor/Executor.test.ts
+++ b/src/process/executor/Executor.test.ts
@@ -66,6 +66,7 @@
       type: 'ping',
       at: clock.now(),
       version: VERSION,
+      reportAgeMs: undefined,
       room: undefined,
       progress: undefined,
     });
--- a/src/process/executor/Executor.ts
+++ b/src/process/executor/Executor.ts
@@ -51,6 +51,8 @@
 const MAX_PROGRESS_ROWS = 500;
 /** Allowance for transit and event loop delay in the announced orphan timeout, ms. */
 const ORPHAN_MARGIN_MS = 60;
+/** Time after which the next report of an upstream is late, ms. */
+const LATE_REPORT_MS = 2_000;
 /** Time without progress after which a task is reported as stalled, ms. */
 const STALL_MS = 150;
 /**
@@ -322,11 +324,18 @@
       type: 'ping',
       at,
       version,
+      reportAgeMs: this.findLateReportAge(),
       room: capacity,
       progress: progress.length > 0 ? progress : undefined,
     };
   }
 
+  /** Finds how long ago the upstream last reported its capacity, if that is longer than reports take. */
+  private findLateReportAge(): number | undefined {
+    const ageMs = Math.round(this.findSession()?.reportAgeMs ?? 0);
+    return ageMs < LATE_REPORT_MS ? undefined : ageMs;
+  }
+
   /**
    * Returns the capacity if it differs from the one last reported to a dispatcher, and records it as
    * reported.
--- a/src/process/executor/KnownReport.test.ts
+++ b/src/process/executor/KnownReport.test.ts
@@ -2,20 +2,19 @@
 
 import { buildUpstreamReport, UPSTREAM_CAPACITY } from '../../../test/fakes/upstreamFixtures.js';
 import { KnownReport } from './KnownReport.js';
+import type { UpstreamClock } from './KnownReport.js';
 
 /** Clock of the upstream at steady time 0, ms. */
 const CLOCK_MS = 500_000;
 const FAR_MS = 3_000_000_000;
 
-function estimateClock(at: number): number {
-  return CLOCK_MS + at;
-}
+const CLOCK: UpstreamClock = { isClockKnown: true, estimateClock: (at) => CLOCK_MS + at };
 
 describe('KnownReport', () => {
   it('tells late reports by the clock, and by the sequence number at the same time', () => {
     const known = new KnownReport(buildUpstreamReport({ clockMs: CLOCK_MS, sequence: 5 }), 'upstream', 1);
     const isLate = (clockMs: number, sequence: number): boolean =>
-      known.isLaterThan(buildUpstreamReport({ clockMs, sequence }), estimateClock);
+      known.supersedes(buildUpstreamReport({ clockMs, sequence }), 1_500, CLOCK);
     expect(isLate(CLOCK_MS - 1_500, 4)).to.equal(true);
     expect(isLate(CLOCK_MS, 4)).to.equal(true);
     expect(isLate(CLOCK_MS, 5)).to.equal(false);
@@ -27,7 +26,7 @@
     it(`follows the next reports after one with ${JSON.stringify(odd)}`, () => {
       const known = new KnownReport(buildUpstreamReport({ clockMs: CLOCK_MS, ...odd }), 'upstream', 0);
       const next = buildUpstreamReport({ clockMs: CLOCK_MS + 300, sequence: 2 });
-      expect(known.isLaterThan(next, estimateClock)).to.equal(false);
+      expect(known.supersedes(next, 300, CLOCK)).to.equal(false);
     });
   }
 
@@ -55,4 +54,34 @@
       expect(known.isCapacityKnown(0)).to.equal(origin === 'upstream');
     }
   });
+
+  // A heartbeat that was delayed while its executor restarted told a capacity that had shrunk since, and was believed.
+  it('passes over a delayed report while the incarnation has sent none to this process', () => {
+    const known = new KnownReport(buildUpstreamReport(), 'store', 0);
+    const isPassedOver = (clockMs: number, receivedAt: number): boolean =>
+      known.supersedes(buildUpstreamReport({ clockMs, sequence: 2 }), receivedAt, CLOCK);
+    expect(isPassedOver(CLOCK_MS - 2_000, 0)).to.equal(true);
+    expect(isPassedOver(CLOCK_MS - 2_000, 60)).to.equal(true);
+    expect(isPassedOver(CLOCK_MS - 500, 1_100)).to.equal(true);
+    expect(isPassedOver(CLOCK_MS + 1_000, 1_100)).to.equal(false);
+  });
+
+  it('takes the second of two reports that are always delayed by as much', () => {
+    const known = new KnownReport(buildUpstreamReport(), 'store', 0);
+    const isPassedOver = (clockMs: number, receivedAt: number): boolean =>
+      known.supersedes(buildUpstreamReport({ clockMs, sequence: 2 }), receivedAt, CLOCK);
+    expect(isPassedOver(CLOCK_MS - 9_000, 0)).to.equal(true);
+    expect(isPassedOver(CLOCK_MS - 7_400, 1_500)).to.equal(false);
+  });
+
+  it('takes no report for delayed before an answer has shown the clock, but reviews it then', () => {
+    const known = new KnownReport(buildUpstreamReport(), 'store', 0);
+    const late = buildUpstreamReport({ clockMs: CLOCK_MS - 4_000 });
+    expect(known.supersedes(late, 0, { ...CLOCK, isClockKnown: false })).to.equal(false);
+    known.replace(late, 0);
+    expect([known.isOwn, known.reviewDelay(CLOCK), known.isOwn]).to.deep.equal([true, true, false]);
+    expect(known.isCapacityKnown(1)).to.equal(false);
+    known.replace(buildUpstreamReport({ clockMs: CLOCK_MS + 10 }), 20);
+    expect([known.isOwn, known.reviewDelay(CLOCK)]).to.deep.equal([true, false]);
+  });
 });
--- a/src/process/executor/KnownReport.ts
+++ b/src/process/executor/KnownReport.ts
@@ -14,6 +14,28 @@
  */
 export type ReportOrigin = 'upstream' | 'store' | 'predecessor';
 
+/**
+ * Age of a report, by the clock of its upstream, from which it was delayed on its way, ms. The upstream waits a second for
+ * an answer, and may have sent others since.
+ */
+const DELAYED_MS = 1_500;
+/** Difference of the delays of two reports up to which they are the same, ms. */
+const SAME_DELAY_MS = 250;
+
+/** The clock of an upstream, as far as its answers show it. */
+export interface UpstreamClock {
+  /** Whether an answer has shown it. */
+  readonly isClockKnown: boolean;
+  /** Estimates it at a steady time, ms. */
+  readonly estimateClock: (at: number) => number;
+}
+
+/** A delayed report. */
+interface DelayedReport {
+  readonly clockMs: number;
+  readonly delayMs: number;
+}
+
 /** Newest report of an incarnation. */
 export class KnownReport {
   private currentDescription: UpstreamDescription;
@@ -21,6 +43,8 @@
   private largest: Resources;
   /** Until when a capacity from the store is relied on, monotonic ms. */
   private confirmedUntil = -Infinity;
+  /** Latest report that was delayed. */
+  private delayed: DelayedReport | undefined;
 
   /**
    * @param current - first report
@@ -51,24 +75,63 @@
     return this.origin === 'upstream';
   }
 
+  /** Finds how long ago it arrived, ms. */
+  findAge(now: number): number {
+    return now - this.receivedAt;
+  }
+
   /** Whether the capacity may be relied on. */
   isCapacityKnown(now: number): boolean {
     return this.isOwn || now < this.confirmedUntil;
   }
 
+  /**
+   * Checks whether a report that has arrived is passed over: it was sent before the newest one, or would be the first
+   * of the incarnation to this process and was delayed on its way.
+   *
+   * @param report - report that has arrived
+   * @param receivedAt - steady time at which it arrived, ms
+   * @param clock - the upstream's clock
+   */
+  supersedes(report: UpstreamReport, receivedAt: number, clock: UpstreamClock): boolean {
+    if (this.isOwn) return this.isLaterThan(report, clock);
+    return clock.isClockKnown && this.isDelayed(report, receivedAt, clock);
+  }
+
   /**
    * Checks whether another report was sent before the newest one, by the clock of the upstream. Sequence numbers only
    * order reports of the same time, and a clock reading counts up to what the upstream's answers show: so a report of
    * another writer with a number or a clock far ahead does not keep out the ones that follow.
-   *
-   * @param other - report that has arrived
-   * @param estimateClock - estimates the upstream's clock at a steady time, ms
    */
-  isLaterThan(other: UpstreamReport, estimateClock: (at: number) => number): boolean {
+  private isLaterThan(other: UpstreamReport, clock: UpstreamClock): boolean {
     const { clockMs, sequence } = this.current;
-    if (!this.isOwn) return false;
     if (other.clockMs === clockMs) return other.sequence < sequence;
-    return other.clockMs < Math.min(clockMs, estimateClock(this.receivedAt));
+    return other.clockMs < Math.min(clockMs, clock.estimateClock(this.receivedAt));
+  }
+
+  /**
+   * Checks whether a report shows what was true some time ago: another process may have received later ones. A second
+   * one with the same delay does not count, as reports may always take that long.
+   */
+  private isDelayed({ clockMs }: UpstreamReport, receivedAt: number, clock: UpstreamClock): boolean {
+    const delayMs = clock.estimateClock(receivedAt) - clockMs;
+    if (delayMs < DELAYED_MS) return false;
+    const { delayed } = this;
+    this.delayed = { clockMs, delayMs };
+    const isLater = delayed !== undefined && clockMs > delayed.clockMs;
+    return !isLater || Math.abs(delayMs - delayed.delayMs) > SAME_DELAY_MS;
+  }
+
+  /**
+   * Checks the first report once the upstream's answers show its clock: if it was delayed, its capacity is not relied on
+   * until it is confirmed or the next report arrives.
+   *
+   * @returns whether it was delayed
+   */
+  reviewDelay(clock: UpstreamClock): boolean {
+    if (!this.isOwn || !this.isDelayed(this.current, this.receivedAt, clock)) return false;
+    this.origin = 'store';
+    return true;
   }
 
   /** Replaces the report by a later one that the incarnation itself has sent. */
--- a/src/process/executor/UpstreamCalls.ts
+++ b/src/process/executor/UpstreamCalls.ts
@@ -93,6 +93,11 @@
     return this.lease.estimate(at);
   }
 
+  /** Whether an answer has shown the clock of the upstream. */
+  get isClockKnown(): boolean {
+    return this.lease.isClockKnown;
+  }
+
   /** Current fencing token. */
   get token(): number {
     return this.fencingToken;
--- a/src/process/executor/UpstreamSession.ts
+++ b/src/process/executor/UpstreamSession.ts
@@ -146,6 +146,11 @@
     return this.known.report;
   }
 
+  /** Time since the newest report arrived, ms. */
+  get reportAgeMs(): number {
+    return this.known.findAge(this.clock.readSteady());
+  }
+
   /** Whether this incarnation has sent a report to this process. */
   get isDescribed(): boolean {
     return this.known.isOwn;
@@ -211,11 +216,11 @@
 
   /** Handles a report of the same incarnation; an older one is skipped. */
   update(report: UpstreamReport): void {
-    const estimateClock = (at: number): number => this.calls.estimateClock(at);
-    if (this.known.isLaterThan(report, estimateClock)) return this.logSkippedReport(report);
+    const now = this.clock.readSteady();
+    if (this.known.supersedes(report, now, this.calls)) return this.logSkippedReport(report);
     const before = this.state;
     const { capacity } = this.report;
-    this.known.replace(report, this.clock.readSteady());
+    this.known.replace(report, now);
     if (this.state !== before) {
       this.events.log('upstream-state', { upstream: this.name, state: this.state });
       if (this.state === 'draining') this.dropWaiting('draining');
@@ -474,11 +479,9 @@
 
   private join(): void {
     this.joined = true;
-    this.events.log('upstream-joined', {
-      upstream: this.name,
-      token: this.calls.token,
-      service: this.service,
-    });
+    if (this.known.reviewDelay(this.calls)) this.logSkippedReport(this.report);
+    const { name: upstream, service } = this;
+    this.events.log('upstream-joined', { upstream, token: this.calls.token, service });
     this.events.join();
     this.events.change();
   }
--- a/test/changingCapacity.test.ts
+++ b/test/changingCapacity.test.ts
@@ -14,6 +14,9 @@
 const WIDE = 6;
 const TASK_MS = 150;
 
+/** Delay of a report, ms; longer than any that is not passed over. */
+const DELAY_MS = 2_500;
+
 describe('an upstream whose capacity changes', function () {
   this.timeout(120_000);
   let bench: PlatformBench;
@@ -159,4 +162,32 @@
     await bench.submit('entry-1', 'too-early', WIDE, TASK_MS, 1_500);
     expect(bench.starts.size).to.equal(0);
   });
+
+  // Guards against a report of an earlier capacity that was delayed while the executor restarted.
+  it('gets no task on a delayed report, if that is the first one after a restart', async () => {
+    const [runner] = bench.runners;
+    if (!runner) throw new Error('no upstream was started');
+    const delayed = runner.buildHeartbeat();
+    await reportCapacity(1);
+    await sleep(DELAY_MS);
+    await restartBesideSilentUpstream('SIGTERM');
+    const job = countConcurrent('restarted');
+    for (let sent = 0; sent < 20; sent += 1) {
+      await bench.sendHeartbeat('agent-1', 'i-1', delayed).catch(() => undefined);
+      await sleep(50);
+    }
+    expect(bench.readOutput('agent-1')).to.include('report-passed-over');
+    runner.skipsHeartbeats = false;
+    expect(await job).to.equal(1);
+  });
+
+  // Guards against a capacity that dispatchers confirm, though the upstream has told the executor none for long.
+  it('gets no task after a restart, if it had not reported for long before', async () => {
+    for (const runner of bench.runners) runner.skipsHeartbeats = true;
+    await sleep(CONFIRMED_MS);
+    await restartBesideSilentUpstream('SIGTERM');
+    await waitForJoin();
+    await bench.submit('entry-1', 'too-early', 1, TASK_MS, 1_000);
+    expect(bench.starts.size).to.equal(0);
+  });
 });
