A message with very many rows that cannot be read is none; pauses between dials begin as before

Reading the diff: each of two million odd rows in a line of a foreign peer would have been validated and described, where the first one ended the check before. Over 1,000 the link is closed, as no process of ours sends any. And the first failed dial waited 100 ms in place of 50.

--- a/src/connection/peer/RedialBackoff.ts
+++ b/src/connection/peer/RedialBackoff.ts
@@ -13,7 +13,8 @@
 
 /** Backoff of one peer. */
 export class RedialBackoff {
-  private pauseMs = MIN_PAUSE_MS;
+  /** Half of the shortest pause before the first attempt has failed, as each failure doubles it. */
+  private pauseMs = MIN_PAUSE_MS / 2;
   private openedAt = -Infinity;
   private closeReason = '';
   /** Number of links in a row that closed for that reason before they counted as sound. */
--- a/src/connection/peer/parsePeerMessage.test.ts
+++ b/src/connection/peer/parsePeerMessage.test.ts
@@ -86,6 +86,18 @@
     expect(whole.flatMap(({ starts: named = [] }) => named.map(({ index }) => index))).to.deep.equal([1, 0]);
   });
 
+  // Guards against a line of a foreign peer that keeps the process busy with each of its rows.
+  it('rejects a message with very many rows that cannot be read', () => {
+    for (const type of ['members', 'starts', 'agent-hello']) {
+      const line = `{"type":"${type}","tasks":[${'1,'.repeat(500_000)}1],"entries":[${'1,'.repeat(500_000)}1],"holding":[${'1,'.repeat(500_000)}1]}`;
+      expect(parsePeerMessage(line)).to.deep.equal({
+        message: undefined,
+        faults: [],
+        problem: 'too many rows that cannot be read',
+      });
+    }
+  });
+
   it('leaves out a message without what it needs, but rejects the first one of a link', () => {
     expect(parsePeerMessage('{"type":"stop","name":{}}')).to.deep.include({
       message: undefined,
--- a/src/connection/peer/parsePeerMessage.ts
+++ b/src/connection/peer/parsePeerMessage.ts
@@ -48,6 +48,10 @@
   'entry-hello',
 ]);
 
+/** Most rows of a message that are left out; no process of this program sends any. */
+const MAX_UNREADABLE_ROWS = 1_000;
+const TOO_MANY_ROWS = 'too many rows that cannot be read';
+
 /**
  * Parses and validates one line of a link. A part that stands alone and cannot be read is left out or replaced.
  *
@@ -70,6 +74,7 @@
   const checks = CHECKS.get(type);
   if (!checks) return { message: undefined, faults: [], problem: '' };
   const faults = checkParts(type as WireMessage['type'], fields, checks);
+  if (faults.some(({ problem }) => problem === TOO_MANY_ROWS)) return describeUnusable(TOO_MANY_ROWS);
   if (checks.validate(fields)) {
     return { message: dropUndialable(fields as unknown as WireMessage), faults, problem: '' };
   }
@@ -120,29 +125,38 @@
   return faults;
 }
 
-/** Leaves out the rows of a list that cannot be read. */
+/**
+ * Leaves out the rows of a list that cannot be read.
+ *
+ * @returns undefined for none; `problem` is TOO_MANY_ROWS if the list is left as it is
+ */
 function checkRows(
   type: WireMessage['type'],
   fields: MessageFields,
   { field, validate }: PartCheck,
 ): MessageFault | undefined {
-  const rows = fields[field] as unknown[];
+  const kept: unknown[] = [];
   const unreadable: unknown[] = [];
   let problem = '';
-  const kept = rows.filter((row) => {
-    if (validate(row)) return true;
+  for (const row of fields[field] as unknown[]) {
+    if (validate(row)) {
+      kept.push(row);
+      continue;
+    }
     if (unreadable.length === 0) problem = describeErrors(validate);
     unreadable.push(row);
-    return false;
-  });
+    if (unreadable.length > MAX_UNREADABLE_ROWS)
+      return { type, field, count: unreadable.length, problem: TOO_MANY_ROWS };
+  }
   if (unreadable.length === 0) return undefined;
   fields[field] = kept;
   const fault = { type, field, count: unreadable.length, problem };
-  if (type !== 'starts') return fault;
-  return {
-    ...fault,
-    starts: unreadable.flatMap((row) => findAttempt({ job: fields['job'], ...toObject(row) })),
-  };
+  return type === 'starts' ? { ...fault, starts: findStarts(fields, unreadable) } : fault;
+}
+
+/** Finds the names of starts in rows of a batch, as far as they can be read. */
+function findStarts({ job }: MessageFields, rows: readonly unknown[]): AttemptName[] {
+  return rows.flatMap((row) => findAttempt({ job, ...toObject(row) }));
 }
 
 /** Describes a message that is left out as a whole. */
@@ -150,8 +164,7 @@
   const type = fields['type'] as WireMessage['type'];
   if (type === 'starts') {
     const tasks: unknown[] = Array.isArray(fields['tasks']) ? fields['tasks'] : [];
-    const starts = tasks.flatMap((row) => findAttempt({ job: fields['job'], ...toObject(row) }));
-    return { type, field: '', count: tasks.length, problem, starts };
+    return { type, field: '', count: tasks.length, problem, starts: findStarts(fields, tasks) };
   }
   const fault = { type, field: '', count: 1, problem };
   return type === 'start' ? { ...fault, starts: findAttempt(fields['name']) } : fault;
