--- a/src/process/executor/KnownReport.test.ts
+++ b/src/process/executor/KnownReport.test.ts
@@ -74,11 +74,14 @@
     expect(isPassedOver(CLOCK_MS - 7_400, 1_500)).to.equal(false);
   });
 
-  it('takes no report for delayed before an answer has shown the clock, but reviews it then', () => {
-    const known = new KnownReport(buildUpstreamReport(), 'store', 0);
+  // Guards against a capacity that was confirmed, and then replaced by a delayed report before the first answer.
+  it('passes over a report before an answer has shown the clock, but for the one that opens the session', () => {
+    const recalled = new KnownReport(buildUpstreamReport(), 'store', 0);
+    const report = buildUpstreamReport({ clockMs: CLOCK_MS });
+    expect(recalled.supersedes(report, 0, { ...CLOCK, isClockKnown: false })).to.equal(true);
+
     const late = buildUpstreamReport({ clockMs: CLOCK_MS - 4_000 });
-    expect(known.supersedes(late, 0, { ...CLOCK, isClockKnown: false })).to.equal(false);
-    known.replace(late, 0);
+    const known = new KnownReport(late, 'upstream', 0);
     expect([known.isOwn, known.reviewDelay(CLOCK), known.isOwn]).to.deep.equal([true, true, false]);
     expect(known.isCapacityKnown(1)).to.equal(false);
     known.replace(buildUpstreamReport({ clockMs: CLOCK_MS + 10 }), 20);
--- a/src/process/executor/KnownReport.ts
+++ b/src/process/executor/KnownReport.ts
@@ -87,7 +87,7 @@
 
   /**
    * Checks whether a report that has arrived is passed over: it was sent before the newest one, or would be the first
-   * of the incarnation to this process and was delayed on its way.
+   * of the incarnation to this process and was delayed on its way, or may have been while the clock is not known.
    *
    * @param report - report that has arrived
    * @param receivedAt - steady time at which it arrived, ms
@@ -95,7 +95,7 @@
    */
   supersedes(report: UpstreamReport, receivedAt: number, clock: UpstreamClock): boolean {
     if (this.isOwn) return this.isLaterThan(report, clock);
-    return clock.isClockKnown && this.isDelayed(report, receivedAt, clock);
+    return !clock.isClockKnown || this.isDelayed(report, receivedAt, clock);
   }
 
   /**
