--- a/src/process/dispatcher/DemandReporter.test.ts
+++ b/src/process/dispatcher/DemandReporter.test.ts
@@ -1,51 +1,18 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
-import { ROUTE, STEP, WIDE_LIMITS } from '../../../test/fakes/dispatchFixtures.js';
+import { DispatcherFixture } from '../../../test/fakes/DispatcherFixture.js';
+import { ROUTE, STEP } from '../../../test/fakes/dispatchFixtures.js';
 import { FakeCaller } from '../../../test/fakes/FakeCaller.js';
 import { encodePeerMessage } from '../../connection/peer/encodePeerMessage.js';
 import { parsePeerMessage } from '../../connection/peer/parsePeerMessage.js';
 import { MAX_RESOURCE_AMOUNT } from '../../connection/schemaBounds.js';
-import { JobBounds } from '../../request/dispatch/JobBounds.js';
 import { DemandReporter } from './DemandReporter.js';
-import { Dispatcher } from './Dispatcher.js';
-import { SpeedPlacement } from './Placement.js';
-import { UnboundedWindow } from './SendWindow.js';
 
 const SEED = 20261207;
 const PING_MS = 100;
 const VERSIONS = { version: 3, emptiedRevision: 4 };
 
-function createDispatcher(): Dispatcher {
-  return new Dispatcher(
-    {
-      pingMs: PING_MS,
-      bounds: new JobBounds(WIDE_LIMITS),
-      placement: new SpeedPlacement(1.5),
-      window: new UnboundedWindow(),
-      nextRandom: () => 0.5,
-    },
-    { send: () => undefined, log: () => undefined, recordOutcome: () => undefined },
-  );
-}
-
-/** Links an executor whose upstream works at a speed. */
-function linkExecutor(dispatcher: Dispatcher, agent: string, speed: number): void {
-  const hello = { type: 'agent-hello', agent, life: '1', failureDomain: 'x', entryLife: '' } as const;
-  const id = dispatcher.handleHello({ ...hello, holding: [], results: [], orphanMs: 1_000 }, 'me', 0);
-  const capacity = { cpuMilli: 1, memoryMb: 1, gpus: 0 };
-  const description = { upstream: agent, service: 'service', labels: [], capacity };
-  const room = {
-    description,
-    state: 'ready',
-    trust: 'healthy',
-    free: capacity,
-    startsSeen: 0,
-    speed,
-  } as const;
-  dispatcher.handlePing(id, { type: 'ping', at: 0, version: 1, room, progress: undefined }, 0);
-}
-
 describe('DemandReporter', () => {
   const channel = { send: () => undefined };
 
@@ -58,8 +25,9 @@
     );
     const states = fc.tuple(fc.array(fc.tuple(cpu, fc.nat(50)), { maxLength: 8 }), fc.array(speed));
     const property = fc.property(states, ([steps, speeds]) => {
-      const dispatcher = createDispatcher();
-      speeds.forEach((value, index) => linkExecutor(dispatcher, `a${index}`, value));
+      const fixture = new DispatcherFixture();
+      const { dispatcher } = fixture;
+      speeds.forEach((value, index) => fixture.ping(fixture.link(`a${index}`, 0), 0, { speed: value }));
       dispatcher.tick(0);
       steps.forEach(([cpuMilli, count], index) => {
         const step = { ...STEP, count, estimateMs: 1, resources: { cpuMilli, memoryMb: 1, gpus: 9 } };
